Lay out the package, its values and the seams between packages

Ruled out: one module of shared types (would be edited by everyone). Conclusion: packages can be built side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+VENV ?= .venv
+PY = $(VENV)/bin/python
+STAMP = $(VENV)/.setup-done
+export PYTHONPATH = $(CURDIR)/src:$(CURDIR)
+export PYTHONHASHSEED = 0
+JOBS ?= 4
+
+.PHONY: setup test format lint types unit docs-check demo
+
+setup: $(STAMP)
+
+$(STAMP): pyproject.toml constraints.txt
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install -q -c constraints.txt -e '.[dev,report]'
+	touch $(STAMP)
+
+format: setup
+	$(PY) -m black -q src tests bench
+
+lint: setup
+	$(PY) -m black -q --check src tests bench
+	$(PY) -m flake8 src tests bench
+
+types: setup
+	$(PY) -m mypy
+
+unit: setup
+	$(PY) -m pytest -n $(JOBS) tests
+
+test: lint types unit
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of corianderloft, run by the Makefile."""
--- /dev/null
+++ b/src/corianderloft/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of corianderloft; nothing below this package is public."""
--- /dev/null
+++ b/src/corianderloft/_internal/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on a request: admission, queueing, choice of engine, retry."""
--- /dev/null
+++ b/src/corianderloft/_internal/decisions/interface.py
@@ -0,0 +1,144 @@
+"""The seam between the relay of an entry host and its decisions."""
+
+import collections.abc
+import dataclasses
+import enum
+import typing
+
+from corianderloft._internal.models import backends
+from corianderloft._internal.models import catalog
+from corianderloft._internal.models import ids
+from corianderloft._internal.models import reasons
+from corianderloft._internal.models import requests
+
+
+class AttemptEnd(enum.Enum):
+    """How one attempt on a backend server ended."""
+
+    COMPLETE = 'complete'
+    CALLER_LEFT = 'caller_left'
+    CANCELLED = 'cancelled'
+    CONNECT_FAILED = 'connect_failed'
+    CONNECTION_LOST = 'connection_lost'
+    SILENT = 'silent'
+    BACKEND_REFUSED = 'backend_refused'
+    BACKEND_ERROR = 'backend_error'
+
+
+@dataclasses.dataclass(frozen=True)
+class RetryNow:
+    """Send the request again after ``delay`` seconds.
+
+    Attributes
+    ----------
+    reason : RetryReason
+        Counted reason.
+    delay : float
+        Jittered wait in seconds.
+    """
+
+    reason: reasons.RetryReason
+    delay: float
+
+
+@dataclasses.dataclass(frozen=True)
+class GiveUp:
+    """Do not send the request again."""
+
+    reason: reasons.RetryRefusalReason
+
+
+class Grant(typing.Protocol):
+    """Permission to run one attempt on one backend server.
+
+    The relay reports what it sees and calls `close` exactly once.
+    """
+
+    backend: backends.Backend
+    priority: int
+
+    def first_token(self) -> None:
+        """Note that the first token arrived."""
+
+    def progress(self, tokens: int) -> None:
+        """Note that ``tokens`` more tokens arrived."""
+
+    def close(self, end: AttemptEnd) -> None:
+        """Give the slot back and say how the attempt ended."""
+
+
+class Dispatcher(typing.Protocol):
+    """Takes every decision on the requests of one entry host."""
+
+    async def acquire(
+        self,
+        ticket: requests.Ticket,
+        exclude: collections.abc.Set[ids.EngineId] = frozenset(),
+    ) -> Grant | requests.Refused:
+        """Queue a request until it may run on a backend server.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The request.
+        exclude : set of EngineId
+            Backend servers that already failed this request.
+
+        Returns
+        -------
+        Grant or Refused
+            A refusal is always ``not_run``. Cancelling the call leaves the
+            queue.
+        """
+
+    def retry(
+        self,
+        ticket: requests.Ticket,
+        end: AttemptEnd,
+        attempts: int,
+        may_have_run: bool,
+        relayed_tokens: int,
+    ) -> RetryNow | GiveUp:
+        """Decide whether a failed attempt is followed by another.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The request.
+        end : AttemptEnd
+            How the last attempt ended.
+        attempts : int
+            Attempts made so far.
+        may_have_run : bool
+            Whether any byte of the request may have reached the backend.
+        relayed_tokens : int
+            Tokens that already went to the caller; another attempt resumes
+            after them.
+        """
+
+    def hedge_after(self, ticket: requests.Ticket) -> float | None:
+        """Return the wait in seconds before a second attempt, or None."""
+
+    def use_catalog(self, current: catalog.Catalog) -> None:
+        """Put a new configuration in force."""
+
+    def use_backends(
+        self, current: collections.abc.Sequence[backends.Backend]
+    ) -> None:
+        """Replace the list of backend servers, leaving ones included."""
+
+    def use_hosts(
+        self, own: ids.HostId, live: collections.abc.Sequence[ids.HostId]
+    ) -> None:
+        """Replace the list of live entry hosts, this one included."""
+
+    def report_load(self, report: backends.LoadReport) -> None:
+        """Take in an engine's own, late report of its load."""
+
+    def cached_prefixes(
+        self,
+        engine_id: ids.EngineId,
+        added: collections.abc.Sequence[int],
+        removed: collections.abc.Sequence[int],
+    ) -> None:
+        """Take in late cache events of an engine; gaps are possible."""
--- /dev/null
+++ b/src/corianderloft/_internal/kv/__init__.py
@@ -0,0 +1,1 @@
+"""Client side of the platform's key-value service."""
--- /dev/null
+++ b/src/corianderloft/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Small immutable values that all packages share."""
--- /dev/null
+++ b/src/corianderloft/_internal/shared/__init__.py
@@ -0,0 +1,1 @@
+"""State that entry hosts share: membership, configuration, claims."""
--- /dev/null
+++ b/src/corianderloft/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that import nothing from the packages above them."""
