--- /dev/null
+++ b/src/corianderloft/_internal/settings/base.py
@@ -0,0 +1,38 @@
+"""Base of all sections of the settings."""
+
+import typing
+
+import pydantic
+
+
+class Section(pydantic.BaseModel):
+    """One section; unknown keys are errors and values never change."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+def setting(
+    default: typing.Any,
+    description: str,
+    unit: str = '',
+    **bounds: typing.Any,
+) -> typing.Any:
+    """Return a field with its description, unit and bounds.
+
+    Parameters
+    ----------
+    default : object
+        Default value; ``...`` makes the key required.
+    description : str
+        What the key does, for docs/settings.md.
+    unit : str
+        Unit of the value, for example ``s`` or ``bytes``.
+    **bounds : object
+        Bounds that pydantic checks: ``ge``, ``gt``, ``le``, ``lt``.
+    """
+    return pydantic.Field(
+        default,
+        description=description,
+        json_schema_extra={'unit': unit},
+        **bounds,
+    )
