Count tokens of a stream before they are sent

Cause: test_stream_is_relayed_whole failed 2 of 11 times: a host stopped while the last events went out had not counted them. Change: an answer takes events first and sends them afterwards.

--- a/src/corianderloft/_internal/entry/answers.py
+++ b/src/corianderloft/_internal/entry/answers.py
@@ -70,13 +70,18 @@
         self._bytes = 0
         self._delivered = 0
 
-    async def deliver(self, events: bytes) -> int:
-        """Keep events and pass them on to the caller.
+    def take(self, events: bytes) -> int:
+        """Keep new events.
 
         Returns
         -------
         int
             New tokens in them.
+
+        Raises
+        ------
+        ValueError
+            If the events do not follow those before.
         """
         number = sse.last_id(events)
         before = self.tokens
@@ -87,15 +92,19 @@
         self.tokens = after
         self.record.tokens = after
         self.complete = events.endswith(sse.DONE)
-        viewer = self.viewer
-        if viewer is not None:
-            if not viewer.started:
-                await viewer.start_stream(self.headers())
-            await viewer.send_events(events)
-            if self.complete:
-                await viewer.end_stream()
         return after - before
 
+    async def send(self, events: bytes) -> None:
+        """Pass events that were taken on to the caller."""
+        viewer = self.viewer
+        if viewer is None:
+            return
+        if not viewer.started:
+            await viewer.start_stream(self.headers())
+        await viewer.send_events(events)
+        if self.complete:
+            await viewer.end_stream()
+
     def headers(self) -> list[tuple[bytes, bytes]]:
         """Return the headers that every answer carries."""
         caller_id = self.call.origin.caller_id
--- a/src/corianderloft/_internal/entry/attempts.py
+++ b/src/corianderloft/_internal/entry/attempts.py
@@ -1,6 +1,5 @@
 """One attempt of a chat completion on one engine."""
 
-import collections.abc
 import dataclasses
 import typing
 
@@ -20,9 +19,15 @@
 
 _TARGET = b'/v1/chat/completions'
 
-Deliver = collections.abc.Callable[
-    [bytes], collections.abc.Coroutine[typing.Any, typing.Any, int]
-]
+
+class Sink(typing.Protocol):
+    """Where whole events go."""
+
+    def take(self, events: bytes) -> int:
+        """Keep events and return the tokens in them."""
+
+    async def send(self, events: bytes) -> None:
+        """Pass events on to the caller."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,9 +103,7 @@
             return await self._whole()
         return await self._first_events(have)
 
-    async def relay(
-        self, first: bytes, deliver: Deliver
-    ) -> outbound.Failure | None:
+    async def relay(self, first: bytes, sink: Sink) -> outbound.Failure | None:
         """Pass a stream on until its end.
 
         What has arrived together goes out together, and nothing is held
@@ -110,10 +113,10 @@
         ----------
         first : bytes
             Events that `open` returned.
-        deliver : callable
-            Passes whole events on and returns the tokens in them.
+        sink : Sink
+            Where the events go.
         """
-        stream = _Relayed(self._cutter, self._grant, deliver, first)
+        stream = _Relayed(self._cutter, self._grant, sink, first)
         with self._parts.watch.guard(self._gap_bound) as guard:
 
             async def before_read() -> None:
@@ -239,7 +242,7 @@
         self,
         cutter: sse.EventCutter,
         grant: interface.Grant,
-        deliver: Deliver,
+        sink: Sink,
         first: bytes,
     ) -> None:
         self.pieces: list[bytes] = []
@@ -247,7 +250,7 @@
         self._whole = first
         self._cutter = cutter
         self._grant = grant
-        self._deliver = deliver
+        self._sink = sink
 
     async def flush(self) -> None:
         """Pass on all whole events."""
@@ -258,9 +261,9 @@
         if not events or self.complete:
             return
         self._whole = b''
-        tokens = await self._deliver(events)
-        self._grant.progress(tokens)
+        self._grant.progress(self._sink.take(events))
         self.complete = events.endswith(sse.DONE)
+        await self._sink.send(events)
 
 
 def _completion_tokens(body: bytes) -> int | None:
--- a/src/corianderloft/_internal/entry/chat.py
+++ b/src/corianderloft/_internal/entry/chat.py
@@ -112,9 +112,7 @@
                 end = interface.AttemptEnd.COMPLETE
                 return Completed(won.opened.first)
             self._answer.model = self._model = attempt.backend.model
-            failure = await attempt.relay(
-                won.opened.first, self._answer.deliver
-            )
+            failure = await attempt.relay(won.opened.first, self._answer)
             end = failure.end if failure else interface.AttemptEnd.COMPLETE
             self._failed.add(attempt.backend.engine_id)
             self._count += 1
