Test relayed answers: engine failures, hedges, callers that come back

Cause: every caller has to get the whole answer to its own request. Change: an attempt stopped because its caller left ends as caller_left; tests against scripted engines that die, cut, go silent, restart or refuse.

--- a/src/corianderloft/_internal/entry/attempts.py
+++ b/src/corianderloft/_internal/entry/attempts.py
@@ -7,6 +7,7 @@
 
 from corianderloft._internal.decisions import interface
 from corianderloft._internal.entry import calls
+from corianderloft._internal.entry import inflight
 from corianderloft._internal.entry import parts as entry_parts
 from corianderloft._internal.entry import records
 from corianderloft._internal.entry import sse
@@ -53,6 +54,8 @@
         Permission of the dispatcher; closed exactly once by `close`.
     noted : Try
         The attempt in the request's record.
+    running : Running or None
+        The work that the attempt is part of.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         call: calls.ChatCall,
         grant: interface.Grant,
         noted: records.Try,
+        running: inflight.Running | None,
     ) -> None:
         cfg = parts.settings.backends
         request_class = call.origin.request_class
@@ -70,6 +74,7 @@
         self._call = call
         self._grant = grant
         self._noted = noted
+        self._running = running
         self._closed = False
         self._cutter = sse.EventCutter()
         self._first_bound = max(
@@ -143,10 +148,18 @@
         if self._closed:
             return
         self._closed = True
+        if end is interface.AttemptEnd.CANCELLED and self._caller_left():
+            end = interface.AttemptEnd.CALLER_LEFT
         self._noted.end = end
         self._grant.close(end)
         await self._outbound.close()
 
+    def _caller_left(self) -> bool:
+        return (
+            self._running is not None
+            and self._running.reason is inflight.StopReason.CALLER_LEFT
+        )
+
     async def _read_into(self, stream: '_Relayed') -> outbound.Failure | None:
         while True:
             data = await self._outbound.read()
--- a/src/corianderloft/_internal/entry/chat.py
+++ b/src/corianderloft/_internal/entry/chat.py
@@ -131,7 +131,9 @@
         if isinstance(grant, requests.Refused):
             return grant
         noted = self._record.begin_try(grant.backend.engine_id)
-        return attempts.Attempt(self._parts, self._call, grant, noted)
+        return attempts.Attempt(
+            self._parts, self._call, grant, noted, self._answer.running
+        )
 
     async def _start_second(
         self, ticket: requests.Ticket, first: attempts.Attempt
--- a/tests/lib/entry.py
+++ b/tests/lib/entry.py
@@ -361,6 +361,72 @@
     )
 
 
+class Reader:
+    """A caller's connection that reads a stream piece by piece."""
+
+    def __init__(self, connection: httpcore.AsyncHTTPConnection) -> None:
+        self._connection = connection
+        self._response: httpcore.Response | None = None
+        self.body = b''
+
+    async def open(
+        self, method: str, url: str, headers: dict[str, str], body: bytes
+    ) -> int:
+        self._response = await self._connection.handle_async_request(
+            httpcore.Request(
+                method,
+                url,
+                headers={
+                    'Host': 'h',
+                    'Content-Length': str(len(body)),
+                    **headers,
+                },
+                content=body,
+            )
+        )
+        self._chunks = self._response.aiter_stream().__aiter__()
+        return self._response.status
+
+    async def until(self, count: int) -> None:
+        """Read until token ``count`` is there."""
+        while not self.body or max(token_ids(self.body), default=0) < count:
+            self.body += await anext(self._chunks)
+
+    async def rest(self) -> bytes:
+        """Read to the end."""
+        async for chunk in self._chunks:
+            self.body += chunk
+        return self.body
+
+    async def leave(self) -> None:
+        """Close the connection."""
+        await self._connection.aclose()
+
+
+@contextlib.asynccontextmanager
+async def reading(
+    fixture: Fixture, workspace: str = 'stables', **extra: str
+) -> typing.AsyncIterator[Reader]:
+    """Begin a streamed completion on a connection of its own."""
+    async with open_reader(fixture) as reader:
+        status = await reader.open(
+            'POST',
+            fixture.url + '/v1/chat/completions',
+            headers_of(workspace, **extra),
+            orjson.dumps(BODY),
+        )
+        assert status == 200
+        yield reader
+
+
+@contextlib.asynccontextmanager
+async def open_reader(fixture: Fixture) -> typing.AsyncIterator[Reader]:
+    """Make a connection to the callers' port."""
+    origin = httpcore.URL(fixture.url).origin
+    async with httpcore.AsyncHTTPConnection(origin) as connection:
+        yield Reader(connection)
+
+
 def token_ids(body: bytes) -> list[int]:
     """Return the ids of all events, in order."""
     return [
--- a/tests/unit/entry/test_chat.py
+++ b/tests/unit/entry/test_chat.py
@@ -1,11 +1,26 @@
 """Tests of relayed chat completions against scripted engines."""
 
+import pytest
 import trio
 
 from tests.lib import engines
 from tests.lib import entry
 
 
+async def restarts(wire: engines.Wire, seen: engines.Seen) -> None:
+    """Serve the whole stream, also to who asks for the rest of it."""
+    await wire.head()
+    await wire.tokens(1, engines.TOKENS)
+    await wire.done()
+
+
+async def cut_clean(wire: engines.Wire, seen: engines.Seen) -> None:
+    """End a stream in good HTTP, but without its last event."""
+    await wire.head()
+    await wire.tokens(seen.have + 1, 7)
+    await wire.send(engines.h11.EndOfMessage())
+
+
 async def test_stream_is_relayed_whole(nursery: trio.Nursery) -> None:
     _, backend = await engines.start(nursery, 'e1', engines.serves)
     async with entry.running_host(backend) as fixture:
@@ -29,3 +44,145 @@
         )
     assert answer.json()['choices'][0]['message']['content'] == 'ready'
     assert engine.seen[0].headers['x-request-id'].startswith('stables:')
+
+
+@pytest.mark.parametrize(
+    ('first', 'have'),
+    [
+        (engines.dies_after(5), 5),
+        (engines.silent_after(5), 5),
+        (engines.silent_after(0), 0),
+        (cut_clean, 7),
+        (engines.refuses(503, 'overloaded'), 0),
+        (engines.refuses(500, 'crash'), 0),
+    ],
+    ids=['dies', 'silent', 'mute', 'cut', 'overloaded', 'error'],
+)
+@pytest.mark.parametrize(
+    'second', [engines.serves, restarts], ids=['resumes', 'restarts']
+)
+async def test_answer_is_whole_when_the_first_engine_fails(
+    nursery: trio.Nursery,
+    first: engines.Script,
+    have: int,
+    second: engines.Script,
+) -> None:
+    _, one = await engines.start(nursery, 'e1', first)
+    other, two = await engines.start(nursery, 'e2', second)
+    quick = {'silent_first_tokens': 1.01}
+    async with entry.running_host(one, two, backends=quick) as fixture:
+        fixture.shared.catalog = entry.catalog_of(first_token_target=0.1)
+        answer = await entry.chat(fixture)
+    assert answer.body == engines.whole_body()
+    assert other.seen[0].have == have
+    assert len(fixture.dispatcher.grants) == 2
+
+
+async def test_resumes_only_on_the_model_that_began(
+    nursery: trio.Nursery,
+) -> None:
+    _, one = await engines.start(nursery, 'e1', engines.dies_after(5))
+    other, two = await engines.start(
+        nursery, 'e2', engines.serves, model='another'
+    )
+    async with entry.running_host(one, two) as fixture:
+        answer = await entry.chat(fixture)
+    assert answer.tokens() == [1, 2, 3, 4, 5]
+    assert b'event: error\ndata: {"error":{"reason":"no_backend"' in (
+        answer.body
+    )
+    assert b'"run":"ran"' in answer.body
+    assert not other.seen
+
+
+async def test_refusal_of_every_engine_is_not_run(
+    nursery: trio.Nursery,
+) -> None:
+    _, one = await engines.start(
+        nursery, 'e1', engines.refuses(503, 'overloaded')
+    )
+    async with entry.running_host(one) as fixture:
+        answer = await entry.chat(fixture)
+    assert answer.refusal() == ('no_backend', 'not_run')
+    assert answer.headers['retry-after'] == '2'
+
+
+async def test_callers_fault_is_told_and_not_repeated(
+    nursery: trio.Nursery,
+) -> None:
+    engine, one = await engines.start(
+        nursery, 'e1', engines.refuses(400, 'temperature')
+    )
+    async with entry.running_host(one) as fixture:
+        answer = await entry.chat(fixture)
+    assert answer.refusal() == ('bad_request', 'not_run')
+    assert len(engine.seen) == 1
+
+
+async def test_engine_is_cancelled_when_the_caller_leaves(
+    nursery: trio.Nursery,
+) -> None:
+    engine, one = await engines.start(nursery, 'e1', engines.silent_after(3))
+    slow = {'silent_floor': 60.0}
+    async with entry.running_host(one, backends=slow) as fixture:
+        async with entry.reading(fixture) as reader:
+            await reader.until(3)
+            await reader.leave()
+        with trio.fail_after(10):
+            await engine.cancelled.wait()
+        engine.script = engines.serves
+        answer = await entry.chat(fixture)
+    # The connection with the unread answer is not used again.
+    assert answer.body == engines.whole_body()
+    assert engine.connections == 2
+    assert fixture.dispatcher.grants[0].ends[0].value == 'caller_left'
+
+
+async def test_slow_first_attempt_is_hedged_and_cancelled(
+    nursery: trio.Nursery,
+) -> None:
+    slow, one = await engines.start(nursery, 'e1', engines.silent_after(0))
+    _, two = await engines.start(nursery, 'e2', engines.serves)
+    async with entry.running_host(one, two) as fixture:
+        fixture.dispatcher.hedge = 0.01
+        answer = await entry.chat(fixture)
+        with trio.fail_after(10):
+            await slow.cancelled.wait()
+    assert answer.body == engines.whole_body()
+    ends = [grant.ends[0].value for grant in fixture.dispatcher.grants]
+    assert ends == ['cancelled', 'complete']
+
+
+async def test_many_callers_get_their_own_answers(
+    nursery: trio.Nursery,
+) -> None:
+    async def echoes(wire: engines.Wire, seen: engines.Seen) -> None:
+        said = engines.orjson.loads(seen.body)['messages'][0]['content']
+        if len(wire.engine.seen) % 3 == 0:
+            await engines.dies_after(0)(wire, seen)
+        await wire.json(200, {'choices': [said]})
+
+    listed = [
+        (await engines.start(nursery, f'e{number}', echoes))[1]
+        for number in range(4)
+    ]
+    answers: dict[str, str] = {}
+
+    async def ask(fixture: entry.Fixture, text: str) -> None:
+        body = {
+            'messages': [{'role': 'user', 'content': text}],
+        }
+        answer = await entry.call(
+            fixture.url + '/v1/chat/completions',
+            body=body,
+            headers=entry.headers_of('stables'),
+        )
+        if answer.status == 200:
+            answers[text] = answer.json()['choices'][0]
+
+    async with entry.running_host(*listed) as fixture:
+        async with trio.open_nursery() as callers:
+            for number in range(40):
+                callers.start_soon(ask, fixture, f'rug {number}')
+    assert all(text == said for text, said in answers.items())
+    assert len(answers) > 20
