Keep connections to backend servers, test plain calls and bad input

Cause: no connection was used again, since httpcore marks one idle only when its response is closed; found by the test of old connections. Change: close the response before the connection goes back.

--- a/src/corianderloft/_internal/network/outbound.py
+++ b/src/corianderloft/_internal/network/outbound.py
@@ -106,6 +106,7 @@
         self._watch = watch
         self._connect_time = connect_time
         self._connection: connections.Connection | None = None
+        self._response: httpcore.Response | None = None
         self._chunks: collections.abc.AsyncIterator[bytes] | None = None
         self.backend = backend
 
@@ -135,6 +136,7 @@
                 return self._failure(
                     interface.AttemptEnd.CONNECTION_LOST, exc, True
                 )
+            self._response = response
             self._chunks = response.aiter_stream().__aiter__()
             return Head(response.status, response.headers)
         return self.gone_silent(bound)
@@ -199,6 +201,8 @@
             return
         until = trio.current_time() + CLOSE_TIME
         with trio.CancelScope(deadline=until, shield=True):
+            if self._response is not None:
+                await self._response.aclose()
             await self._kept.give_back(self.backend, connection)
 
     def _request(self, message: Message) -> httpcore.Request:
--- a/tests/lib/entry.py
+++ b/tests/lib/entry.py
@@ -11,6 +11,7 @@
 import trio
 
 from corianderloft._internal.decisions import interface as decisions
+from corianderloft._internal.entry import calls
 from corianderloft._internal.entry import host
 from corianderloft._internal.models import backends
 from corianderloft._internal.models import catalog
@@ -72,6 +73,15 @@
     )
 
 
+def origin() -> calls.Origin:
+    """Return the origin of a request of ``stables`` to ``desk``."""
+    current = catalog_of()
+    service = current.services[0]
+    return calls.Origin(
+        current.workspaces[0], service, service.classes[0], 'r1'
+    )
+
+
 class FakeShared:
     """Shared state of a single host, all in memory."""
 
--- /dev/null
+++ b/tests/unit/entry/test_bad_input.py
@@ -0,0 +1,217 @@
+"""Tests that bad input of every kind gets 4xx with a reason, never 500."""
+
+import typing
+
+import hypothesis
+from hypothesis import strategies as st
+import orjson
+import pytest
+import trio
+
+from corianderloft._internal.entry import checks
+from corianderloft._internal.entry import refusals
+from corianderloft._internal.models import reasons
+from tests.lib import entry
+
+GOOD = entry.headers_of('stables')
+CHAT = '/v1/chat/completions'
+
+
+def _with(**changes: typing.Any) -> bytes:
+    return orjson.dumps({**entry.BODY, **changes})
+
+
+CASES: dict[str, tuple[str, str, dict[str, str], bytes, int, str]] = {
+    'no key': ('POST', CHAT, {}, _with(), 401, 'unknown_key'),
+    'no bearer': (
+        'POST',
+        CHAT,
+        {**GOOD, 'Authorization': 'Basic eA=='},
+        _with(),
+        401,
+        'unknown_key',
+    ),
+    'wrong key': (
+        'POST',
+        CHAT,
+        {**GOOD, 'Authorization': 'Bearer \xff'},
+        _with(),
+        401,
+        'unknown_key',
+    ),
+    'service of nobody': (
+        'POST',
+        CHAT,
+        {**GOOD, 'X-Service': 'x'},
+        _with(),
+        404,
+        'unknown_service',
+    ),
+    'service of another kind': (
+        'POST',
+        CHAT,
+        {**GOOD, 'X-Service': 'till'},
+        _with(),
+        404,
+        'unknown_service',
+    ),
+    'class': (
+        'POST',
+        CHAT,
+        {**GOOD, 'X-Class': 'x'},
+        _with(),
+        400,
+        'unknown_class',
+    ),
+    'request id': (
+        'POST',
+        CHAT,
+        {**GOOD, 'X-Request-Id': 'a/b'},
+        _with(),
+        400,
+        'bad_request',
+    ),
+    'empty': ('POST', CHAT, GOOD, b'', 400, 'bad_request'),
+    'not json': ('POST', CHAT, GOOD, b'{"a"', 400, 'bad_request'),
+    'not utf-8': ('POST', CHAT, GOOD, b'"\xff"', 400, 'bad_request'),
+    'list': ('POST', CHAT, GOOD, b'[]', 400, 'bad_request'),
+    'no messages': ('POST', CHAT, GOOD, _with(messages=[]), 400, ''),
+    'message': ('POST', CHAT, GOOD, _with(messages=[1]), 400, ''),
+    'stream': ('POST', CHAT, GOOD, _with(stream='yes'), 400, ''),
+    'no tokens': ('POST', CHAT, GOOD, _with(max_tokens=0), 400, ''),
+    'many tokens': ('POST', CHAT, GOOD, _with(max_tokens=10**9), 400, ''),
+    'large seed': ('POST', CHAT, GOOD, b'{"seed":1e400}', 400, ''),
+    'large body': ('POST', CHAT, GOOD, b' ' * 5000, 413, 'too_large'),
+    'path': ('GET', '/etc', GOOD, b'', 404, 'not_found'),
+    'method': ('PUT', CHAT, GOOD, b'', 404, 'not_found'),
+    'nobody is running': (
+        'GET',
+        '/v1/requests/x/stream',
+        GOOD,
+        b'',
+        404,
+        'not_found',
+    ),
+    'key of a call': (
+        'POST',
+        '/v1/services/till/x',
+        {**GOOD, 'Idempotency-Key': 'a b'},
+        b'',
+        400,
+        'bad_request',
+    ),
+    'no such plain service': (
+        'POST',
+        '/v1/services/%ff/x',
+        GOOD,
+        b'',
+        404,
+        'unknown_service',
+    ),
+}
+
+
+@pytest.mark.parametrize('name', CASES)
+async def test_bad_request_is_refused_with_its_reason(name: str) -> None:
+    method, path, headers, body, status, reason = CASES[name]
+    raw = {k: v.encode('latin-1') for k, v in headers.items()}
+    limits = {'max_body_bytes': 4096}
+    async with entry.running_host(callers=limits) as fixture:
+        answer = await entry.call(
+            fixture.url + path, method, body, typing.cast(typing.Any, raw)
+        )
+        assert answer.status == status, answer.body
+        # Whether an unknown request ran on another host is not known here.
+        run = 'unknown' if 'running' in name else 'not_run'
+        assert answer.refusal() == (reason or 'bad_request', run)
+        assert answer.json()['error']['detail']
+
+
+@pytest.mark.parametrize(
+    'sent',
+    [
+        b'\x16\x03\x01\x02\x00\x01\r\n\r\n',
+        b'GET / HTTP/1.1\r\n\r\n',
+        b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: x\r\n\r\n',
+        b'GET /\xff HTTP/1.1\r\nHost: h\r\n\r\n',
+        b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n',
+        b'GET / HTTP/1.1\r\nHost: h\r\nA: ' + b'a' * 200000 + b'\r\n\r\n',
+    ],
+)
+async def test_bad_http_is_refused_with_a_reason(sent: bytes) -> None:
+    limits = {'max_header_bytes': 4096}
+    async with entry.running_host(callers=limits) as fixture:
+        got = await _raw(fixture, sent)
+        assert got.startswith(b'HTTP/1.1 4')
+        assert b'"run":"not_run"' in got
+        # The host serves others as before.
+        assert (await entry.call(fixture.url, 'GET')).status == 404
+
+
+async def test_slow_senders_are_cut_off() -> None:
+    limits = {'read_time': 0.1, 'idle_time': 0.1}
+    async with entry.running_host(callers=limits) as fixture:
+        head = ''.join(f'{k}: {v}\r\n' for k, v in GOOD.items())
+        part = f'POST {CHAT} HTTP/1.1\r\nHost: h\r\n{head}Content-Length: 9'
+        got = await _raw(fixture, part.encode() + b'\r\n\r\n{')
+        assert got.startswith(b'HTTP/1.1 408')
+        assert b'too_slow' in got
+        assert await _raw(fixture, b'POST /') == b''
+
+
+async def test_connections_are_bounded() -> None:
+    limits = {'max_connections': 2, 'idle_time': 0.2}
+    async with entry.running_host(callers=limits) as fixture:
+        port = fixture.sockets.caller_port
+        held = [await trio.open_tcp_stream('127.0.0.1', port)] * 2
+        with trio.fail_after(10):
+            answer = await entry.call(fixture.url, 'GET')
+        assert answer.status == 404
+        for stream in held:
+            await stream.aclose()
+
+
+@hypothesis.given(
+    st.recursive(
+        st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+        lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    ),
+    st.sampled_from(['messages', 'stream', 'max_tokens', 'seed', 'n', 'x']),
+)
+def test_no_body_breaks_the_checks(value: typing.Any, key: str) -> None:
+    origin = entry.origin()
+    try:
+        raw = orjson.dumps({**entry.BODY, key: value})
+    except (TypeError, ValueError, orjson.JSONEncodeError):
+        return
+
+    async def check() -> None:
+        checks.chat_call(origin, raw)
+
+    trio.run(check)
+
+
+def test_every_reason_has_a_status_and_counters() -> None:
+    assert set(refusals.STATUS) == set(reasons.RefusalReason)
+    refusals.start_counters()
+    for counter, kind in (
+        (refusals.REFUSALS, reasons.RefusalReason),
+        (refusals.RETRIES, reasons.RetryReason),
+        (refusals.RETRY_REFUSALS, reasons.RetryRefusalReason),
+    ):
+        for reason in kind:
+            assert counter.get({'reason': reason.value}) >= 0
+
+
+async def _raw(fixture: entry.Fixture, sent: bytes) -> bytes:
+    port = fixture.sockets.caller_port
+    stream = await trio.open_tcp_stream('127.0.0.1', port)
+    got = b''
+    with trio.fail_after(10):
+        await stream.send_all(sent)
+        try:
+            while part := await stream.receive_some(4096):
+                got += part
+        except trio.BrokenResourceError:
+            pass
+    return got
--- a/tests/unit/entry/test_chat.py
+++ b/tests/unit/entry/test_chat.py
@@ -46,6 +46,19 @@
     assert engine.seen[0].headers['x-request-id'].startswith('stables:')
 
 
+async def test_connection_is_used_again_after_a_whole_answer(
+    nursery: trio.Nursery,
+) -> None:
+    engine, backend = await engines.start(nursery, 'e1', engines.serves)
+    async with entry.running_host(backend) as fixture:
+        for _ in range(3):
+            await entry.chat(fixture)
+            with trio.fail_after(10):
+                while len(fixture.dispatcher.grants[-1].ends) == 0:
+                    await trio.sleep(0.01)
+    assert engine.connections == 1
+
+
 @pytest.mark.parametrize(
     ('first', 'have'),
     [
--- /dev/null
+++ b/tests/unit/entry/test_plain.py
@@ -0,0 +1,141 @@
+"""Tests of calls of plain services: whatever happens, at most one run."""
+
+import pytest
+import trio
+
+from tests.lib import engines
+from tests.lib import entry
+
+
+async def charges(wire: engines.Wire, seen: engines.Seen) -> None:
+    """Run the call."""
+    await wire.json(201, {'charged': seen.body.decode()}, x_till='7')
+
+
+async def breaks_off(wire: engines.Wire, seen: engines.Seen) -> None:
+    """Run the call and crash before the answer."""
+    raise trio.BrokenResourceError
+
+
+async def does_not_run(wire: engines.Wire, seen: engines.Seen) -> None:
+    """Refuse the call."""
+    await wire.json(503, {}, x_not_run='true')
+
+
+async def goes_silent(wire: engines.Wire, seen: engines.Seen) -> None:
+    """Run the call and never answer."""
+    await wire.closed()
+
+
+async def call(
+    fixture: entry.Fixture,
+    body: bytes = b'3 laces',
+    class_name: str = 'booking',
+    **headers: str,
+) -> entry.Answer:
+    named = entry.headers_of('stables', X_Class=class_name, **headers)
+    del named['X-Service']
+    return await entry.call(
+        fixture.url + '/v1/services/till/charges?slot=2',
+        body=body,
+        headers=named,
+    )
+
+
+async def test_call_is_relayed(nursery: trio.Nursery) -> None:
+    engine, one = await engines.start(nursery, 't1', charges, 'till')
+    async with entry.running_host(one) as fixture:
+        answer = await call(fixture, X_Request_Id='c1')
+    assert answer.status == 201
+    assert answer.json() == {'charged': '3 laces'}
+    assert answer.headers['x-till'] == '7'
+    assert answer.headers['x-request-id'] == 'c1'
+    seen = engine.seen[0]
+    assert seen.target == '/charges?slot=2'
+    assert 'authorization' not in seen.headers
+
+
+@pytest.mark.parametrize('script', [breaks_off, goes_silent])
+@pytest.mark.parametrize('headers', [{}, {'Idempotency_Key': 'k1'}])
+async def test_call_that_may_have_run_is_not_sent_again(
+    nursery: trio.Nursery, script: engines.Script, headers: dict[str, str]
+) -> None:
+    one, first = await engines.start(nursery, 't1', script, 'till')
+    two, second = await engines.start(nursery, 't2', script, 'till')
+    quick = {'silent_first_tokens': 1.01}
+    async with entry.running_host(first, second, backends=quick) as fixture:
+        answer = await call(fixture, **headers)
+        again = await call(fixture, **headers) if headers else None
+    assert answer.refusal() == ('outcome_unknown', 'unknown')
+    assert len(one.seen) + len(two.seen) == 1
+    if again is not None:
+        assert again.refusal() == ('claim_in_progress', 'unknown')
+
+
+async def test_call_that_certainly_did_not_run_is_sent_again(
+    nursery: trio.Nursery,
+) -> None:
+    refusing, first = await engines.start(nursery, 't1', does_not_run, 'till')
+    _, second = await engines.start(nursery, 't2', charges, 'till')
+    async with entry.running_host(first, second) as fixture:
+        answer = await call(fixture, Idempotency_Key='k1')
+    assert answer.status == 201
+    assert len(refusing.seen) == 1
+
+
+async def test_claim_is_released_when_nothing_ran(
+    nursery: trio.Nursery,
+) -> None:
+    _, one = await engines.start(nursery, 't1', does_not_run, 'till')
+    async with entry.running_host(one) as fixture:
+        answer = await call(fixture, Idempotency_Key='k1')
+        assert answer.refusal() == ('no_backend', 'not_run')
+        assert fixture.shared.released == ['stables/till/k1']
+
+
+async def test_key_returns_the_answer_of_its_only_run(
+    nursery: trio.Nursery,
+) -> None:
+    engine, one = await engines.start(nursery, 't1', charges, 'till')
+    async with entry.running_host(one) as fixture:
+        first = await call(fixture, Idempotency_Key='k1')
+        second = await call(fixture, Idempotency_Key='k1')
+    assert (second.status, second.body) == (201, first.body)
+    assert len(engine.seen) == 1
+
+
+async def test_claim_is_kept_when_the_caller_leaves(
+    nursery: trio.Nursery,
+) -> None:
+    go_on = trio.Event()
+
+    async def waits(wire: engines.Wire, seen: engines.Seen) -> None:
+        await go_on.wait()
+        await charges(wire, seen)
+
+    engine, one = await engines.start(nursery, 't1', waits, 'till')
+    slow = {'silent_floor': 60.0}
+    async with entry.running_host(one, backends=slow) as fixture:
+        with trio.move_on_after(0.2):
+            await call(fixture, Idempotency_Key='k1')
+        go_on.set()
+        with trio.fail_after(10):
+            while not fixture.shared.claims.get('stables/till/k1'):
+                await trio.sleep(0.01)
+        answer = await call(fixture, Idempotency_Key='k1')
+    assert answer.status == 201
+    assert len(engine.seen) == 1
+
+
+async def test_old_connection_carries_no_call_that_is_not_idempotent(
+    nursery: trio.Nursery,
+) -> None:
+    engine, one = await engines.start(nursery, 't1', charges, 'till')
+    brief = {'live_time': 0.001}
+    async with entry.running_host(one, backends=brief) as fixture:
+        await call(fixture)
+        await trio.sleep(0.01)
+        await call(fixture)
+        assert engine.connections == 2
+        await call(fixture, class_name='quick')
+        assert engine.connections == 2
