--- a/src/corianderloft/_internal/network/inbound.py
+++ b/src/corianderloft/_internal/network/inbound.py
@@ -24,6 +24,9 @@
 CLOSE_TIME = 1.0
 """Time for a connection to close, in seconds."""
 
+LINGER_TIME = 1.0
+"""Time for the other end to read a last answer, in seconds."""
+
 CONNECTION_STATE = 'connection'
 """Key of an ASGI scope's ``state`` under which the connection stands."""
 
@@ -105,6 +108,8 @@
         self._socket = _socket_of(stream)
         self._fileno = None if self._secure else self._socket.fileno()
         self._closed = False
+        self._answered = False
+        self._reading = trio.CancelScope()
 
     async def run(self) -> None:
         """Serve requests until either end closes the connection."""
@@ -139,21 +144,26 @@
         )
 
     async def _receive(self) -> None:
-        while not self._closed:
-            try:
-                data = await self._stream.receive_some(MAX_RECEIVE)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                break
-            await self._protocol.handle(events.RawData(bytes(data)))
-            if not data:
-                break
+        with self._reading:
+            while not self._closed:
+                data = await self._next()
+                if not self._answered:
+                    await self._protocol.handle(events.RawData(data))
+                if not data:
+                    break
         await self._protocol.handle(events.Closed())
 
+    async def _next(self) -> bytes:
+        try:
+            return bytes(await self._stream.receive_some(MAX_RECEIVE))
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return b''
+
     async def _send(self, event: events.Event) -> None:
         if isinstance(event, events.RawData):
             await self._send_bytes(event.data)
         elif isinstance(event, events.Closed):
-            await self._close()
+            await self._answer_last()
             await self._protocol.handle(events.Closed())
         elif isinstance(event, events.Updated):
             if event.idle:
@@ -180,6 +190,24 @@
             async with self._sending:
                 await self._stream.send_all(data)
 
+    async def _answer_last(self) -> None:
+        """Close, but let the other end read the last answer first.
+
+        A socket closed with unread data in it makes the kernel drop what
+        the other end did not read yet.
+        """
+        self._answered = True
+        self._reading.deadline = trio.current_time() + LINGER_TIME
+        if isinstance(self._stream, trio.SocketStream):
+            try:
+                await self._stream.send_eof()
+            except (
+                trio.BrokenResourceError,
+                trio.BusyResourceError,
+                trio.ClosedResourceError,
+            ):
+                self._reading.cancel()
+
     async def _close_when_idle(self) -> None:
         with trio.move_on_after(self._config.keep_alive_timeout):
             await self._context.terminated.wait()
--- a/tests/lib/entry.py
+++ b/tests/lib/entry.py
@@ -244,6 +244,7 @@
     dispatcher: FakeDispatcher
     sockets: host.Sockets
     stop: trio.Event
+    ended: trio.Event
 
     @property
     def url(self) -> str:
@@ -283,6 +284,7 @@
     shared = FakeShared(*listed)
     dispatcher = FakeDispatcher(shared)
     stop = trio.Event()
+    ended = trio.Event()
     sockets = host.bind(cfg)
     shared.own = shared_state.Host(
         ids.HostId('h1'),
@@ -305,10 +307,11 @@
             handle_signals=False,
             task_status=task_status,
         )
+        ended.set()
 
     async with trio.open_nursery() as nursery:
         await nursery.start(serve)
-        yield Fixture(shared, dispatcher, sockets, stop)
+        yield Fixture(shared, dispatcher, sockets, stop, ended)
         nursery.cancel_scope.cancel()
 
 
--- a/tests/unit/entry/test_bad_input.py
+++ b/tests/unit/entry/test_bad_input.py
@@ -148,6 +148,17 @@
         assert (await entry.call(fixture.url, 'GET')).status == 404
 
 
+async def test_large_body_is_refused_while_it_is_sent() -> None:
+    limits = {'max_body_bytes': 4096}
+    head = ''.join(f'{k}: {v}\r\n' for k, v in GOOD.items())
+    head = f'POST {CHAT} HTTP/1.1\r\nHost: h\r\n{head}'
+    sent = f'{head}Content-Length: 9000000\r\n\r\n'.encode()
+    async with entry.running_host(callers=limits) as fixture:
+        got = await _raw(fixture, sent + b' ' * 3000000)
+        assert got.startswith(b'HTTP/1.1 413')
+        assert b'"reason":"too_large"' in got
+
+
 async def test_slow_senders_are_cut_off() -> None:
     limits = {'read_time': 0.1, 'idle_time': 0.1}
     async with entry.running_host(callers=limits) as fixture:
@@ -208,7 +219,10 @@
     stream = await trio.open_tcp_stream('127.0.0.1', port)
     got = b''
     with trio.fail_after(10):
-        await stream.send_all(sent)
+        try:
+            await stream.send_all(sent)
+        except trio.BrokenResourceError:
+            pass
         try:
             while part := await stream.receive_some(4096):
                 got += part
--- /dev/null
+++ b/tests/unit/entry/test_drain.py
@@ -0,0 +1,111 @@
+"""Tests that a host leaves without cutting off a request."""
+
+import trio
+
+from tests.lib import engines
+from tests.lib import entry
+
+
+class Gate:
+    """Script that streams six tokens, waits, and streams the rest."""
+
+    def __init__(self) -> None:
+        self.open = trio.Event()
+        self.reached = trio.Event()
+
+    async def script(self, wire: engines.Wire, seen: engines.Seen) -> None:
+        await wire.head()
+        await wire.tokens(1, 6)
+        self.reached.set()
+        await self.open.wait()
+        await wire.tokens(7, engines.TOKENS)
+        await wire.done()
+
+
+async def _state(fixture: entry.Fixture) -> str:
+    answer = await entry.call(fixture.operators_url + '/healthz', 'GET')
+    return str(answer.json()['state'])
+
+
+async def _wait_state(fixture: entry.Fixture, wanted: str) -> None:
+    with trio.fail_after(10):
+        while await _state(fixture) != wanted:
+            await trio.sleep(0.01)
+
+
+SLOW = {'silent_floor': 60.0}
+
+
+async def test_stream_in_flight_ends_whole(nursery: trio.Nursery) -> None:
+    gate = Gate()
+    _, one = await engines.start(nursery, 'e1', gate.script)
+    async with entry.running_host(one, backends=SLOW) as fixture:
+        async with entry.reading(fixture) as reader:
+            await reader.until(6)
+            fixture.stop.set()
+            await _wait_state(fixture, 'refusing')
+            refused = await entry.chat(fixture)
+            assert refused.refusal() == ('draining', 'not_run')
+            assert refused.headers['connection'] == 'close'
+            gate.open.set()
+            assert await reader.rest() == engines.whole_body()
+        with trio.fail_after(10):
+            await fixture.ended.wait()
+
+
+async def test_host_serves_until_the_address_answers_run_out(
+    nursery: trio.Nursery,
+) -> None:
+    _, one = await engines.start(nursery, 'e1', engines.serves)
+    async with entry.running_host(one) as fixture:
+        fixture.shared.answer_ttl = 0.5
+        fixture.stop.set()
+        await _wait_state(fixture, 'leaving')
+        url = fixture.url + '/v1/addresses'
+        answer = await entry.call(url, 'GET')
+        assert answer.json()['addresses'] == []
+        assert (await entry.chat(fixture)).body == engines.whole_body()
+        with trio.fail_after(10):
+            await fixture.ended.wait()
+
+
+async def test_bound_ends_streams_with_a_tagged_error(
+    nursery: trio.Nursery,
+) -> None:
+    _, one = await engines.start(nursery, 'e1', engines.silent_after(6))
+    brief = {'drain_time': 0.1}
+    async with entry.running_host(
+        one, backends=SLOW, callers=brief
+    ) as fixture:
+        async with entry.reading(fixture) as reader:
+            await reader.until(6)
+            fixture.stop.set()
+            body = await reader.rest()
+    assert entry.token_ids(body) == [1, 2, 3, 4, 5, 6]
+    assert body.endswith(b'\n\n')
+    assert b'event: error' in body
+    assert b'"reason":"draining","run":"ran"' in body
+
+
+async def test_second_signal_shortens_the_drain(
+    nursery: trio.Nursery,
+) -> None:
+    engine, one = await engines.start(nursery, 'e1', engines.silent_after(6))
+    brief = {'shortened_drain_time': 0.1}
+    async with entry.running_host(
+        one, backends=SLOW, callers=brief
+    ) as fixture:
+        fixture.shared.answer_ttl = 3600.0
+        async with entry.reading(fixture) as reader:
+            await reader.until(6)
+            headers = {'Authorization': f'Bearer {entry.OPERATOR}'}
+            url = fixture.operators_url + '/v1/drain'
+            for _ in range(2):
+                assert (
+                    await entry.call(url, 'POST', headers=headers)
+                ).status == 202
+            body = await reader.rest()
+        with trio.fail_after(10):
+            await engine.cancelled.wait()
+            await fixture.ended.wait()
+    assert b'"reason":"draining","run":"ran"' in body
--- /dev/null
+++ b/tests/unit/entry/test_operators.py
@@ -0,0 +1,90 @@
+"""Tests of the operators' port."""
+
+import pytest
+import trio
+
+from tests.lib import engines
+from tests.lib import entry
+
+
+def _headers(token: str) -> dict[str, str]:
+    return {'Authorization': f'Bearer {token}'}
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'token', 'status'),
+    [
+        ('GET', '/healthz', 'none', 200),
+        ('GET', '/metrics', 'none', 401),
+        ('GET', '/metrics', 'key-stables', 401),
+        ('GET', '/metrics', entry.VIEWER, 200),
+        ('GET', '/v1/status', entry.VIEWER, 200),
+        ('GET', '/v1/requests/x', entry.VIEWER, 404),
+        ('GET', '/x', entry.VIEWER, 404),
+        ('POST', '/v1/drain', entry.VIEWER, 403),
+        ('POST', '/v1/drain', 'none', 401),
+        ('POST', '/x', entry.OPERATOR, 404),
+    ],
+)
+async def test_roles(method: str, path: str, token: str, status: int) -> None:
+    async with entry.running_host() as fixture:
+        answer = await entry.call(
+            fixture.operators_url + path, method, headers=_headers(token)
+        )
+    assert answer.status == status
+    if status >= 400:
+        assert answer.refusal()[1] == 'not_run'
+
+
+async def test_callers_cannot_reach_operators_pages() -> None:
+    async with entry.running_host() as fixture:
+        for path in ('/metrics', '/v1/status', '/v1/drain'):
+            answer = await entry.call(
+                fixture.url + path, 'GET', headers=_headers(entry.OPERATOR)
+            )
+            assert answer.status == 404
+
+
+async def test_request_is_explained(nursery: trio.Nursery) -> None:
+    _, one = await engines.start(nursery, 'e1', engines.dies_after(5))
+    _, two = await engines.start(nursery, 'e2', engines.serves)
+    async with entry.running_host(one, two) as fixture:
+        await entry.chat(fixture, X_Request_Id='r1')
+        headers = _headers(entry.VIEWER)
+        url = fixture.operators_url + '/v1/requests/r1'
+        with trio.fail_after(10):
+            while True:
+                answer = await entry.call(url, 'GET', headers=headers)
+                told = answer.json()['requests'][0]
+                if told['outcome'] != 'running':
+                    break
+        page = await entry.call(
+            fixture.operators_url + '/metrics', 'GET', headers=headers
+        )
+    assert told['workspace'] == 'stables'
+    assert told['outcome'] == 'complete'
+    assert told['tokens'] == engines.TOKENS
+    tries = [(item['engine_id'], item['end']) for item in told['tries']]
+    assert tries == [('e1', 'connection_lost'), ('e2', 'complete')]
+    assert b'corianderloft_retries_total{reason="connection_lost"}' in (
+        page.body
+    )
+
+
+async def test_explained_requests_are_bounded(nursery: trio.Nursery) -> None:
+    _, one = await engines.start(nursery, 'e1', engines.serves)
+    few = {'explained_requests': 2}
+    async with entry.running_host(one, operators=few) as fixture:
+        for number in range(3):
+            await entry.chat(fixture, X_Request_Id=f'r{number}')
+        statuses = [
+            (
+                await entry.call(
+                    f'{fixture.operators_url}/v1/requests/r{number}',
+                    'GET',
+                    headers=_headers(entry.VIEWER),
+                )
+            ).status
+            for number in range(3)
+        ]
+    assert statuses == [404, 200, 200]
