Add the etcd client and thin stand-ins for the platform

Ruled out: httpcore's shared pool (PRACTICES.md); reading httpcore's private state to tell whether a request was sent (its trace extension says it).

--- /dev/null
+++ b/src/corianderloft/_internal/kv/codec.py
@@ -0,0 +1,115 @@
+"""JSON bodies of etcd v3's gateway: keys and values base64, numbers text."""
+
+import base64
+import collections.abc
+import typing
+
+import orjson
+
+from corianderloft._internal.kv import interface
+from corianderloft._internal.models import ids
+
+Json = dict[str, typing.Any]
+
+FIRST_KEY = b'\0'
+
+
+def to_text(raw: bytes) -> str:
+    """Return ``raw`` as base64 text."""
+    return base64.b64encode(raw).decode()
+
+
+def from_text(text: str) -> bytes:
+    """Return the bytes of a base64 text."""
+    return base64.b64decode(text)
+
+
+def prefix_range(prefix: str) -> Json:
+    """Return ``key`` and ``range_end`` that cover all keys of a prefix."""
+    start = prefix.encode()
+    if not start:
+        return {'key': to_text(FIRST_KEY), 'range_end': to_text(b'\0')}
+    end = start[:-1] + bytes([start[-1] + 1])
+    return {'key': to_text(start), 'range_end': to_text(end)}
+
+
+def transaction(
+    compares: collections.abc.Sequence[interface.Compare],
+    operations: collections.abc.Sequence[interface.Put | interface.Delete],
+) -> Json:
+    """Return the body of a transaction; a conflict reads what it compared."""
+    return {
+        'compare': [_compare(item) for item in compares],
+        'success': [_operation(item) for item in operations],
+        'failure': [
+            {'request_range': {'key': to_text(item.key.encode())}}
+            for item in compares
+        ],
+    }
+
+
+def _compare(item: interface.Compare) -> Json:
+    return {
+        'key': to_text(item.key.encode()),
+        'result': 'EQUAL',
+        'target': 'MOD',
+        'mod_revision': str(item.mod_revision),
+    }
+
+
+def _operation(item: interface.Put | interface.Delete) -> Json:
+    key = to_text(item.key.encode())
+    if isinstance(item, interface.Delete):
+        return {'request_delete_range': {'key': key}}
+    put = {'key': key, 'value': to_text(item.value)}
+    if item.lease_id is not None:
+        put['lease'] = str(item.lease_id)
+    return {'request_put': put}
+
+
+def revision(body: Json) -> ids.Revision:
+    """Return the store's revision out of a reply's header."""
+    return ids.Revision(int(body['header']['revision']))
+
+
+def key_value(raw: Json) -> interface.KeyValue:
+    """Return one key with its value."""
+    lease = int(raw.get('lease', 0))
+    return interface.KeyValue(
+        from_text(raw['key']).decode(),
+        from_text(raw.get('value', '')),
+        ids.Revision(int(raw['mod_revision'])),
+        int(raw.get('version', 0)),
+        ids.LeaseId(lease) if lease else None,
+    )
+
+
+def key_values(body: Json) -> tuple[interface.KeyValue, ...]:
+    """Return the keys of a range reply."""
+    return tuple(key_value(raw) for raw in body.get('kvs', ()))
+
+
+def compared(body: Json) -> tuple[interface.KeyValue, ...]:
+    """Return the compared keys of a transaction that found a conflict."""
+    return tuple(
+        item
+        for response in body.get('responses', ())
+        for item in key_values(response.get('response_range', {}))
+    )
+
+
+def watch_event(raw: Json) -> interface.WatchEvent:
+    """Return one event of a watch."""
+    item = key_value(raw['kv'])
+    if raw.get('type') == 'DELETE':
+        return interface.WatchEvent(item.key, None, item.mod_revision)
+    return interface.WatchEvent(item.key, item, item.mod_revision)
+
+
+def decode(raw: bytes) -> Json | None:
+    """Return the JSON object in ``raw``, or None when it is not one."""
+    try:
+        body = orjson.loads(raw)
+    except orjson.JSONDecodeError:
+        return None
+    return body if isinstance(body, dict) else None
--- /dev/null
+++ b/src/corianderloft/_internal/kv/etcd.py
@@ -0,0 +1,151 @@
+"""Client plug-in ``etcd``: etcd v3's JSON gateway over HTTP/1.1."""
+
+import collections.abc
+import contextlib
+import math
+import typing
+
+import orjson
+
+from corianderloft._internal.kv import codec
+from corianderloft._internal.kv import connections
+from corianderloft._internal.kv import interface
+from corianderloft._internal.kv import watches
+from corianderloft._internal.models import ids
+from corianderloft._internal.settings import kv as kv_settings
+
+HTTP_OK = 200
+CLIENT_ERRORS = range(400, 500)
+"""Statuses that say that the service did not act on the call."""
+
+
+@interface.CLIENTS.register('etcd')
+class EtcdClient:
+    """Typed calls on an etcd v3 JSON gateway.
+
+    Parameters
+    ----------
+    settings : KvSettings
+        Section ``kv`` of the settings.
+    """
+
+    def __init__(self, settings: kv_settings.KvSettings) -> None:
+        self._settings = settings
+        self._connections = connections.Connections(
+            settings.endpoint,
+            settings.connect_timeout,
+            settings.call_timeout,
+            settings.idle_connections,
+        )
+
+    async def get(self, key: str) -> interface.Read:
+        """Read one key; ``items`` is empty when it does not exist."""
+        return await self._range({'key': codec.to_text(key.encode())})
+
+    async def get_prefix(self, prefix: str) -> interface.Read:
+        """Read all keys that begin with ``prefix``, in order."""
+        return await self._range(codec.prefix_range(prefix))
+
+    async def _range(self, query: codec.Json) -> interface.Read:
+        result = await self._call('/v3/kv/range', query)
+        if isinstance(result, interface.Unknown):
+            return interface.Unavailable(result.detail)
+        if isinstance(result, interface.Unavailable):
+            return result
+        return interface.Found(
+            codec.revision(result), codec.key_values(result)
+        )
+
+    async def transact(
+        self,
+        compares: collections.abc.Sequence[interface.Compare],
+        operations: collections.abc.Sequence[interface.Put | interface.Delete],
+    ) -> interface.Write:
+        """Apply all operations if all compares hold."""
+        result = await self._call(
+            '/v3/kv/txn', codec.transaction(compares, operations)
+        )
+        if isinstance(result, interface.Unavailable | interface.Unknown):
+            return result
+        if result.get('succeeded'):
+            return interface.Written(codec.revision(result))
+        return interface.Conflict(
+            codec.revision(result), codec.compared(result)
+        )
+
+    async def grant_lease(self, ttl: float) -> interface.Grant:
+        """Ask for a lease of ``ttl`` seconds, rounded up to whole ones."""
+        result = await self._call(
+            '/v3/lease/grant', {'TTL': str(math.ceil(ttl))}
+        )
+        if isinstance(result, interface.Unavailable | interface.Unknown):
+            return result
+        return interface.LeaseGranted(
+            ids.LeaseId(int(result['ID'])), float(result['TTL'])
+        )
+
+    async def renew_lease(self, lease_id: ids.LeaseId) -> interface.Renewal:
+        """Extend a lease to its full time to live."""
+        result = await self._call('/v3/lease/keepalive', {'ID': str(lease_id)})
+        if isinstance(result, interface.Unknown):
+            return interface.Unavailable(result.detail)
+        if isinstance(result, interface.Unavailable):
+            return result
+        ttl = float(result.get('result', {}).get('TTL', 0))
+        if ttl <= 0:
+            return interface.LeaseLost(lease_id)
+        return interface.LeaseGranted(lease_id, ttl)
+
+    async def revoke_lease(
+        self, lease_id: ids.LeaseId
+    ) -> interface.Written | interface.Unavailable | interface.Unknown:
+        """End a lease; keys bound to it are removed."""
+        result = await self._call('/v3/kv/lease/revoke', {'ID': str(lease_id)})
+        if isinstance(result, interface.Unavailable | interface.Unknown):
+            return result
+        return interface.Written(codec.revision(result))
+
+    @contextlib.asynccontextmanager
+    async def watch(
+        self, prefix: str, after: ids.Revision
+    ) -> collections.abc.AsyncGenerator[
+        collections.abc.AsyncIterator[interface.WatchItem]
+    ]:
+        """Watch keys below ``prefix`` for changes later than ``after``."""
+        conn = self._connections.open()
+        stream = watches.Watch(
+            self._connections, conn, prefix, after, self._settings
+        )
+        try:
+            yield stream
+        finally:
+            await connections.close(conn)
+
+    async def aclose(self) -> None:
+        """Close all idle connections."""
+        await self._connections.aclose()
+
+    async def _call(
+        self, path: str, body: codec.Json
+    ) -> codec.Json | interface.Unavailable | interface.Unknown:
+        result = await self._connections.post(path, orjson.dumps(body))
+        match result:
+            case connections.NotSent(detail):
+                return interface.Unavailable(detail)
+            case connections.ReplyLost(detail):
+                return interface.Unknown(detail)
+            case connections.Reply(status, raw):
+                return _outcome(path, status, raw)
+        typing.assert_never(result)
+
+
+def _outcome(
+    path: str, status: int, raw: bytes
+) -> codec.Json | interface.Unavailable | interface.Unknown:
+    decoded = codec.decode(raw)
+    if status == HTTP_OK and decoded is not None:
+        return decoded
+    detail = f'{path}: status {status}'
+    if status in CLIENT_ERRORS:
+        return interface.Unavailable(detail)
+    return interface.Unknown(detail)
--- a/src/corianderloft/_internal/settings/kv.py
+++ b/src/corianderloft/_internal/settings/kv.py
@@ -10,3 +10,19 @@
     endpoint: str = base.setting(
         'http://127.0.0.1:2379', 'URL of the service, by IP number.'
     )
+    connect_timeout: float = base.setting(
+        1.0, 'Bound on opening a connection.', 's', gt=0
+    )
+    call_timeout: float = base.setting(
+        2.0, 'Bound on one call, connecting included.', 's', gt=0
+    )
+    watch_silence: float = base.setting(
+        10.0,
+        'A watch on which neither an event nor a progress notification came '
+        'for this long has gone silent and ends.',
+        's',
+        gt=0,
+    )
+    idle_connections: int = base.setting(
+        4, 'Idle connections kept for the next calls.', ge=0
+    )
--- /dev/null
+++ b/src/corianderloft/_internal/standin/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for a model engine."""
--- /dev/null
+++ b/src/corianderloft/_internal/standin/engine/batch.py
@@ -0,0 +1,167 @@
+"""Continuous batching: slots, a queue by priority, one token a step."""
+
+import dataclasses
+import itertools
+
+import trio
+
+from corianderloft._internal.standin.engine import tokens
+from corianderloft._internal.standin import settings as standin_settings
+
+
+@dataclasses.dataclass(eq=False)
+class Job:
+    """One request inside the engine.
+
+    Attributes
+    ----------
+    request_id : str
+        Identity of the request.
+    priority : int
+        0 is served first.
+    answer : Answer
+        What it will generate.
+    position : int
+        Tokens generated so far; a resumed request starts above 0.
+    prefill_left : int
+        Prompt tokens that must be processed before the next token.
+    """
+
+    request_id: str
+    priority: int
+    answer: tokens.Answer
+    position: int = 0
+    prefill_left: int = 0
+    order: int = 0
+
+    def __post_init__(self) -> None:
+        self.send, self.receive = trio.open_memory_channel[int](
+            self.answer.length + 1
+        )
+
+    def sort_key(self) -> tuple[int, int]:
+        """Return the order in which queued jobs get slots."""
+        return self.priority, self.order
+
+
+@dataclasses.dataclass
+class Totals:
+    """Counts since the start of the engine."""
+
+    requests: int = 0
+    finished: int = 0
+    cancelled: int = 0
+    refused: int = 0
+    preempted: int = 0
+    prefill_tokens: int = 0
+    tokens_generated: int = 0
+    tokens_delivered: int = 0
+
+
+class Batch:
+    """Jobs in slots and jobs that wait.
+
+    Parameters
+    ----------
+    settings : EngineSettings
+        Slots and times.
+    """
+
+    def __init__(self, settings: standin_settings.EngineSettings) -> None:
+        self._settings = settings
+        self.slow_factor = 1.0
+        self.running: list[Job] = []
+        self.waiting: list[Job] = []
+        self.totals = Totals()
+        self._order = itertools.count()
+        self._arrived = trio.Event()
+
+    def add(self, job: Job) -> None:
+        """Queue a job."""
+        job.order = next(self._order)
+        self.waiting.append(job)
+        self.totals.requests += 1
+        self._arrived.set()
+
+    def remove(self, job: Job) -> None:
+        """Cancel a job that has not finished."""
+        for jobs in (self.running, self.waiting):
+            if job in jobs:
+                jobs.remove(job)
+                self.totals.cancelled += 1
+        job.send.close()
+
+    def find(self, request_id: str) -> list[Job]:
+        """Return the jobs of a request."""
+        return [
+            job
+            for job in itertools.chain(self.running, self.waiting)
+            if job.request_id == request_id
+        ]
+
+    def clear(self) -> None:
+        """Drop all jobs."""
+        for job in [*self.running, *self.waiting]:
+            self.remove(job)
+
+    async def run(self) -> None:
+        """Generate tokens step by step, for ever."""
+        while True:
+            if not self.running and not self.waiting:
+                self._arrived = trio.Event()
+                await self._arrived.wait()
+            self._fill_slots()
+            prefill = self._prefill()
+            await trio.sleep(self._step_time(prefill) * self.slow_factor)
+            self._generate()
+
+    def _fill_slots(self) -> None:
+        while self.waiting and self._room():
+            job = min(self.waiting, key=Job.sort_key)
+            self.waiting.remove(job)
+            self.running.append(job)
+
+    def _room(self) -> bool:
+        """Return whether the first waiting job may have a slot.
+
+        A waiting job of a better priority preempts a running one, which
+        waits again and keeps its position.
+        """
+        if len(self.running) < self._settings.slots:
+            return True
+        worst = max(self.running, key=Job.sort_key)
+        if min(job.priority for job in self.waiting) >= worst.priority:
+            return False
+        self.running.remove(worst)
+        self.waiting.append(worst)
+        self.totals.preempted += 1
+        return True
+
+    def _prefill(self) -> int:
+        """Process the next chunk of prompts; return its tokens."""
+        left = self._settings.prefill_chunk
+        for job in self.running:
+            taken = min(left, job.prefill_left)
+            job.prefill_left -= taken
+            left -= taken
+        done = self._settings.prefill_chunk - left
+        self.totals.prefill_tokens += done
+        return done
+
+    def _step_time(self, prefill: int) -> float:
+        return (
+            self._settings.step_time
+            + self._settings.step_time_per_request * len(self.running)
+            + self._settings.prefill_time_per_token * prefill
+        )
+
+    def _generate(self) -> None:
+        for job in [job for job in self.running if not job.prefill_left]:
+            if job.position < job.answer.length:
+                job.position += 1
+                self.totals.tokens_generated += 1
+                job.send.send_nowait(job.position)
+            if job.position >= job.answer.length:
+                self.running.remove(job)
+                self.totals.finished += 1
+                job.send.close()
--- /dev/null
+++ b/src/corianderloft/_internal/standin/kv/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the platform's key-value service."""
--- /dev/null
+++ b/src/corianderloft/_internal/standin/kv/server.py
@@ -0,0 +1,306 @@
+"""The key-value service as an ASGI application."""
+
+import collections.abc
+
+import orjson
+import trio
+
+from corianderloft._internal.standin import http
+from corianderloft._internal.standin.kv import codec
+from corianderloft._internal.standin.kv import faults
+from corianderloft._internal.standin.kv import limits
+from corianderloft._internal.standin.kv import store as kv_store
+from corianderloft._internal.standin import settings as standin_settings
+from corianderloft._internal.utils import tasks
+
+LEASE_CHECK_INTERVAL = 0.1  # s
+PLATFORM_PREFIX = b'platform/'
+
+Action = collections.abc.Callable[
+    [codec.Json], collections.abc.Awaitable[tuple[int, codec.Json]]
+]
+
+
+async def serve_kv(
+    settings: standin_settings.KvSettings,
+    task_status: tasks.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve the key-value service on loopback; reports the bound port."""
+    async with trio.open_nursery() as nursery:
+        service = KvService(settings, nursery)
+        nursery.start_soon(service.expire_leases)
+        await http.serve(service.routes(), settings.port, task_status)
+
+
+class KvService:
+    """The calls of the service over one store.
+
+    Parameters
+    ----------
+    settings : KvSettings
+        Limits and lags.
+    nursery : trio.Nursery
+        Runs writes that take effect later.
+    """
+
+    def __init__(
+        self, settings: standin_settings.KvSettings, nursery: trio.Nursery
+    ) -> None:
+        self._settings = settings
+        self._nursery = nursery
+        self.store = kv_store.Store(settings.history_limit)
+        self.faults = faults.Faults(platform_lag=settings.platform_lag)
+        self.limits = limits.CallLimits(settings)
+
+    def routes(self) -> http.Routes:
+        """Return the application."""
+        return http.Routes(
+            {
+                'POST /v3/kv/range': self._read(self._range),
+                'POST /v3/kv/put': self._write(self._put),
+                'POST /v3/kv/deleterange': self._write(self._delete),
+                'POST /v3/kv/txn': self._write(self._transact),
+                'POST /v3/lease/grant': self._write(self._grant),
+                'POST /v3/lease/keepalive': self._write(self._renew),
+                'POST /v3/kv/lease/revoke': self._write(self._revoke),
+                'POST /v3/watch': self._watch,
+                'POST /control/faults': self._set_faults,
+                'POST /control/expire-leases': self._expire_now,
+                'GET /control/counts': self._counts,
+            }
+        )
+
+    async def expire_leases(self) -> None:
+        """End leases whose time has run out, for ever."""
+        while True:
+            await trio.sleep(LEASE_CHECK_INTERVAL)
+            self.store.expire()
+
+    def _read(self, action: Action) -> http.Handler:
+        async def handle(call: http.Call) -> None:
+            if await self._admitted(call, limits.CallKind.READ):
+                await self._run(call, action)
+
+        return handle
+
+    def _write(self, action: Action) -> http.Handler:
+        async def handle(call: http.Call) -> None:
+            if not await self._admitted(call, limits.CallKind.WRITE):
+                return
+            if self.faults.take_lost_reply():
+                await self._attempt(call, action)
+                await call.cut()
+                return
+            await self._run(call, action)
+
+        return handle
+
+    async def _admitted(self, call: http.Call, kind: limits.CallKind) -> bool:
+        """Count a call; False when it was answered or left unanswered."""
+        if not self.limits.take(kind):
+            await call.reply(_error('too many requests', 8), 429)
+            return False
+        if self.faults.delay:
+            await trio.sleep(self.faults.delay)
+        match self.faults.outage:
+            case faults.Outage.REFUSE:
+                await call.reply(_error('service unavailable', 14), 503)
+                return False
+            case faults.Outage.SILENT:
+                await call.disconnected()
+                return False
+        return True
+
+    async def _run(self, call: http.Call, action: Action) -> None:
+        status, body = await self._attempt(call, action)
+        await call.reply(body, status)
+
+    async def _attempt(
+        self, call: http.Call, action: Action
+    ) -> tuple[int, codec.Json]:
+        body = call.json()
+        if body is None:
+            return 400, _error('the body is not a JSON object', 3)
+        try:
+            return await action(body)
+        except codec.BadCall as exc:
+            return 400, _error(str(exc), 3)
+
+    async def _range(self, body: codec.Json) -> tuple[int, codec.Json]:
+        key = codec.decode(body, 'key')
+        end = codec.decode(body, 'range_end')
+        if self.faults.read_age:
+            return 200, codec.found(
+                *self.store.select_as_of(key, end, self.faults.read_age)
+            )
+        return 200, self._select(key, end)
+
+    def _select(self, key: bytes, end: bytes) -> codec.Json:
+        return codec.found(self.store.revision, self.store.select(key, end))
+
+    async def _put(self, body: codec.Json) -> tuple[int, codec.Json]:
+        return 200, codec.header(self._apply([codec.put(body)]))
+
+    async def _delete(self, body: codec.Json) -> tuple[int, codec.Json]:
+        operation = codec.delete(body)
+        count = len(self.store.select(operation.key, operation.end))
+        revision = self._apply([operation])
+        return 200, codec.header(revision) | {'deleted': str(count)}
+
+    async def _transact(self, body: codec.Json) -> tuple[int, codec.Json]:
+        compares = body.get('compare', [])
+        holds = all(self._holds(compare) for compare in compares)
+        if not holds:
+            responses = [
+                {
+                    'response_range': self._select(
+                        codec.decode(part, 'key'), b''
+                    )
+                }
+                for request in body.get('failure', [])
+                if (part := request.get('request_range')) is not None
+            ]
+            return 200, codec.header(self.store.revision) | {
+                'responses': responses
+            }
+        revision = self._apply(codec.operations(body.get('success', [])))
+        return 200, codec.header(revision) | {'succeeded': True}
+
+    def _holds(self, compare: codec.Json) -> bool:
+        if compare.get('target') != 'MOD':
+            raise codec.BadCall('only the target MOD is supported')
+        key = codec.decode(compare, 'key')
+        wanted = codec.number(compare, 'mod_revision')
+        return self.store.mod_revision(key) == wanted
+
+    def _apply(self, operations: list[kv_store.Operation]) -> int:
+        """Apply writes, those of the platform's lists after their lag."""
+        self._check_leases(operations)
+        lag = self.faults.platform_lag
+        late = [
+            operation
+            for operation in operations
+            if lag and operation.key.startswith(PLATFORM_PREFIX)
+        ]
+        if late:
+            self._nursery.start_soon(self._apply_late, late, lag)
+        return self.store.apply(
+            operation for operation in operations if operation not in late
+        )
+
+    def _check_leases(self, operations: list[kv_store.Operation]) -> None:
+        self.store.expire()
+        for operation in operations:
+            lease_id = getattr(operation, 'lease_id', 0)
+            if lease_id and lease_id not in self.store.leases:
+                raise codec.BadCall(f'lease {lease_id} not found')
+
+    async def _apply_late(
+        self, operations: list[kv_store.Operation], lag: float
+    ) -> None:
+        await trio.sleep(lag)
+        self.store.apply(operations)
+
+    async def _grant(self, body: codec.Json) -> tuple[int, codec.Json]:
+        ttl = codec.number(body, 'TTL')
+        if ttl <= 0:
+            raise codec.BadCall('TTL must be positive')
+        lease = self.store.grant(ttl)
+        return 200, codec.header(self.store.revision) | {
+            'ID': str(lease.lease_id),
+            'TTL': str(lease.ttl),
+        }
+
+    async def _renew(self, body: codec.Json) -> tuple[int, codec.Json]:
+        lease_id = codec.number(body, 'ID')
+        lease = self.store.renew(lease_id)
+        result = codec.header(self.store.revision) | {
+            'ID': str(lease_id),
+            'TTL': str(lease.ttl if lease else 0),
+        }
+        return 200, {'result': result}
+
+    async def _revoke(self, body: codec.Json) -> tuple[int, codec.Json]:
+        lease_id = codec.number(body, 'ID')
+        if not self.store.revoke(lease_id):
+            return 404, _error(f'lease {lease_id} not found', 5)
+        return 200, codec.header(self.store.revision)
+
+    async def _watch(self, call: http.Call) -> None:
+        if not await self._admitted(call, limits.CallKind.WATCH):
+            return
+        body = call.json() or {}
+        try:
+            create = body['create_request']
+            key = codec.decode(create, 'key')
+            end = codec.decode(create, 'range_end')
+            start = codec.number(create, 'start_revision')
+        except (KeyError, codec.BadCall) as exc:
+            await call.reply(_error(f'bad watch: {exc!r}', 3), 400)
+            return
+        with self.limits.waiting_watch():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._send_changes, call, key, end, start)
+                await call.disconnected()
+                nursery.cancel_scope.cancel()
+
+    async def _send_changes(
+        self, call: http.Call, key: bytes, end: bytes, start: int
+    ) -> None:
+        """Send changes of ``start`` and later as they come."""
+        await call.start(http.JSON_TYPE)
+        await _send(call, self.store.revision, created=True)
+        if 0 < start < self.store.oldest_revision():
+            await _send(
+                call,
+                self.store.revision,
+                canceled=True,
+                compact_revision=str(self.store.oldest_revision()),
+            )
+            await call.finish()
+            return
+        following = start or self.store.revision + 1
+        while True:
+            with trio.move_on_after(self._settings.progress_interval):
+                while following > self.store.revision:
+                    await self.store.changed.wait()
+            await self.faults.watches_speak()
+            revision = self.store.revision
+            events = [
+                codec.event(change)
+                for change in self.store.changes_from(following)
+                if kv_store.covers(key, end, change.key)
+            ]
+            following = max(following, revision + 1)
+            await _send(call, revision, events=events)
+
+    async def _set_faults(self, call: http.Call) -> None:
+        problem = self.faults.update(call.json())
+        if problem is not None:
+            await call.reply({'error': problem}, 400)
+            return
+        await call.reply(self.faults.describe())
+
+    async def _expire_now(self, call: http.Call) -> None:
+        expired = sorted(self.store.leases)
+        for lease_id in expired:
+            self.store.revoke(lease_id)
+        await call.reply({'expired': expired})
+
+    async def _counts(self, call: http.Call) -> None:
+        await call.reply(
+            self.limits.counts()
+            | {
+                'revision': self.store.revision,
+                'leases': len(self.store.leases),
+            }
+        )
+
+
+async def _send(call: http.Call, revision: int, **fields: object) -> None:
+    message = {'result': codec.header(revision) | fields}
+    await call.chunk(orjson.dumps(message) + b'\n')
+
+
+def _error(text: str, code: int) -> codec.Json:
+    return {'error': text, 'message': text, 'code': code}
--- /dev/null
+++ b/src/corianderloft/_internal/standin/kv/store.py
@@ -0,0 +1,226 @@
+"""In-memory store with revisions, leases and a history of changes."""
+
+import bisect
+import collections
+import collections.abc
+import dataclasses
+import itertools
+
+import trio
+
+
+@dataclasses.dataclass(frozen=True)
+class Record:
+    """One key as it stood after one write."""
+
+    value: bytes
+    create_revision: int
+    mod_revision: int
+    version: int
+    lease_id: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """One change of one key; ``after`` is None when it was removed."""
+
+    revision: int
+    changed_at: float
+    key: bytes
+    before: Record | None
+    after: Record | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Put:
+    """Write of one key."""
+
+    key: bytes
+    value: bytes
+    lease_id: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Delete:
+    """Removal of the keys from ``key`` up to ``end``."""
+
+    key: bytes
+    end: bytes = b''
+
+
+Operation = Put | Delete
+
+
+@dataclasses.dataclass
+class Lease:
+    """A lease; times are on trio's clock, in seconds."""
+
+    lease_id: int
+    ttl: int
+    expires_at: float
+    keys: set[bytes] = dataclasses.field(default_factory=set)
+
+
+class Store:
+    """Keys with their history.
+
+    Parameters
+    ----------
+    history_limit : int
+        Changes kept; older ones are compacted.
+    """
+
+    def __init__(self, history_limit: int) -> None:
+        self.revision = 1
+        self.changed = trio.Event()
+        self.leases: dict[int, Lease] = {}
+        self._records: dict[bytes, Record] = {}
+        self._keys: list[bytes] = []
+        self._history: collections.deque[Change] = collections.deque(
+            maxlen=history_limit
+        )
+        self._lease_ids = itertools.count(1000)
+
+    def select(self, key: bytes, end: bytes) -> list[tuple[bytes, Record]]:
+        """Return the keys from ``key`` up to ``end``, in order.
+
+        An empty ``end`` selects one key; ``b'\\0'`` has no upper bound.
+        """
+        return [(name, self._records[name]) for name in self._names(key, end)]
+
+    def _names(self, key: bytes, end: bytes) -> list[bytes]:
+        if not end:
+            return [key] if key in self._records else []
+        first = bisect.bisect_left(self._keys, key)
+        if end == b'\0':
+            return self._keys[first:]
+        return self._keys[first : bisect.bisect_left(self._keys, end)]
+
+    def select_as_of(
+        self, key: bytes, end: bytes, age: float
+    ) -> tuple[int, list[tuple[bytes, Record]]]:
+        """Return a revision and a selection as they were ``age`` s ago."""
+        horizon = trio.current_time() - age
+        found = dict(self.select(key, end))
+        revision = self.revision
+        for change in reversed(self._history):
+            if change.changed_at <= horizon:
+                break
+            revision = change.revision - 1
+            if not covers(key, end, change.key):
+                continue
+            if change.before is None:
+                found.pop(change.key, None)
+            else:
+                found[change.key] = change.before
+        return revision, sorted(found.items())
+
+    def mod_revision(self, key: bytes) -> int:
+        """Return the revision of the last write, 0 for no such key."""
+        record = self._records.get(key)
+        return record.mod_revision if record else 0
+
+    def apply(self, operations: collections.abc.Iterable[Operation]) -> int:
+        """Apply operations as one revision, and return it."""
+        revision = self.revision + 1
+        changes = [
+            change
+            for operation in operations
+            for change in self._apply_one(operation, revision)
+        ]
+        if changes:
+            self.revision = revision
+            self._history.extend(changes)
+            self.changed.set()
+            self.changed = trio.Event()
+        return self.revision
+
+    def _apply_one(
+        self, operation: Operation, revision: int
+    ) -> collections.abc.Iterator[Change]:
+        if isinstance(operation, Put):
+            yield self._put(operation, revision)
+            return
+        for name in self._names(operation.key, operation.end):
+            yield self._remove(name, revision)
+
+    def _put(self, put: Put, revision: int) -> Change:
+        before = self._records.get(put.key)
+        if before is None:
+            bisect.insort(self._keys, put.key)
+        else:
+            self._unbind(put.key, before)
+        after = Record(
+            put.value,
+            before.create_revision if before else revision,
+            revision,
+            before.version + 1 if before else 1,
+            put.lease_id,
+        )
+        self._records[put.key] = after
+        if put.lease_id in self.leases:
+            self.leases[put.lease_id].keys.add(put.key)
+        return Change(revision, trio.current_time(), put.key, before, after)
+
+    def _remove(self, key: bytes, revision: int) -> Change:
+        before = self._records.pop(key)
+        del self._keys[bisect.bisect_left(self._keys, key)]
+        self._unbind(key, before)
+        return Change(revision, trio.current_time(), key, before, None)
+
+    def _unbind(self, key: bytes, record: Record) -> None:
+        if record.lease_id in self.leases:
+            self.leases[record.lease_id].keys.discard(key)
+
+    def oldest_revision(self) -> int:
+        """Return the oldest revision from which a watch may start."""
+        limit = self._history.maxlen or 0
+        if len(self._history) < limit:
+            return 0
+        # The oldest kept revision may have lost a part of its changes.
+        return self._history[0].revision + 1
+
+    def changes_from(self, revision: int) -> list[Change]:
+        """Return kept changes of ``revision`` and later, oldest first."""
+        newer = itertools.takewhile(
+            lambda change: change.revision >= revision,
+            reversed(self._history),
+        )
+        return list(newer)[::-1]
+
+    def grant(self, ttl: int) -> Lease:
+        """Make a lease of ``ttl`` seconds."""
+        lease = Lease(next(self._lease_ids), ttl, trio.current_time() + ttl)
+        self.leases[lease.lease_id] = lease
+        return lease
+
+    def renew(self, lease_id: int) -> Lease | None:
+        """Extend a lease to its full time to live."""
+        self.expire()
+        lease = self.leases.get(lease_id)
+        if lease is not None:
+            lease.expires_at = trio.current_time() + lease.ttl
+        return lease
+
+    def revoke(self, lease_id: int) -> bool:
+        """End a lease and remove its keys; False when there is none."""
+        lease = self.leases.get(lease_id)
+        if lease is None:
+            return False
+        self.apply([Delete(key) for key in sorted(lease.keys)])
+        del self.leases[lease_id]
+        return True
+
+    def expire(self) -> None:
+        """End all leases whose time has run out."""
+        now = trio.current_time()
+        due = [x.lease_id for x in self.leases.values() if x.expires_at <= now]
+        for lease_id in due:
+            self.revoke(lease_id)
+
+
+def covers(key: bytes, end: bytes, name: bytes) -> bool:
+    """Return whether a range of keys contains ``name``."""
+    if not end:
+        return name == key
+    return name >= key and (end == b'\0' or name < end)
--- /dev/null
+++ b/src/corianderloft/_internal/standin/service/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for a plain service."""
--- /dev/null
+++ b/src/corianderloft/_internal/utils/token_bucket.py
@@ -0,0 +1,36 @@
+"""Rate limit by tokens that refill at a steady rate."""
+
+import trio
+
+
+class TokenBucket:
+    """A bucket that starts full, on trio's clock.
+
+    Parameters
+    ----------
+    rate : float
+        Tokens a second.
+    burst : float or None
+        Largest number of tokens; one second's worth unless given.
+    """
+
+    def __init__(self, rate: float, burst: float | None = None) -> None:
+        self._rate = rate
+        self._burst = rate if burst is None else burst
+        self._tokens = self._burst
+        self._filled_at: float | None = None
+
+    def take(self, count: float = 1.0) -> bool:
+        """Take ``count`` tokens, or none and return False."""
+        self._refill()
+        if self._tokens < count:
+            return False
+        self._tokens -= count
+        return True
+
+    def _refill(self) -> None:
+        now = trio.current_time()
+        if self._filled_at is not None:
+            grown = self._tokens + (now - self._filled_at) * self._rate
+            self._tokens = min(self._burst, grown)
+        self._filled_at = now
--- /dev/null
+++ b/tests/unit/kv/test_etcd.py
@@ -0,0 +1,97 @@
+"""Tests of the etcd client against the stand-in service."""
+
+import collections.abc
+import contextlib
+import socket
+
+import trio
+
+from corianderloft._internal.kv import etcd
+from corianderloft._internal.kv import interface
+from corianderloft._internal.models import ids
+from corianderloft._internal.settings import kv as kv_settings
+from corianderloft._internal import standin
+
+NEVER = ids.Revision(0)
+
+
+@contextlib.asynccontextmanager
+async def client(
+    **options: float,
+) -> collections.abc.AsyncGenerator[etcd.EtcdClient]:
+    """Give a client of a stand-in service of its own."""
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(
+            standin.serve_kv, standin.KvSettings(**options)
+        )
+        endpoint = f'http://127.0.0.1:{port}'
+        made = etcd.EtcdClient(kv_settings.KvSettings(endpoint=endpoint))
+        yield made
+        await made.aclose()
+        nursery.cancel_scope.cancel()
+
+
+async def test_compare_and_swap_names_the_winner() -> None:
+    async with client() as kv:
+        first = await kv.transact(
+            [interface.Compare('a', NEVER)], [interface.Put('a', b'1')]
+        )
+        second = await kv.transact(
+            [interface.Compare('a', NEVER)], [interface.Put('a', b'2')]
+        )
+        assert isinstance(first, interface.Written)
+        assert isinstance(second, interface.Conflict)
+        assert second.items[0].value == b'1'
+        assert second.items[0].mod_revision == first.revision
+
+
+async def test_prefix_reads_in_order_and_holds_a_megabyte() -> None:
+    large = bytes(1 << 20)
+    async with client() as kv:
+        for key in ('p/b', 'p/a', 'q/c'):
+            await kv.transact([], [interface.Put(key, large)])
+        found = await kv.get_prefix('p/')
+        assert isinstance(found, interface.Found)
+        assert [item.key for item in found.items] == ['p/a', 'p/b']
+        assert found.items[0].value == large
+
+
+async def test_watch_delivers_what_came_before_and_after_it() -> None:
+    async with client() as kv:
+        first = await kv.transact([], [interface.Put('p/a', b'1')])
+        assert isinstance(first, interface.Written)
+        after = ids.Revision(first.revision - 1)
+        async with kv.watch('p/', after) as changes:
+            one = await anext(changes)
+            await kv.transact(
+                [], [interface.Put('q/x', b''), interface.Delete('p/a')]
+            )
+            two = await anext(changes)
+        assert isinstance(one, interface.WatchEvent)
+        assert isinstance(two, interface.WatchEvent)
+        assert one.item is not None and one.item.value == b'1'
+        assert two.item is None and two.key == 'p/a'
+
+
+async def test_a_lease_takes_its_keys_along() -> None:
+    async with client() as kv:
+        lease = await kv.grant_lease(5)
+        assert isinstance(lease, interface.LeaseGranted)
+        put = interface.Put('a', b'1', lease.lease_id)
+        await kv.transact([], [put])
+        renewed = await kv.renew_lease(lease.lease_id)
+        assert renewed == lease
+        await kv.revoke_lease(lease.lease_id)
+        found = await kv.get('a')
+        assert isinstance(found, interface.Found) and not found.items
+        lost = await kv.renew_lease(lease.lease_id)
+        assert lost == interface.LeaseLost(lease.lease_id)
+
+
+async def test_a_closed_port_is_unavailable_and_not_unknown() -> None:
+    with socket.socket() as closed:
+        closed.bind(('127.0.0.1', 0))
+        endpoint = f'http://127.0.0.1:{closed.getsockname()[1]}'
+        kv = etcd.EtcdClient(kv_settings.KvSettings(endpoint=endpoint))
+        written = await kv.transact([], [interface.Put('a', b'1')])
+    assert isinstance(written, interface.Unavailable)
