Give the stand-in engine and service all their faults

Cause: tests of the decisions and of at-most-once need engines that slow down, crash, fall silent or leave, and a service whose answers get lost. Ruled out: ending the process for a crash (an embedded stand-in shares its process with the test; tests kill separate processes themselves). Change: batch with preemption by priority and chunked prefill, prefix cache with late and lossy events, late load reports, orders with or without a fencing check, faults over POST /control/faults, counters; the key-value service's watches in a module of their own.

--- a/src/corianderloft/_internal/standin/engine/batch.py
+++ b/src/corianderloft/_internal/standin/engine/batch.py
@@ -1,13 +1,27 @@
 """Continuous batching: slots, a queue by priority, one token a step."""
 
 import dataclasses
+import enum
 import itertools
 
 import trio
 
+from corianderloft._internal.standin.engine import cache as engine_cache
+from corianderloft._internal.standin.engine import faults
 from corianderloft._internal.standin.engine import tokens
 from corianderloft._internal.standin import settings as standin_settings
 
+PAUSE_INTERVAL = 0.02  # s
+
+
+class JobState(enum.Enum):
+    """Where a job stands."""
+
+    ACTIVE = 'active'
+    FINISHED = 'finished'
+    CANCELLED = 'cancelled'
+    CRASHED = 'crashed'
+
 
 @dataclasses.dataclass(eq=False)
 class Job:
@@ -23,16 +37,25 @@
         What it will generate.
     position : int
         Tokens generated so far; a resumed request starts above 0.
+    prompt_tokens : int
+        Length of the prompt.
+    prefix_hashes : tuple of int
+        Prefixes of the prompt, shortest first.
     prefill_left : int
-        Prompt tokens that must be processed before the next token.
+        Tokens that must be processed before the next one is generated.
+    state : JobState
+        Where the job stands.
     """
 
     request_id: str
     priority: int
     answer: tokens.Answer
     position: int = 0
+    prompt_tokens: int = 0
+    prefix_hashes: tuple[int, ...] = ()
     prefill_left: int = 0
     order: int = 0
+    state: JobState = JobState.ACTIVE
 
     def __post_init__(self) -> None:
         self.send, self.receive = trio.open_memory_channel[int](
@@ -69,7 +92,8 @@
 
     def __init__(self, settings: standin_settings.EngineSettings) -> None:
         self._settings = settings
-        self.slow_factor = 1.0
+        self.faults = faults.Faults()
+        self.cache = engine_cache.PrefixCache(settings)
         self.running: list[Job] = []
         self.waiting: list[Job] = []
         self.totals = Totals()
@@ -83,13 +107,15 @@
         self.totals.requests += 1
         self._arrived.set()
 
-    def remove(self, job: Job) -> None:
-        """Cancel a job that has not finished."""
-        for jobs in (self.running, self.waiting):
-            if job in jobs:
-                jobs.remove(job)
-                self.totals.cancelled += 1
+    def remove(self, job: Job, state: JobState = JobState.CANCELLED) -> None:
+        """End a job that has not finished; no effect on one that has."""
+        if job.state is not JobState.ACTIVE:
+            return
+        job.state = state
+        jobs = self.running if job in self.running else self.waiting
+        jobs.remove(job)
         job.send.close()
+        self.totals.cancelled += 1
 
     def find(self, request_id: str) -> list[Job]:
         """Return the jobs of a request."""
@@ -99,10 +125,11 @@
             if job.request_id == request_id
         ]
 
-    def clear(self) -> None:
-        """Drop all jobs."""
+    def crash(self) -> None:
+        """Lose all jobs and the cache."""
         for job in [*self.running, *self.waiting]:
-            self.remove(job)
+            self.remove(job, JobState.CRASHED)
+        self.cache.clear()
 
     async def run(self) -> None:
         """Generate tokens step by step, for ever."""
@@ -112,7 +139,10 @@
                 await self._arrived.wait()
             self._fill_slots()
             prefill = self._prefill()
-            await trio.sleep(self._step_time(prefill) * self.slow_factor)
+            slow_factor = self.faults.slow_factor
+            await trio.sleep(self._step_time(prefill) * slow_factor)
+            while self.faults.silent:
+                await trio.sleep(PAUSE_INTERVAL)
             self._generate()
 
     def _fill_slots(self) -> None:
@@ -120,6 +150,7 @@
             job = min(self.waiting, key=Job.sort_key)
             self.waiting.remove(job)
             self.running.append(job)
+            job.prefill_left = self._uncached(job)
 
     def _room(self) -> bool:
         """Return whether the first waiting job may have a slot.
@@ -137,13 +168,20 @@
         self.totals.preempted += 1
         return True
 
+    def _uncached(self, job: Job) -> int:
+        """Return the tokens that the cache does not cover."""
+        cached = self.cache.cached_tokens(job.prefix_hashes)
+        return job.prompt_tokens + job.position - cached
+
     def _prefill(self) -> int:
         """Process the next chunk of prompts; return its tokens."""
         left = self._settings.prefill_chunk
-        for job in self.running:
+        for job in [job for job in self.running if job.prefill_left]:
             taken = min(left, job.prefill_left)
             job.prefill_left -= taken
             left -= taken
+            if not job.prefill_left:
+                self.cache.add(job.prefix_hashes)
         done = self._settings.prefill_chunk - left
         self.totals.prefill_tokens += done
         return done
@@ -163,5 +201,6 @@
                 job.send.send_nowait(job.position)
             if job.position >= job.answer.length:
                 self.running.remove(job)
-                self.totals.finished += 1
+                job.state = JobState.FINISHED
                 job.send.close()
+                self.totals.finished += 1
--- a/src/corianderloft/_internal/standin/engine/server.py
+++ b/src/corianderloft/_internal/standin/engine/server.py
@@ -2,11 +2,15 @@
 
 import dataclasses
 import itertools
+import urllib.parse
 
+import pydantic
 import trio
 
 from corianderloft._internal.standin.engine import batch as engine_batch
 from corianderloft._internal.standin.engine import chat
+from corianderloft._internal.standin.engine import loads
+from corianderloft._internal.standin.engine import orders
 from corianderloft._internal.standin.engine import tokens
 from corianderloft._internal.standin import http
 from corianderloft._internal.standin import settings as standin_settings
@@ -22,6 +26,7 @@
     engine = Engine(settings)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(engine.batch.run)
+        nursery.start_soon(engine.loads.run, engine.batch)
         await http.serve(engine.routes(), settings.port, task_status)
 
 
@@ -37,25 +42,61 @@
     def __init__(self, settings: standin_settings.EngineSettings) -> None:
         self._settings = settings
         self.batch = engine_batch.Batch(settings)
+        self.loads = loads.LoadHistory(settings.load_lag)
+        self.loads.sample(self.batch)
+        self.state = orders.EngineState([settings.model])
         self._unnamed = itertools.count(1)
 
     def routes(self) -> http.Routes:
         """Return the application."""
-        return http.Routes(
-            {
-                'POST /v1/chat/completions': self._chat,
-                'DELETE /v1/requests/*': self._cancel,
-                'GET /v1/load': self._load,
-                'GET /healthz': self._health,
-                'GET /control/counts': self._counts,
-            }
-        )
+        served = {
+            'POST /v1/chat/completions': self._chat,
+            'DELETE /v1/requests/*': self._cancel,
+            'PATCH /v1/requests/*': self._change_priority,
+            'GET /v1/load': self._load,
+            'GET /v1/cache/events': self._cache_events,
+            'POST /v1/cache/export': self._export_cache,
+            'POST /v1/cache/import': self._import_cache,
+            'POST /v1/orders': self._order,
+            'GET /v1/state': self._read_state,
+            'GET /healthz': self._health,
+        }
+        control = {
+            'POST /control/faults': self._set_faults,
+            'GET /control/counts': self._counts,
+        }
+        faulty = {
+            key: self._under_faults(handler) for key, handler in served.items()
+        }
+        return http.Routes(faulty | control)
+
+    def _under_faults(self, handler: http.Handler) -> http.Handler:
+        """Return a handler that also fails as the faults say."""
+
+        async def handle(call: http.Call) -> None:
+            if self.batch.faults.crashed:
+                await call.cut()
+            elif self.batch.faults.silent:
+                await call.disconnected()
+            else:
+                await handler(call)
+
+        return handle
 
     async def _chat(self, call: http.Call) -> None:
         req = chat.parse(call.json())
         if isinstance(req, chat.BadRequest):
             await call.reply(_error('bad_request', req.detail), 400)
             return
+        refusal = self._refusal()
+        if refusal is not None:
+            self.batch.totals.refused += 1
+            await call.reply(_error(refusal, 'the request was not run'), 503)
+            return
+        if self._settings.check_model and req.model not in self.state.models:
+            detail = f'model {req.model!r} is not loaded'
+            await call.reply(_error('model_not_found', detail), 404)
+            return
         job = self._job(call, req)
         self.batch.add(job)
         try:
@@ -66,6 +107,12 @@
         finally:
             self.batch.remove(job)
 
+    def _refusal(self) -> str | None:
+        """Return the code with which a new request is refused."""
+        if len(self.batch.waiting) >= self._settings.queue_limit:
+            return 'overloaded'
+        return self.batch.faults.refusal()
+
     def _job(self, call: http.Call, req: chat.ChatRequest) -> engine_batch.Job:
         answer = tokens.answer_for(
             req.model,
@@ -82,6 +129,7 @@
             answer,
             min(int(call.headers.get('last-event-id', 0)), answer.length),
             prefixes.estimate_tokens(prompt),
+            prefixes.prefix_hashes(req.model, prompt),
         )
 
     async def _answer(
@@ -109,7 +157,10 @@
             ]
             await call.chunk(b''.join(events))
             self.batch.totals.tokens_delivered += len(ready)
-        if job.position < job.answer.length:
+        if job.state is engine_batch.JobState.CRASHED:
+            # Without its last chunk the server cuts the connection.
+            return
+        if job.state is engine_batch.JobState.CANCELLED:
             await call.chunk(chat.error_event('cancelled'))
         else:
             last = chat.last_event(job.request_id, req.model, job.answer)
@@ -121,7 +172,10 @@
     ) -> None:
         first = job.position + 1
         generated = [n async for n in job.receive]
-        if job.position < job.answer.length:
+        if job.state is engine_batch.JobState.CRASHED:
+            await call.cut()
+            return
+        if job.state is engine_batch.JobState.CANCELLED:
             await call.reply(_error('cancelled', 'the request ended'), 500)
             return
         await call.reply(
@@ -130,7 +184,7 @@
                 req.model,
                 job.answer,
                 first,
-                prefixes.estimate_tokens(prefixes.prompt_bytes(req.messages)),
+                job.prompt_tokens,
             )
         )
         self.batch.totals.tokens_delivered += len(generated)
@@ -141,21 +195,71 @@
             self.batch.remove(job)
         await call.reply({'cancelled': len(jobs)}, 200 if jobs else 404)
 
+    async def _change_priority(self, call: http.Call) -> None:
+        priority = (call.json() or {}).get('priority')
+        if not isinstance(priority, int):
+            await call.reply(_error('bad_request', 'priority: integer'), 400)
+            return
+        jobs = self.batch.find(call.path.rpartition('/')[2])
+        for job in jobs:
+            job.priority = priority
+        await call.reply({'changed': len(jobs)}, 200 if jobs else 404)
+
     async def _load(self, call: http.Call) -> None:
         await call.reply(
             {
                 'engine_id': self._settings.engine_id,
-                'age_s': 0.0,
-                'running': len(self.batch.running),
-                'waiting': len(self.batch.waiting),
-                'cached_fraction': 0.0,
                 'slots': self._settings.slots,
-                'state': 'live',
+                'state': self._availability(),
             }
+            | self.loads.report()
         )
 
+    def _availability(self) -> str:
+        return 'leaving' if self.batch.faults.leaving else 'live'
+
+    async def _cache_events(self, call: http.Call) -> None:
+        query = urllib.parse.parse_qs(call.query)
+        after = int(query.get('after', ['0'])[0])
+        await call.reply(self.batch.cache.events_after(after))
+
+    async def _export_cache(self, call: http.Call) -> None:
+        hashes = (call.json() or {}).get('hashes', [])
+        await call.reply({'hashes': self.batch.cache.held(hashes)})
+
+    async def _import_cache(self, call: http.Call) -> None:
+        hashes = (call.json() or {}).get('hashes', [])
+        self.batch.cache.add(hashes)
+        await call.reply({'hashes': self.batch.cache.held(hashes)})
+
+    async def _order(self, call: http.Call) -> None:
+        try:
+            order = orders.Order.model_validate_json(call.body)
+        except pydantic.ValidationError as exc:
+            await call.reply(_error('bad_request', str(exc)), 400)
+            return
+        accepted = self.state.accept(order, self._settings.check_fencing)
+        if not accepted:
+            detail = f'{order.fencing} is below {self.state.fencing}'
+            await call.reply(_error('old_fencing_number', detail), 409)
+            return
+        await call.reply({'order_id': order.order_id})
+
+    async def _read_state(self, call: http.Call) -> None:
+        await call.reply(dataclasses.asdict(self.state))
+
     async def _health(self, call: http.Call) -> None:
-        await call.reply({'state': 'live'})
+        await call.reply({'state': self._availability()})
+
+    async def _set_faults(self, call: http.Call) -> None:
+        problem = self.batch.faults.update(call.json())
+        if problem is not None:
+            await call.reply(_error('bad_request', problem), 400)
+            return
+        if self.batch.faults.crashed:
+            self.batch.crash()
+            self.state = orders.EngineState([self._settings.model])
+        await call.reply(self.batch.faults.describe())
 
     async def _counts(self, call: http.Call) -> None:
         await call.reply(dataclasses.asdict(self.batch.totals))
--- a/src/corianderloft/_internal/standin/kv/server.py
+++ b/src/corianderloft/_internal/standin/kv/server.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 
-import orjson
 import trio
 
 from corianderloft._internal.standin import http
@@ -10,6 +9,7 @@
 from corianderloft._internal.standin.kv import faults
 from corianderloft._internal.standin.kv import limits
 from corianderloft._internal.standin.kv import store as kv_store
+from corianderloft._internal.standin.kv import watching
 from corianderloft._internal.standin import settings as standin_settings
 from corianderloft._internal.utils import tasks
 
@@ -229,51 +229,19 @@
     async def _watch(self, call: http.Call) -> None:
         if not await self._admitted(call, limits.CallKind.WATCH):
             return
-        body = call.json() or {}
-        try:
-            create = body['create_request']
-            key = codec.decode(create, 'key')
-            end = codec.decode(create, 'range_end')
-            start = codec.number(create, 'start_revision')
-        except (KeyError, codec.BadCall) as exc:
-            await call.reply(_error(f'bad watch: {exc!r}', 3), 400)
+        request = watching.parse(call.json())
+        if request is None:
+            await call.reply(_error('malformed watch', 3), 400)
             return
+        feed = watching.Feed(
+            self.store, self.faults, self._settings.progress_interval
+        )
         with self.limits.waiting_watch():
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._send_changes, call, key, end, start)
+                nursery.start_soon(feed.send, call, request)
                 await call.disconnected()
                 nursery.cancel_scope.cancel()
 
-    async def _send_changes(
-        self, call: http.Call, key: bytes, end: bytes, start: int
-    ) -> None:
-        """Send changes of ``start`` and later as they come."""
-        await call.start(http.JSON_TYPE)
-        await _send(call, self.store.revision, created=True)
-        if 0 < start < self.store.oldest_revision():
-            await _send(
-                call,
-                self.store.revision,
-                canceled=True,
-                compact_revision=str(self.store.oldest_revision()),
-            )
-            await call.finish()
-            return
-        following = start or self.store.revision + 1
-        while True:
-            with trio.move_on_after(self._settings.progress_interval):
-                while following > self.store.revision:
-                    await self.store.changed.wait()
-            await self.faults.watches_speak()
-            revision = self.store.revision
-            events = [
-                codec.event(change)
-                for change in self.store.changes_from(following)
-                if kv_store.covers(key, end, change.key)
-            ]
-            following = max(following, revision + 1)
-            await _send(call, revision, events=events)
-
     async def _set_faults(self, call: http.Call) -> None:
         problem = self.faults.update(call.json())
         if problem is not None:
@@ -297,10 +265,5 @@
         )
 
 
-async def _send(call: http.Call, revision: int, **fields: object) -> None:
-    message = {'result': codec.header(revision) | fields}
-    await call.chunk(orjson.dumps(message) + b'\n')
-
-
 def _error(text: str, code: int) -> codec.Json:
     return {'error': text, 'message': text, 'code': code}
--- a/src/corianderloft/_internal/standin/settings.py
+++ b/src/corianderloft/_internal/standin/settings.py
@@ -54,6 +54,28 @@
         64, 'Mean length of an answer that names no length.', 'tokens', gt=0
     )
 
+    queue_limit: int = base.setting(
+        1000, 'Waiting requests; more are refused as overloaded.', ge=0
+    )
+    cache_blocks: int = base.setting(
+        4096, 'Blocks of 256 tokens that the prefix cache holds.', gt=0
+    )
+    cache_event_lag: float = base.setting(
+        0.5, 'Wait before a cache event is reported.', 's', ge=0
+    )
+    cache_event_loss: float = base.setting(
+        0.0, 'Part of the cache events that are never reported.', ge=0, le=1
+    )
+    load_lag: float = base.setting(
+        1.0, 'Age of the load that is reported.', 's', ge=0
+    )
+    check_fencing: bool = base.setting(
+        True, 'Whether orders with an old fencing number are refused.'
+    )
+    check_model: bool = base.setting(
+        False, 'Whether requests for a model not loaded are refused.'
+    )
+
 
 class ServiceSettings(StandinSettings):
     """A plain service."""
