Keep the key-value client inside a budget and under silent connections

Ruled out: repeating writes after a lost reply (they may have taken effect; the caller settles that by reading).

--- /dev/null
+++ b/src/corianderloft/_internal/kv/budget.py
@@ -0,0 +1,91 @@
+"""Budget of this process for calls on the key-value service.
+
+The service counts each call of the whole fleet, a waiting watch as one, so
+every process keeps to its part.
+"""
+
+import collections.abc
+import contextlib
+import enum
+
+from corianderloft._internal.kv import interface
+from corianderloft._internal import metrics
+from corianderloft._internal.settings import kv as kv_settings
+from corianderloft._internal.utils import token_bucket
+
+CALLS = metrics.counter(
+    'kv_calls_total', 'Calls on the key-value service by kind and outcome.'
+)
+REFUSED = metrics.counter(
+    'kv_calls_over_budget_total', 'Calls not made: over the budget, by kind.'
+)
+REPEATED = metrics.counter(
+    'kv_calls_repeated_total', 'Calls made again after a lost reply, by kind.'
+)
+WAITING = metrics.gauge(
+    'kv_waiting_watches', 'Watches on the key-value service that wait.'
+)
+
+
+class CallKind(enum.Enum):
+    """Kinds of calls that are counted apart."""
+
+    READ = 'read'
+    WRITE = 'write'
+    LEASE = 'lease'
+    WATCH = 'watch'
+
+
+class CallBudget:
+    """Token buckets for reads and writes of one process.
+
+    Parameters
+    ----------
+    settings : KvSettings
+        Section ``kv`` of the settings.
+    """
+
+    def __init__(self, settings: kv_settings.KvSettings) -> None:
+        reads = token_bucket.TokenBucket(settings.reads_per_second)
+        writes = token_bucket.TokenBucket(settings.writes_per_second)
+        self._buckets = {
+            CallKind.READ: reads,
+            CallKind.WATCH: reads,
+            CallKind.WRITE: writes,
+            CallKind.LEASE: writes,
+        }
+
+    def take(self, kind: CallKind) -> interface.Unavailable | None:
+        """Count a call; return a refusal when it is over the budget."""
+        if self._buckets[kind].take():
+            return None
+        REFUSED.inc({'kind': kind.value})
+        return interface.Unavailable(
+            f"{kind.value} call over this process's budget (section kv)"
+        )
+
+    @contextlib.contextmanager
+    def waiting_watch(self) -> collections.abc.Iterator[None]:
+        """Count a watch as waiting while the context lasts."""
+        WAITING.inc({})
+        try:
+            yield
+        finally:
+            WAITING.dec({})
+
+
+def count_outcome(kind: CallKind, outcome: object) -> None:
+    """Count a call that was made, by how it ended."""
+    match outcome:
+        case interface.Unavailable():
+            name = 'unavailable'
+        case interface.Unknown():
+            name = 'unknown'
+        case _:
+            name = 'answered'
+    CALLS.inc({'kind': kind.value, 'outcome': name})
+
+
+def count_repeat(kind: CallKind) -> None:
+    """Count a call that is made again after a lost reply."""
+    REPEATED.inc({'kind': kind.value})
--- a/src/corianderloft/_internal/kv/connections.py
+++ b/src/corianderloft/_internal/kv/connections.py
@@ -56,6 +56,8 @@
         Bounds in seconds.
     idle_limit : int
         Idle connections to keep.
+    idle_expiry : float
+        Time after which an idle connection is not used, in seconds.
     """
 
     def __init__(
@@ -64,18 +66,22 @@
         connect_timeout: float,
         call_timeout: float,
         idle_limit: int,
+        idle_expiry: float,
     ) -> None:
         self._url = httpcore.URL(endpoint)
         self._connect_timeout = connect_timeout
         self._call_timeout = call_timeout
         self._idle_limit = idle_limit
+        self._idle_expiry = idle_expiry
         self._idle: collections.deque[httpcore.AsyncHTTPConnection] = (
             collections.deque()
         )
 
     def open(self) -> httpcore.AsyncHTTPConnection:
         """Return a new connection, which connects at its first request."""
-        return httpcore.AsyncHTTPConnection(origin=self._url.origin)
+        return httpcore.AsyncHTTPConnection(
+            origin=self._url.origin, keepalive_expiry=self._idle_expiry
+        )
 
     def request(
         self, path: str, content: bytes, trace: SendTrace
--- a/src/corianderloft/_internal/kv/etcd.py
+++ b/src/corianderloft/_internal/kv/etcd.py
@@ -2,11 +2,16 @@
 
 import collections.abc
 import contextlib
+import functools
 import math
 import typing
 
+import httpcore
 import orjson
+import trio
 
+from corianderloft._internal.kv import backoff
+from corianderloft._internal.kv import budget
 from corianderloft._internal.kv import codec
 from corianderloft._internal.kv import connections
 from corianderloft._internal.kv import interface
@@ -18,6 +23,16 @@
 CLIENT_ERRORS = range(400, 500)
 """Statuses that say that the service did not act on the call."""
 
+CallOutcome = codec.Json | interface.Unavailable | interface.Unknown
+
+_KINDS = {
+    '/v3/kv/range': budget.CallKind.READ,
+    '/v3/kv/txn': budget.CallKind.WRITE,
+    '/v3/lease/grant': budget.CallKind.LEASE,
+    '/v3/lease/keepalive': budget.CallKind.LEASE,
+    '/v3/kv/lease/revoke': budget.CallKind.LEASE,
+}
+
 
 @interface.CLIENTS.register('etcd')
 class EtcdClient:
@@ -36,6 +51,11 @@
             settings.connect_timeout,
             settings.call_timeout,
             settings.idle_connections,
+            settings.idle_expiry,
+        )
+        self._budget = budget.CallBudget(settings)
+        self._backoff = backoff.Backoff(
+            settings.reconnect_base, settings.reconnect_limit
         )
 
     async def get(self, key: str) -> interface.Read:
@@ -47,7 +67,7 @@
         return await self._range(codec.prefix_range(prefix))
 
     async def _range(self, query: codec.Json) -> interface.Read:
-        result = await self._call('/v3/kv/range', query)
+        result = await self._read('/v3/kv/range', query)
         if isinstance(result, interface.Unknown):
             return interface.Unavailable(result.detail)
         if isinstance(result, interface.Unavailable):
@@ -86,7 +106,7 @@
 
     async def renew_lease(self, lease_id: ids.LeaseId) -> interface.Renewal:
         """Extend a lease to its full time to live."""
-        result = await self._call('/v3/lease/keepalive', {'ID': str(lease_id)})
+        result = await self._read('/v3/lease/keepalive', {'ID': str(lease_id)})
         if isinstance(result, interface.Unknown):
             return interface.Unavailable(result.detail)
         if isinstance(result, interface.Unavailable):
@@ -114,20 +134,63 @@
         """Watch keys below ``prefix`` for changes later than ``after``."""
         conn = self._connections.open()
         stream = watches.Watch(
-            self._connections, conn, prefix, after, self._settings
+            functools.partial(self._open_watch, conn),
+            prefix,
+            after,
+            self._settings.watch_silence,
         )
         try:
-            yield stream
+            with self._budget.waiting_watch():
+                yield stream
         finally:
+            # A watch that was of use lets the next one start at once.
+            if stream.heard:
+                self._backoff.reset()
             await connections.close(conn)
 
+    async def _open_watch(
+        self, conn: httpcore.AsyncHTTPConnection, body: codec.Json
+    ) -> httpcore.Response | interface.Unavailable:
+        """Send the request of a watch.
+
+        Raises httpcore's errors, and `trio.TooSlowError` without a reply.
+        """
+        await trio.sleep(self._backoff.next_delay())
+        refused = self._budget.take(budget.CallKind.WATCH)
+        if refused is not None:
+            return refused
+        req = self._connections.request(
+            '/v3/watch', orjson.dumps(body), connections.SendTrace()
+        )
+        with trio.fail_after(self._settings.call_timeout):
+            response = await conn.handle_async_request(req)
+        budget.count_outcome(budget.CallKind.WATCH, response)
+        return response
+
     async def aclose(self) -> None:
         """Close all idle connections."""
         await self._connections.aclose()
 
-    async def _call(
-        self, path: str, body: codec.Json
-    ) -> codec.Json | interface.Unavailable | interface.Unknown:
+    async def _read(self, path: str, body: codec.Json) -> CallOutcome:
+        """Call what may be repeated: once more if the reply is lost."""
+        kind = _KINDS[path]
+        first = await self._call(path, body)
+        if not isinstance(first, interface.Unknown):
+            return first
+        # The connection may have gone silent; a new one may work.
+        budget.count_repeat(kind)
+        return await self._call(path, body)
+
+    async def _call(self, path: str, body: codec.Json) -> CallOutcome:
+        kind = _KINDS[path]
+        refused = self._budget.take(kind)
+        if refused is not None:
+            return refused
+        outcome = await self._send(path, body)
+        budget.count_outcome(kind, outcome)
+        return outcome
+
+    async def _send(self, path: str, body: codec.Json) -> CallOutcome:
         result = await self._connections.post(path, orjson.dumps(body))
         match result:
             case connections.NotSent(detail):
@@ -139,9 +202,7 @@
         typing.assert_never(result)
 
 
-def _outcome(
-    path: str, status: int, raw: bytes
-) -> codec.Json | interface.Unavailable | interface.Unknown:
+def _outcome(path: str, status: int, raw: bytes) -> CallOutcome:
     decoded = codec.decode(raw)
     if status == HTTP_OK and decoded is not None:
         return decoded
--- a/src/corianderloft/_internal/kv/watches.py
+++ b/src/corianderloft/_internal/kv/watches.py
@@ -1,50 +1,55 @@
 """One watch: a streamed reply with one JSON object a line."""
 
 import collections
+import collections.abc
 
 import httpcore
-import orjson
 import trio
 
 from corianderloft._internal.kv import codec
-from corianderloft._internal.kv import connections
 from corianderloft._internal.kv import interface
 from corianderloft._internal.models import ids
-from corianderloft._internal.settings import kv as kv_settings
 
 HTTP_OK = 200
 
+Start = collections.abc.Callable[
+    [codec.Json],
+    collections.abc.Awaitable[httpcore.Response | interface.Unavailable],
+]
+
 
 class Watch:
     """Iterator over the changes below a prefix; ends after `WatchEnded`.
 
     Parameters
     ----------
-    keeper : Connections
-        Makes the request.
-    conn : AsyncHTTPConnection
-        Connection for this watch alone; the caller closes it.
+    start : callable
+        Sends the request of the watch.
     prefix : str
         Prefix of the keys.
     after : Revision
         Only later changes are delivered.
-    settings : KvSettings
-        Section ``kv`` of the settings.
+    silence : float
+        Time without a message after which the watch ends, in seconds.
+
+    Attributes
+    ----------
+    heard : bool
+        Whether the service answered.
     """
 
     def __init__(
         self,
-        keeper: connections.Connections,
-        conn: httpcore.AsyncHTTPConnection,
+        start: Start,
         prefix: str,
         after: ids.Revision,
-        settings: kv_settings.KvSettings,
+        silence: float,
     ) -> None:
-        self._keeper = keeper
-        self._conn = conn
+        self.heard = False
+        self._start_request = start
         self._prefix = prefix
         self._revision = after
-        self._settings = settings
+        self._silence = silence
         self._chunks: collections.abc.AsyncIterator[bytes] | None = None
         self._partial = b''
         self._items: collections.deque[interface.WatchItem] = (
@@ -64,15 +69,14 @@
 
     async def _receive(self) -> None:
         """Wait for the next bytes, or end the watch."""
-        silence = self._settings.watch_silence
         try:
-            with trio.fail_after(silence):
-                if self._chunks is None:
-                    await self._start()
-                else:
-                    self._feed(await anext(self._chunks))
+            if self._chunks is None:
+                self._chunks = await self._start()
+                return
+            with trio.fail_after(self._silence):
+                self._feed(await anext(self._chunks))
         except trio.TooSlowError:
-            self._end(f'silent for {silence} s')
+            self._end('the service went silent')
         except StopAsyncIteration:
             self._end('closed by the service')
         except (
@@ -82,21 +86,21 @@
         ) as exc:
             self._end(repr(exc))
 
-    async def _start(self) -> None:
+    async def _start(
+        self,
+    ) -> collections.abc.AsyncIterator[bytes] | None:
         create = codec.prefix_range(self._prefix) | {
             'start_revision': str(self._revision + 1),
             'progress_notify': True,
         }
-        req = self._keeper.request(
-            '/v3/watch',
-            orjson.dumps({'create_request': create}),
-            connections.SendTrace(),
-        )
-        response = await self._conn.handle_async_request(req)
+        response = await self._start_request({'create_request': create})
+        if isinstance(response, interface.Unavailable):
+            self._end(response.detail)
+            return None
         if response.status != HTTP_OK:
             self._end(f'refused with status {response.status}')
-            return
-        self._chunks = response.aiter_stream()
+            return None
+        return response.aiter_stream()
 
     def _feed(self, chunk: bytes) -> None:
         *lines, self._partial = (self._partial + chunk).split(b'\n')
@@ -110,6 +114,7 @@
             self._end(f'malformed message {line[:80]!r}')
             return
         result = message['result']
+        self.heard = True
         if result.get('canceled'):
             compacted = result.get('compact_revision', '0')
             self._end(f'cancelled; history begins at {compacted}')
--- a/src/corianderloft/_internal/settings/kv.py
+++ b/src/corianderloft/_internal/settings/kv.py
@@ -14,7 +14,10 @@
         1.0, 'Bound on opening a connection.', 's', gt=0
     )
     call_timeout: float = base.setting(
-        2.0, 'Bound on one call, connecting included.', 's', gt=0
+        2.0,
+        'Bound on one attempt of a call; a read is tried twice.',
+        's',
+        gt=0,
     )
     watch_silence: float = base.setting(
         10.0,
@@ -26,3 +29,24 @@
     idle_connections: int = base.setting(
         4, 'Idle connections kept for the next calls.', ge=0
     )
+    idle_expiry: float = base.setting(
+        15.0, 'An idle connection is not used after this long.', 's', gt=0
+    )
+    reads_per_second: float = base.setting(
+        200.0,
+        'Budget of this process for reads and watches.',
+        'calls/s',
+        gt=0,
+    )
+    writes_per_second: float = base.setting(
+        40.0,
+        'Budget of this process for writes and lease calls.',
+        'calls/s',
+        gt=0,
+    )
+    reconnect_base: float = base.setting(
+        0.1, 'Mean wait before the first reconnect of a watch.', 's', gt=0
+    )
+    reconnect_limit: float = base.setting(
+        5.0, 'Longest wait before a reconnect of a watch.', 's', gt=0
+    )
--- a/src/corianderloft/_internal/standin/engine/server.py
+++ b/src/corianderloft/_internal/standin/engine/server.py
@@ -12,6 +12,7 @@
 from corianderloft._internal.standin.engine import loads
 from corianderloft._internal.standin.engine import orders
 from corianderloft._internal.standin.engine import tokens
+from corianderloft._internal.standin import faults
 from corianderloft._internal.standin import http
 from corianderloft._internal.standin import settings as standin_settings
 from corianderloft._internal.utils import prefixes
@@ -252,14 +253,10 @@
         await call.reply({'state': self._availability()})
 
     async def _set_faults(self, call: http.Call) -> None:
-        problem = self.batch.faults.update(call.json())
-        if problem is not None:
-            await call.reply(_error('bad_request', problem), 400)
-            return
-        if self.batch.faults.crashed:
+        changed = await faults.change(call, self.batch.faults)
+        if changed and self.batch.faults.crashed:
             self.batch.crash()
             self.state = orders.EngineState([self._settings.model])
-        await call.reply(self.batch.faults.describe())
 
     async def _counts(self, call: http.Call) -> None:
         await call.reply(dataclasses.asdict(self.batch.totals))
--- a/src/corianderloft/_internal/standin/faults.py
+++ b/src/corianderloft/_internal/standin/faults.py
@@ -4,6 +4,8 @@
 
 import pydantic
 
+from corianderloft._internal.standin import http
+
 
 class FaultSet(pydantic.BaseModel):
     """Base of the faults of one kind of stand-in.
@@ -29,3 +31,13 @@
     def describe(self) -> dict[str, typing.Any]:
         """Return all fields as JSON values."""
         return self.model_dump(mode='json')
+
+
+async def change(call: http.Call, fault_set: FaultSet) -> bool:
+    """Answer a control call; True when it changed the faults."""
+    problem = fault_set.update(call.json())
+    if problem is not None:
+        await call.reply({'error': problem}, 400)
+        return False
+    await call.reply(fault_set.describe())
+    return True
--- a/src/corianderloft/_internal/standin/kv/server.py
+++ b/src/corianderloft/_internal/standin/kv/server.py
@@ -4,9 +4,10 @@
 
 import trio
 
+from corianderloft._internal.standin import faults
 from corianderloft._internal.standin import http
 from corianderloft._internal.standin.kv import codec
-from corianderloft._internal.standin.kv import faults
+from corianderloft._internal.standin.kv import faults as kv_faults
 from corianderloft._internal.standin.kv import limits
 from corianderloft._internal.standin.kv import store as kv_store
 from corianderloft._internal.standin.kv import watching
@@ -49,7 +50,7 @@
         self._settings = settings
         self._nursery = nursery
         self.store = kv_store.Store(settings.history_limit)
-        self.faults = faults.Faults(platform_lag=settings.platform_lag)
+        self.faults = kv_faults.Faults(platform_lag=settings.platform_lag)
         self.limits = limits.CallLimits(settings)
 
     def routes(self) -> http.Routes:
@@ -103,10 +104,10 @@
         if self.faults.delay:
             await trio.sleep(self.faults.delay)
         match self.faults.outage:
-            case faults.Outage.REFUSE:
+            case kv_faults.Outage.REFUSE:
                 await call.reply(_error('service unavailable', 14), 503)
                 return False
-            case faults.Outage.SILENT:
+            case kv_faults.Outage.SILENT:
                 await call.disconnected()
                 return False
         return True
@@ -243,11 +244,7 @@
                 nursery.cancel_scope.cancel()
 
     async def _set_faults(self, call: http.Call) -> None:
-        problem = self.faults.update(call.json())
-        if problem is not None:
-            await call.reply({'error': problem}, 400)
-            return
-        await call.reply(self.faults.describe())
+        await faults.change(call, self.faults)
 
     async def _expire_now(self, call: http.Call) -> None:
         expired = sorted(self.store.leases)
--- a/src/corianderloft/_internal/standin/service/server.py
+++ b/src/corianderloft/_internal/standin/service/server.py
@@ -4,8 +4,9 @@
 
 import trio
 
+from corianderloft._internal.standin import faults
 from corianderloft._internal.standin import http
-from corianderloft._internal.standin.service import faults
+from corianderloft._internal.standin.service import faults as service_faults
 from corianderloft._internal.standin import settings as standin_settings
 from corianderloft._internal.utils import tasks
 
@@ -33,7 +34,7 @@
         self._runs: collections.Counter[str] = collections.Counter()
         self._answered = 0
         self._refused = 0
-        self.faults = faults.Faults()
+        self.faults = service_faults.Faults()
 
     def routes(self) -> http.Routes:
         """Return the application."""
@@ -99,11 +100,7 @@
         await call.reply({'state': state})
 
     async def _set_faults(self, call: http.Call) -> None:
-        problem = self.faults.update(call.json())
-        if problem is not None:
-            await call.reply({'error': problem}, 400)
-            return
-        await call.reply(self.faults.describe())
+        await faults.change(call, self.faults)
 
     async def _counts(self, call: http.Call) -> None:
         await call.reply(
