Add a working dispatcher with its plug-in registries and baselines

Ruled out: a dispatcher without registries; every later way would rewrite it. Change: LocalDispatcher (decisions/dispatcher.py), one ServicePool a service, registries of balancers, queue policies, limiters, retry and hedge rules, and the baselines round_robin, least_reported_load, fifo, slot_share, bounded, never. Conclusion: thin but whole; the chosen policies follow as plug-ins.

--- /dev/null
+++ b/bench/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement of the decisions in virtual time."""
--- /dev/null
+++ b/src/corianderloft/_internal/decisions/balancers/__init__.py
@@ -0,0 +1,6 @@
+"""Plug-ins that choose the engine of a request."""
+
+from corianderloft._internal.decisions.balancers import least_reported_load
+from corianderloft._internal.decisions.balancers import round_robin
+
+__all__ = ['least_reported_load', 'round_robin']
--- /dev/null
+++ b/src/corianderloft/_internal/decisions/balancers/least_reported_load.py
@@ -0,0 +1,37 @@
+"""Balancer ``least_reported_load``: trusts the reports; a baseline."""
+
+import collections.abc
+import random
+
+from corianderloft._internal.decisions import engines
+from corianderloft._internal.decisions import plugins
+from corianderloft._internal.decisions import waiting
+
+
+def _reported(engine: engines.EngineView) -> int:
+    if engine.report is None:
+        return 0
+    return engine.report.running + engine.report.waiting
+
+
+@plugins.BALANCERS.register('least_reported_load')
+class LeastReportedLoad:
+    """Chooses the candidate that last reported the least load."""
+
+    def __init__(self, cfg: plugins.Settings, rng: random.Random) -> None:
+        del cfg
+        self._rng = rng
+
+    def choose(
+        self,
+        waiter: waiting.Waiter,
+        candidates: collections.abc.Sequence[engines.EngineView],
+        now: float,
+    ) -> engines.EngineView | None:
+        """Return the least loaded by report, ties broken at random."""
+        if not candidates:
+            return None
+        least = min(_reported(engine) for engine in candidates)
+        return self._rng.choice(
+            [engine for engine in candidates if _reported(engine) == least]
+        )
--- /dev/null
+++ b/src/corianderloft/_internal/decisions/hedges/never.py
@@ -0,0 +1,22 @@
+"""Hedge rule ``never``: one attempt at a time; a baseline."""
+
+from corianderloft._internal.decisions import plugins
+from corianderloft._internal.models import requests
+
+
+@plugins.HEDGE_RULES.register('never')
+class Never:
+    """Never hedges."""
+
+    def __init__(self, cfg: plugins.Settings) -> None:
+        del cfg
+
+    def granted(self, cost: float) -> None:
+        """Ignore started work."""
+
+    def first_token(self, wait: float) -> None:
+        """Ignore observations."""
+
+    def delay(self, ticket: requests.Ticket, cost: float) -> float | None:
+        """Return None."""
+        return None
--- /dev/null
+++ b/src/corianderloft/_internal/decisions/queues/__init__.py
@@ -0,0 +1,5 @@
+"""Plug-ins that order the requests waiting for a service."""
+
+from corianderloft._internal.decisions.queues import fifo
+
+__all__ = ['fifo']
