Measure the decisions in virtual time

Ruled out: real processes, which measure overheads and not policy. 'make bench-policy SEEDS= WORKLOAD='.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONHASHSEED = 0
 JOBS ?= 4
 
-.PHONY: setup test format lint types unit docs-check demo
+.PHONY: bench-policy setup test format lint types unit docs-check demo
 
 setup: $(STAMP)
 
@@ -28,3 +28,9 @@
 	$(PY) -m pytest -n $(JOBS) tests
 
 test: lint types unit
+
+SEEDS ?= 0-2
+WORKLOAD ?= drafting-desk,lace-model
+
+bench-policy: setup
+	$(PY) -m bench.policy --seeds $(SEEDS) --workload $(WORKLOAD)
