Follow the configuration from the key-value service, edit it and claim calls

Ruled out: one value for all workspaces (no room for 36,000), 256 shards (35 KB a change to each host), settling a lost reply by writing again without a compare. Conclusion: the fleet is the platform's list until membership lands.

--- a/src/corianderloft/_internal/shared/changes.py
+++ b/src/corianderloft/_internal/shared/changes.py
@@ -54,6 +54,22 @@
     author: str
 
 
+@dataclasses.dataclass(frozen=True)
+class ChangeTooLarge:
+    """The change touches more keys than one transaction may; split it.
+
+    Attributes
+    ----------
+    keys : int
+        Keys that the change touches.
+    limit : int
+        Keys that one transaction may touch.
+    """
+
+    keys: int
+    limit: int
+
+
 @dataclasses.dataclass(frozen=True)
 class ChangeRecord:
     """One accepted change in the history."""
--- /dev/null
+++ b/src/corianderloft/_internal/shared/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' declarations: how they are stored, edited and followed."""
--- /dev/null
+++ b/src/corianderloft/_internal/shared/configuration/catalogs.py
@@ -0,0 +1,70 @@
+"""The configuration in force on this host, decoded."""
+
+import collections.abc
+
+from corianderloft._internal.models import catalog
+from corianderloft._internal.models import ids
+from corianderloft._internal.shared.configuration import layout
+from corianderloft._internal.shared import mirror
+
+
+class CatalogView:
+    """Decodes changed keys only and indexes the workspaces by key hash."""
+
+    def __init__(self) -> None:
+        self.current = catalog.Catalog(ids.Revision(0))
+        self._services: dict[str, catalog.ServiceTemplate] = {}
+        self._shards: dict[str, tuple[catalog.Workspace, ...]] = {}
+        self._by_hash: dict[str, catalog.Workspace] = {}
+
+    def apply(
+        self,
+        revision: ids.Revision,
+        entries: collections.abc.Iterable[mirror.Entry],
+    ) -> None:
+        """Put changed entries in force as ``revision``.
+
+        Raises
+        ------
+        pydantic.ValidationError
+            If a value does not have the stored form.
+        """
+        for entry in entries:
+            if entry.key.startswith(layout.SERVICE_PREFIX):
+                self._apply_service(entry)
+            elif entry.key.startswith(layout.SHARD_PREFIX):
+                self._apply_shard(entry)
+        self.current = catalog.Catalog(
+            revision,
+            tuple(s for _, s in sorted(self._services.items())),
+            tuple(
+                workspace
+                for _, members in sorted(self._shards.items())
+                for workspace in members
+            ),
+        )
+
+    def workspace_by_key(self, key: str) -> catalog.Workspace | None:
+        """Return the workspace that lists the hash of ``key``."""
+        return self._by_hash.get(layout.hash_key(key))
+
+    def _apply_service(self, entry: mirror.Entry) -> None:
+        if entry.value is None:
+            self._services.pop(entry.key, None)
+        else:
+            self._services[entry.key] = layout.SERVICE.validate_json(
+                entry.value
+            )
+
+    def _apply_shard(self, entry: mirror.Entry) -> None:
+        members = (
+            layout.SHARD.validate_json(entry.value) if entry.value else ()
+        )
+        for old in self._shards.pop(entry.key, ()):
+            for key_hash in old.key_hashes:
+                self._by_hash.pop(key_hash, None)
+        for new in members:
+            for key_hash in new.key_hashes:
+                self._by_hash[key_hash] = new
+        if members:
+            self._shards[entry.key] = members
--- a/src/corianderloft/_internal/shared/interface.py
+++ b/src/corianderloft/_internal/shared/interface.py
@@ -1,6 +1,7 @@
 """The seam between an entry host and what the hosts share."""
 
 import dataclasses
+import math
 import typing
 
 from corianderloft._internal.models import backends
@@ -54,9 +55,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class Claimed:
-    """This host alone may run the call of an idempotency key."""
+    """This host alone may run the call of an idempotency key.
+
+    Attributes
+    ----------
+    token : str
+        Identity of the claim.
+    valid_until : float
+        On trio's clock, in seconds; the call must not be sent later, for
+        the claim may have run out while the host was paused.
+    """
 
     token: str
+    valid_until: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True)
@@ -85,6 +96,18 @@
         the bound in the settings.
         """
 
+    async def wait_change(self, seen: int) -> int:
+        """Wait until anything known here changed after count ``seen``.
+
+        Returns
+        -------
+        int
+            Count of changes so far, to pass to the next call; start at 0.
+        """
+
+    def note_backend_leaving(self, engine_id: ids.EngineId) -> None:
+        """Tell all hosts that a backend server said that it leaves."""
+
     def workspace_by_key(self, key: str) -> catalog.Workspace | None:
         """Return the workspace that presents ``key``, or None."""
 
