Add messages between hosts and their transport

Cause: hosts keep the view of each other by messages of their own. Ruled out: pycapnp's RPC (asyncio's loop); one datagram for changes of the configuration (a shard has about 2 KB).

--- /dev/null
+++ b/src/corianderloft/_internal/shared/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between hosts: form, keyed hash and transport."""
--- /dev/null
+++ b/src/corianderloft/_internal/shared/peers/transport.py
@@ -0,0 +1,250 @@
+"""How hosts reach each other: datagrams over UDP, fetches over TCP."""
+
+import collections.abc
+import itertools
+import logging
+import random
+import typing
+
+import trio
+
+from corianderloft._internal.metrics import registry
+from corianderloft._internal.shared import mirror
+from corianderloft._internal.shared.peers import codec
+from corianderloft._internal.shared.peers import messages
+
+logger = logging.getLogger(__name__)
+
+MAX_DATAGRAM_BYTES = 2048
+MAX_FRAME_BYTES = 4 * 2**20
+PAGE_BYTES = 2**18
+LENGTH_BYTES = 4
+FETCH_TIMEOUT_S = 5.0
+BIND_ATTEMPTS = 50
+UDP_HEADER_BYTES = 28
+
+BYTES_SENT = registry.counter(
+    'peer_bytes_sent', 'Bytes sent to peers, IP and UDP headers included.'
+)
+
+Answer = collections.abc.Callable[[messages.Fetch], messages.Fetched]
+
+
+class Transport(typing.Protocol):
+    """Datagrams and fetches between hosts."""
+
+    address: messages.Address
+
+    async def send(
+        self, to: messages.Address, message: messages.Datagram
+    ) -> None:
+        """Send a datagram; it may be lost."""
+
+    async def receive(self) -> tuple[messages.Address, messages.Datagram]:
+        """Return the next datagram that can be decoded."""
+
+    async def fetch(
+        self, to: messages.Address, fetch: messages.Fetch
+    ) -> messages.Fetched | messages.FetchFailed:
+        """Ask a peer and return its whole answer."""
+
+    async def serve(self, answer: Answer) -> typing.NoReturn:
+        """Answer the fetches of peers until cancelled."""
+
+
+class SocketTransport:
+    """`Transport` over one UDP socket and one TCP port of the same number.
+
+    Parameters
+    ----------
+    udp : SocketType
+        Bound UDP socket.
+    listener : SocketListener
+        TCP listener on the same port.
+    wire : Codec
+        Encodes and checks messages.
+    """
+
+    def __init__(
+        self,
+        udp: trio.socket.SocketType,
+        listener: trio.SocketListener,
+        wire: codec.Codec,
+    ) -> None:
+        self._udp = udp
+        self._listener = listener
+        self._wire = wire
+        self.address = messages.Address(*udp.getsockname()[:2])
+
+    async def send(
+        self, to: messages.Address, message: messages.Datagram
+    ) -> None:
+        """Send a datagram; errors of the network count as loss."""
+        raw = self._wire.encode_datagram(message)
+        BYTES_SENT.add({'kind': 'datagram'}, len(raw) + UDP_HEADER_BYTES)
+        try:
+            await self._udp.sendto(raw, to)
+        except OSError as exc:
+            logger.debug('datagram to %s was not sent: %s', to, exc)
+
+    async def receive(self) -> tuple[messages.Address, messages.Datagram]:
+        """Return the next datagram that can be decoded."""
+        while True:
+            try:
+                raw, source = await self._udp.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError as exc:
+                logger.debug('no datagram was received: %s', exc)
+                continue
+            message = self._wire.decode_datagram(raw)
+            if isinstance(message, messages.Datagram):
+                return messages.Address(*source[:2]), message
+
+    async def fetch(
+        self, to: messages.Address, fetch: messages.Fetch
+    ) -> messages.Fetched | messages.FetchFailed:
+        """Ask a peer over a new connection."""
+        with trio.move_on_after(FETCH_TIMEOUT_S):
+            try:
+                stream = await trio.open_tcp_stream(*to)
+                async with stream:
+                    await _send_frame(stream, self._wire.encode_fetch(fetch))
+                    return await self._read_pages(stream, fetch)
+            except (OSError, trio.BrokenResourceError) as exc:
+                return messages.FetchFailed(f'{to.ip}:{to.port}: {exc}')
+        return messages.FetchFailed(f'{to.ip}:{to.port}: timeout')
+
+    async def serve(self, answer: Answer) -> typing.NoReturn:
+        """Answer fetches, each connection in its own task."""
+
+        async def serve_stream(stream: trio.SocketStream) -> None:
+            with trio.move_on_after(FETCH_TIMEOUT_S):
+                try:
+                    await self._answer_one(stream, answer)
+                except (OSError, trio.BrokenResourceError) as exc:
+                    logger.debug('a peer left its fetch: %s', exc)
+
+        await trio.serve_listeners(serve_stream, [self._listener])
+        raise RuntimeError('the listener for peers ended')
+
+    async def _answer_one(
+        self, stream: trio.SocketStream, answer: Answer
+    ) -> None:
+        frame = await _receive_frame(stream)
+        if frame is None:
+            return
+        fetch = self._wire.decode_fetch(frame)
+        if isinstance(fetch, messages.Undecodable):
+            return
+        for page in pages(fetch.nonce, answer(fetch)):
+            raw = self._wire.encode_page(page)
+            BYTES_SENT.add({'kind': 'fetch'}, len(raw))
+            await _send_frame(stream, raw)
+
+    async def _read_pages(
+        self, stream: trio.SocketStream, fetch: messages.Fetch
+    ) -> messages.Fetched | messages.FetchFailed:
+        read: list[messages.Fetched] = []
+        while True:
+            frame = await _receive_frame(stream)
+            if frame is None:
+                return messages.FetchFailed('the answer was cut')
+            page = self._wire.decode_page(frame)
+            if isinstance(page, messages.Undecodable):
+                return messages.FetchFailed(page.fault.value)
+            if page.nonce != fetch.nonce:
+                return messages.FetchFailed('answer to another question')
+            read.append(page.fetched)
+            if not page.more:
+                return join_pages(read)
+
+
+def pages(
+    nonce: int, fetched: messages.Fetched
+) -> collections.abc.Iterator[messages.Page]:
+    """Cut an answer into pages of about `PAGE_BYTES`."""
+    delta = fetched.delta
+    groups: list[list[mirror.Entry]] = [[]]
+    size = 0
+    for entry in delta.entries:
+        size += len(entry.key) + len(entry.value or b'')
+        if size > PAGE_BYTES and groups[-1]:
+            groups.append([])
+            size = 0
+        groups[-1].append(entry)
+    last = len(groups) - 1
+    for number, group in enumerate(groups):
+        part = mirror.Delta(delta.revision, tuple(group), delta.whole)
+        members = fetched.members if number == last else ()
+        yield messages.Page(
+            nonce, messages.Fetched(part, members), number < last
+        )
+
+
+def join_pages(
+    read: collections.abc.Sequence[messages.Fetched],
+) -> messages.Fetched:
+    """Put the pages of one answer together."""
+    last = read[-1]
+    entries = itertools.chain.from_iterable(f.delta.entries for f in read)
+    delta = mirror.Delta(last.delta.revision, tuple(entries), last.delta.whole)
+    return messages.Fetched(delta, last.members)
+
+
+async def open_transport(
+    ip: str, port: int, wire: codec.Codec
+) -> SocketTransport:
+    """Bind UDP and TCP to the same port; 0 lets the kernel choose.
+
+    Raises
+    ------
+    OSError
+        If the port is taken.
+    """
+    for _ in range(BIND_ATTEMPTS):
+        listeners = await trio.open_tcp_listeners(port, host=ip)
+        chosen = listeners[0].socket.getsockname()[1]
+        udp = trio.socket.socket(
+            listeners[0].socket.family, trio.socket.SOCK_DGRAM
+        )
+        try:
+            await udp.bind((ip, chosen))
+        except OSError:
+            udp.close()
+            await listeners[0].aclose()
+            if port:
+                raise
+            continue
+        return SocketTransport(udp, listeners[0], wire)
+    raise OSError(f'no port of {ip} is free for both UDP and TCP')
+
+
+def new_nonce(rng: random.Random) -> int:
+    """Return a number to tell one question from another."""
+    return rng.getrandbits(63)
+
+
+async def _send_frame(stream: trio.SocketStream, raw: bytes) -> None:
+    await stream.send_all(len(raw).to_bytes(LENGTH_BYTES, 'big') + raw)
+
+
+async def _receive_frame(stream: trio.SocketStream) -> bytes | None:
+    """Return the next frame, or None when the stream ended."""
+    header = await _receive_exactly(stream, LENGTH_BYTES)
+    if header is None:
+        return None
+    length = int.from_bytes(header, 'big')
+    if length > MAX_FRAME_BYTES:
+        return None
+    return await _receive_exactly(stream, length)
+
+
+async def _receive_exactly(
+    stream: trio.SocketStream, length: int
+) -> bytes | None:
+    received = bytearray()
+    while len(received) < length:
+        chunk = await stream.receive_some(length - len(received))
+        if not chunk:
+            return None
+        received += chunk
+    return bytes(received)
