Let the settings' sections be imported at all

Ruled out: renaming sections (their names are the keys of the file). Conclusion: sections may have any name.

--- a/src/corianderloft/_internal/settings/root.py
+++ b/src/corianderloft/_internal/settings/root.py
@@ -1,26 +1,26 @@
 """All sections together."""
 
 from corianderloft._internal.settings import base
-from corianderloft._internal.settings import callers
-from corianderloft._internal.settings import configuration
-from corianderloft._internal.settings import decisions
-from corianderloft._internal.settings import host
-from corianderloft._internal.settings import kv
-from corianderloft._internal.settings import logs
-from corianderloft._internal.settings import operators
-from corianderloft._internal.settings import peers
+from corianderloft._internal.settings import callers as _callers
+from corianderloft._internal.settings import configuration as _configuration
+from corianderloft._internal.settings import decisions as _decisions
+from corianderloft._internal.settings import host as _host
+from corianderloft._internal.settings import kv as _kv
+from corianderloft._internal.settings import logs as _logs
+from corianderloft._internal.settings import operators as _operators
+from corianderloft._internal.settings import peers as _peers
 
 
 class Settings(base.Section):
     """Settings of one entry host."""
 
-    host: host.HostSettings
-    callers: callers.CallerSettings = callers.CallerSettings()
-    operators: operators.OperatorSettings = operators.OperatorSettings()
-    kv: kv.KvSettings = kv.KvSettings()
-    peers: peers.PeerSettings = peers.PeerSettings()
-    configuration: configuration.ConfigurationSettings = (
-        configuration.ConfigurationSettings()
+    host: _host.HostSettings
+    callers: _callers.CallerSettings = _callers.CallerSettings()
+    operators: _operators.OperatorSettings = _operators.OperatorSettings()
+    kv: _kv.KvSettings = _kv.KvSettings()
+    peers: _peers.PeerSettings = _peers.PeerSettings()
+    configuration: _configuration.ConfigurationSettings = (
+        _configuration.ConfigurationSettings()
     )
-    decisions: decisions.DecisionSettings = decisions.DecisionSettings()
-    logs: logs.LogSettings = logs.LogSettings()
+    decisions: _decisions.DecisionSettings = _decisions.DecisionSettings()
+    logs: _logs.LogSettings = _logs.LogSettings()
