Add settings loading, declarations, workspace keys and the command line

Cause: the thin path needs settings, a catalog out of YAML and commands. Ruled out: running a command as fire parses it (an unknown option would be reported after the command ran); one file form for templates and workspaces each (a directory may be laid out as its owners like). Change: load_settings and load_directory return values or every mistake with file, key path, what is allowed and the nearest known name; templates with parameters for each workspace (Workspace.overrides, Workspace.apply in the catalog, additive); commands serve, address, plan, apply, standin ...; exit codes in one module; KeyIndex for workspace keys.

--- /dev/null
+++ b/src/corianderloft/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: parser, shared options, output and exit codes."""
--- /dev/null
+++ b/src/corianderloft/_internal/cli/options.py
@@ -0,0 +1,69 @@
+"""Options that several commands share, checked once."""
+
+from corianderloft._internal.cli import exit_codes
+from corianderloft._internal.cli import output
+from corianderloft._internal import declarations
+from corianderloft._internal.kernel import registry
+from corianderloft._internal.kv import interface as kv_interface
+from corianderloft._internal.settings import kv as kv_settings
+from corianderloft._internal.settings import load
+from corianderloft._internal.settings import root
+from corianderloft._internal.utils import checking
+
+DEFAULT_KV = 'http://127.0.0.1:2379'
+"""Address of the key-value service unless ``--kv`` names another."""
+
+
+def read_settings(path: str) -> root.Settings | output.Failure:
+    """Return the settings in a file, or every mistake in it."""
+    loaded = load.load_settings(str(path))
+    if isinstance(loaded, load.SettingsErrors):
+        return _mistakes('settings', loaded.problems)
+    return loaded
+
+
+def read_declarations(
+    directory: str,
+) -> declarations.Declarations | output.Failure:
+    """Return the declarations below a directory, or every mistake."""
+    loaded = declarations.load_directory(str(directory))
+    if isinstance(loaded, declarations.DeclarationErrors):
+        return _mistakes('declarations', loaded.problems)
+    return loaded
+
+
+def open_kv(
+    endpoint: str, client: str = 'etcd'
+) -> kv_interface.KeyValueClient | output.Failure:
+    """Return a client of the key-value service at a URL."""
+    url = endpoint if '://' in str(endpoint) else f'http://{endpoint}'
+    factory = kv_interface.CLIENTS.find(client)
+    if isinstance(factory, registry.UnknownPlugin):
+        return output.Failure(exit_codes.ExitCode.USAGE, str(factory))
+    settings = checking.check(
+        kv_settings.KvSettings, {'endpoint': url}, '--kv'
+    )
+    if isinstance(settings, tuple):
+        return _mistakes('--kv', settings)
+    return factory(settings)
+
+
+def read_revision(text: object, option: str) -> int | output.Failure:
+    """Return a revision given on the command line."""
+    if isinstance(text, int) and not isinstance(text, bool) and text >= 0:
+        return text
+    return output.Failure(
+        exit_codes.ExitCode.USAGE,
+        f'{option}={text} is no revision; allowed: a whole number from 0 on',
+    )
+
+
+def _mistakes(
+    what: str, problems: tuple[checking.Problem, ...]
+) -> output.Failure:
+    count = f'{len(problems)} mistake{"s" if len(problems) > 1 else ""}'
+    return output.Failure(
+        exit_codes.ExitCode.INVALID_INPUT,
+        f'{count} in the {what}',
+        tuple(map(str, problems)),
+    )
--- /dev/null
+++ b/src/corianderloft/_internal/commands/apply.py
@@ -0,0 +1,122 @@
+"""Command ``apply``: puts a directory of declarations in force."""
+
+import getpass
+import typing
+import uuid
+
+from corianderloft._internal.cli import configuration
+from corianderloft._internal.cli import exit_codes
+from corianderloft._internal.cli import options
+from corianderloft._internal.cli import output
+from corianderloft._internal.commands import registry
+from corianderloft._internal import declarations
+from corianderloft._internal.kv import interface as kv_interface
+from corianderloft._internal.models import ids
+from corianderloft._internal.shared import changes
+
+
+@registry.COMMANDS.register('apply')
+def apply(
+    directory: str,
+    kv: str = options.DEFAULT_KV,
+    expect: int | None = None,
+    author: str = '',
+    change_id: str = '',
+    format: str = output.TABLE,
+) -> output.Outcome:
+    """Put a directory of declarations in force, all that differs.
+
+    Applying the same directory again changes nothing.
+
+    Parameters
+    ----------
+    directory : str
+        Directory of declarations.
+    kv : str
+        URL of the key-value service.
+    expect : int
+        Revision that ``plan`` showed; a newer one is a conflict.
+    author : str
+        Who makes the change; the user's login name unless given.
+    change_id : str
+        Identity of the change; give the same again after a lost reply.
+    format : str
+        ``table`` or ``json``.
+    """
+    declared = options.read_declarations(directory)
+    if isinstance(declared, output.Failure):
+        return declared
+    if expect is not None:
+        checked = options.read_revision(expect, '--expect')
+        if isinstance(checked, output.Failure):
+            return checked
+    identity = ids.ChangeId(str(change_id) or str(uuid.uuid4()))
+    submitter = str(author) or getpass.getuser()
+
+    async def submit(client: kv_interface.KeyValueClient) -> typing.Any:
+        return await _submit(client, declared, expect, identity, submitter)
+
+    submitted = configuration.ask(kv, submit)
+    if isinstance(submitted, output.Failure):
+        return submitted
+    return _outcome(kv, identity, *submitted)
+
+
+async def _submit(
+    client: kv_interface.KeyValueClient,
+    declared: declarations.Declarations,
+    expect: int | None,
+    change_id: ids.ChangeId,
+    author: str,
+) -> typing.Any:
+    """Return the difference and the outcome of submitting it."""
+    stored = await configuration.edit().read_configuration(client)
+    if isinstance(stored, kv_interface.Unavailable):
+        return stored
+    diff = declarations.compare(stored.catalog, declared)
+    if diff.empty:
+        return diff, changes.Accepted(stored.revision)
+    revision = stored.revision if expect is None else ids.Revision(expect)
+    parts = configuration.edit().split_change(diff.change)
+    outcome: typing.Any = changes.Accepted(revision)
+    for number, part in enumerate(parts):
+        part_id = change_id if number == 0 else f'{change_id}.{number}'
+        outcome = await configuration.edit().submit_change(
+            client, part, outcome.revision, ids.ChangeId(part_id), author
+        )
+        if not isinstance(outcome, changes.Accepted):
+            break
+    return diff, outcome
+
+
+def _outcome(
+    kv: str,
+    change_id: ids.ChangeId,
+    diff: declarations.CatalogDiff,
+    outcome: typing.Any,
+) -> output.Outcome:
+    if isinstance(outcome, changes.EditConflict):
+        return configuration.conflict(outcome)
+    if isinstance(outcome, kv_interface.Unavailable):
+        return configuration.unavailable(kv, outcome)
+    if isinstance(outcome, kv_interface.Unknown):
+        return configuration.outcome_unknown(change_id, outcome.detail)
+    if not isinstance(outcome, changes.Accepted):
+        return output.Failure(
+            exit_codes.ExitCode.FAILED,
+            f'change {change_id} was not accepted: {outcome}',
+            ('apply fewer files at a time',),
+        )
+    payload = {
+        'revision': outcome.revision,
+        'change_id': None if diff.empty else change_id,
+        'changes': configuration.diff_payload(diff),
+    }
+    if diff.empty:
+        message = f'Nothing to change at revision {outcome.revision}.'
+        return output.Result(payload, (), message)
+    return output.Result(
+        payload,
+        (configuration.diff_table(diff),),
+        f'Accepted as change {change_id}, revision {outcome.revision}.',
+    )
--- /dev/null
+++ b/src/corianderloft/_internal/commands/plan.py
@@ -0,0 +1,55 @@
+"""Command ``plan``: what a directory of declarations would change."""
+
+from corianderloft._internal.cli import configuration
+from corianderloft._internal.cli import exit_codes
+from corianderloft._internal.cli import options
+from corianderloft._internal.cli import output
+from corianderloft._internal.commands import registry
+from corianderloft._internal import declarations
+
+
+@registry.COMMANDS.register('plan')
+def plan(
+    directory: str,
+    kv: str = options.DEFAULT_KV,
+    detailed_exit_code: bool = False,
+    format: str = output.TABLE,
+) -> output.Outcome:
+    """Show what ``apply`` would change; write nothing.
+
+    Parameters
+    ----------
+    directory : str
+        Directory of declarations.
+    kv : str
+        URL of the key-value service.
+    detailed_exit_code : bool
+        End with code 4 when there is something to change.
+    format : str
+        ``table`` or ``json``.
+    """
+    declared = options.read_declarations(directory)
+    if isinstance(declared, output.Failure):
+        return declared
+    stored = configuration.ask(kv, configuration.edit().read_configuration)
+    if isinstance(stored, output.Failure):
+        return stored
+    diff = declarations.compare(stored.catalog, declared)
+    payload = {
+        'revision': stored.revision,
+        'changes': configuration.diff_payload(diff),
+    }
+    if diff.empty:
+        return output.Result(
+            payload, (), f'Nothing to change at revision {stored.revision}.'
+        )
+    return output.Result(
+        payload,
+        (configuration.diff_table(diff),),
+        f'Apply with --expect={stored.revision}.',
+        (
+            exit_codes.ExitCode.CHANGES_PENDING
+            if detailed_exit_code
+            else exit_codes.ExitCode.OK
+        ),
+    )
--- /dev/null
+++ b/src/corianderloft/_internal/commands/registry.py
@@ -0,0 +1,11 @@
+"""Registry of commands."""
+
+import collections.abc
+
+from corianderloft._internal.cli import output
+from corianderloft._internal import kernel
+
+COMMANDS: kernel.Registry[collections.abc.Callable[..., output.Outcome]] = (
+    kernel.Registry('command')
+)
+"""Commands by name; a name of two words stands below a group."""
--- /dev/null
+++ b/src/corianderloft/_internal/declarations/__init__.py
@@ -0,0 +1,15 @@
+"""Operators' declarations: YAML files that become a catalog."""
+
+from corianderloft._internal.declarations.diff import CatalogDiff
+from corianderloft._internal.declarations.diff import compare
+from corianderloft._internal.declarations.load import DeclarationErrors
+from corianderloft._internal.declarations.load import Declarations
+from corianderloft._internal.declarations.load import load_directory
+
+__all__ = [
+    'CatalogDiff',
+    'DeclarationErrors',
+    'Declarations',
+    'compare',
+    'load_directory',
+]
--- /dev/null
+++ b/src/corianderloft/_internal/declarations/diff.py
@@ -0,0 +1,151 @@
+"""What a directory of declarations would change."""
+
+import collections.abc
+import dataclasses
+import enum
+import typing
+
+from corianderloft._internal.declarations import load
+from corianderloft._internal.models import catalog
+from corianderloft._internal.shared import changes
+
+
+class Action(enum.Enum):
+    """What happens to one declaration."""
+
+    ADD = 'add'
+    CHANGE = 'change'
+    REMOVE = 'remove'
+
+
+@dataclasses.dataclass(frozen=True)
+class DiffLine:
+    """One field that changes.
+
+    Attributes
+    ----------
+    action : Action
+        What happens to the declaration.
+    item : str
+        ``service/<name>`` or ``workspace/<name>``.
+    field : str
+        Path of the field inside it; empty when all of it comes or goes.
+    before, after : str
+        The value in force and the value declared.
+    """
+
+    action: Action
+    item: str
+    field: str = ''
+    before: str = ''
+    after: str = ''
+
+
+@dataclasses.dataclass(frozen=True)
+class CatalogDiff:
+    """All that differs, and the change that would end it."""
+
+    lines: tuple[DiffLine, ...]
+    change: changes.ConfigurationChange
+
+    @property
+    def empty(self) -> bool:
+        """Whether the declarations are in force already."""
+        return self.change == changes.ConfigurationChange()
+
+
+def compare(
+    current: catalog.Catalog, declared: load.Declarations
+) -> CatalogDiff:
+    """Compare the configuration in force with declarations."""
+    old_services = {s.name: s for s in current.services}
+    new_services = {s.name: s for s in declared.services}
+    old_workspaces = {w.workspace_id: w for w in current.workspaces}
+    new_workspaces = {w.workspace_id: w for w in declared.workspaces}
+    return CatalogDiff(
+        lines=(
+            *_lines('service', old_services, new_services),
+            *_lines('workspace', old_workspaces, new_workspaces),
+        ),
+        change=changes.ConfigurationChange(
+            services_put=_put(old_services, new_services),
+            services_removed=_removed(old_services, new_services),
+            workspaces_put=_put(old_workspaces, new_workspaces),
+            workspaces_removed=_removed(old_workspaces, new_workspaces),
+        ),
+    )
+
+
+K = typing.TypeVar('K', bound=str)
+V = typing.TypeVar('V')
+
+
+def _put(
+    old: collections.abc.Mapping[K, V], new: collections.abc.Mapping[K, V]
+) -> tuple[V, ...]:
+    return tuple(new[k] for k in sorted(new) if old.get(k) != new[k])
+
+
+def _removed(
+    old: collections.abc.Mapping[K, V], new: collections.abc.Mapping[K, V]
+) -> tuple[K, ...]:
+    return tuple(k for k in sorted(old) if k not in new)
+
+
+def _lines(
+    kind: str,
+    old: collections.abc.Mapping[K, V],
+    new: collections.abc.Mapping[K, V],
+) -> collections.abc.Iterator[DiffLine]:
+    for key in sorted({*old, *new}):
+        item = f'{kind}/{key}'
+        if key not in new:
+            yield DiffLine(Action.REMOVE, item)
+        elif key not in old:
+            yield DiffLine(Action.ADD, item)
+        else:
+            yield from _changed_fields(item, old[key], new[key])
+
+
+def _changed_fields(
+    item: str, old: object, new: object
+) -> collections.abc.Iterator[DiffLine]:
+    before, after = dict(_flatten(old)), dict(_flatten(new))
+    yield from (
+        DiffLine(
+            Action.CHANGE,
+            item,
+            field,
+            before.get(field, '-'),
+            after.get(field, '-'),
+        )
+        for field in sorted({*before, *after})
+        if before.get(field) != after.get(field)
+    )
+
+
+def _flatten(
+    value: typing.Any, path: str = ''
+) -> collections.abc.Iterator[tuple[str, str]]:
+    """Yield the path and the text of each plain field below ``value``."""
+    if dataclasses.is_dataclass(value):
+        for field in dataclasses.fields(value):
+            below = f'{path}.{field.name}' if path else field.name
+            yield from _flatten(getattr(value, field.name), below)
+    elif isinstance(value, tuple):
+        for index, item in enumerate(value):
+            yield from _flatten(item, f'{path}.{_label(item, index)}')
+    elif isinstance(value, enum.Enum):
+        yield path, str(value.value)
+    else:
+        yield path, str(value)
+
+
+def _label(item: typing.Any, index: int) -> str:
+    """Return a stable name of an item of a tuple."""
+    named = getattr(item, 'name', None) or getattr(item, 'service', None)
+    if named is not None:
+        return str(named)
+    if isinstance(item, catalog.SupplierRoute):
+        return f'{item.supplier}/{item.model}'
+    return str(index)
--- a/src/corianderloft/_internal/models/catalog.py
+++ b/src/corianderloft/_internal/models/catalog.py
@@ -121,6 +121,25 @@
     weight: int = 1
 
 
+@dataclasses.dataclass(frozen=True)
+class ServiceOverride:
+    """What the parameters of one workspace change in a service's template.
+
+    Attributes
+    ----------
+    service : ServiceName
+        The service.
+    classes : tuple of RequestClass
+        Classes that take the place of the template's of the same name.
+    routes : tuple of SupplierRoute
+        Routes that take the place of the template's; empty changes nothing.
+    """
+
+    service: ids.ServiceName
+    classes: tuple[RequestClass, ...] = ()
+    routes: tuple[SupplierRoute, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True)
 class Workspace:
     """One workspace and what it may use.
@@ -137,6 +156,8 @@
         Classes its callers may send; empty means all of the services'.
     limits : WorkspaceLimits
         Bounds that hold across hosts.
+    overrides : tuple of ServiceOverride
+        What its parameters change in the templates of its services.
     """
 
     workspace_id: ids.WorkspaceId
@@ -144,6 +165,21 @@
     services: tuple[ids.ServiceName, ...]
     classes: tuple[ids.ClassName, ...] = ()
     limits: WorkspaceLimits = WorkspaceLimits()
+    overrides: tuple[ServiceOverride, ...] = ()
+
+    def apply(self, template: ServiceTemplate) -> ServiceTemplate:
+        """Return ``template`` as the parameters of this workspace make it."""
+        override = next(
+            (o for o in self.overrides if o.service == template.name), None
+        )
+        if override is None:
+            return template
+        replaced = {c.name: c for c in override.classes}
+        return dataclasses.replace(
+            template,
+            classes=tuple(replaced.get(c.name, c) for c in template.classes),
+            routes=override.routes or template.routes,
+        )
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/src/corianderloft/_internal/utils/checking.py
@@ -0,0 +1,197 @@
+"""Checks of data written by people against pydantic models."""
+
+import collections.abc
+import dataclasses
+import difflib
+import types
+import typing
+
+import pydantic
+
+M = typing.TypeVar('M', bound=pydantic.BaseModel)
+
+Location = tuple[int | str, ...]
+
+_BOUNDS = (
+    ('ge', 'at least'),
+    ('gt', 'more than'),
+    ('le', 'at most'),
+    ('lt', 'less than'),
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Problem:
+    """One mistake in a file.
+
+    Attributes
+    ----------
+    file : str
+        File that holds it.
+    key : str
+        Path of the key, joined by dots.
+    message : str
+        What is wrong.
+    allowed : str
+        What may stand there.
+    nearest : str or None
+        Known name nearest to an unknown one.
+    """
+
+    file: str
+    key: str
+    message: str
+    allowed: str = ''
+    nearest: str | None = None
+
+    def __str__(self) -> str:
+        place = f'{self.file}: {self.key}' if self.key else self.file
+        allowed = f'; allowed: {self.allowed}' if self.allowed else ''
+        hint = f'; did you mean {self.nearest!r}?' if self.nearest else ''
+        return f'{place}: {self.message}{allowed}{hint}'
+
+
+def nearest_name(
+    name: str, known: collections.abc.Iterable[str]
+) -> str | None:
+    """Return the known name most like ``name``, or None."""
+    near = difflib.get_close_matches(name, sorted(known), n=1, cutoff=0.5)
+    return near[0] if near else None
+
+
+def check(
+    model: type[M], data: object, file: str, prefix: str = ''
+) -> M | tuple[Problem, ...]:
+    """Check ``data`` against ``model``.
+
+    Parameters
+    ----------
+    model : type
+        Pydantic model.
+    data : object
+        Data as it was read.
+    file : str
+        File that it came from.
+    prefix : str
+        Path of the key that holds ``data`` in the file.
+
+    Returns
+    -------
+    BaseModel or tuple of Problem
+        The checked value, or every mistake.
+    """
+    try:
+        return model.model_validate(data)
+    except pydantic.ValidationError as exc:
+        return tuple(
+            _problem(model, error, file, prefix) for error in exc.errors()
+        )
+
+
+def describe_bounds(field: pydantic.fields.FieldInfo) -> str:
+    """Return the bounds of a field in words, or an empty string."""
+    found = [
+        f'{words} {getattr(item, name)}'
+        for item in field.metadata
+        for name, words in _BOUNDS
+        if getattr(item, name, None) is not None
+    ]
+    patterns = [
+        f'text matching {item.pattern}'
+        for item in field.metadata
+        if getattr(item, 'pattern', None)
+    ]
+    return ', '.join(found + patterns)
+
+
+def join_key(*parts: int | str) -> str:
+    """Return the path of a key, joined by dots."""
+    return '.'.join(str(part) for part in parts if part != '')
+
+
+def _problem(
+    model: type[pydantic.BaseModel],
+    error: typing.Mapping[str, typing.Any],
+    file: str,
+    prefix: str,
+) -> Problem:
+    loc: Location = error['loc']
+    key = join_key(prefix, *loc)
+    owner = _model_at(model, loc[:-1])
+    if error['type'] == 'extra_forbidden' and owner is not None:
+        known = sorted(owner.model_fields)
+        return Problem(
+            file,
+            key,
+            'unknown key',
+            ', '.join(known),
+            nearest_name(str(loc[-1]), known),
+        )
+    message = error['msg'][:1].lower() + error['msg'][1:]
+    return Problem(file, key, message, _allowed(owner, loc))
+
+
+def _allowed(owner: type[pydantic.BaseModel] | None, loc: Location) -> str:
+    """Return what the field at the end of ``loc`` accepts."""
+    if owner is None or not loc:
+        return ''
+    field = owner.model_fields.get(str(loc[-1]))
+    if field is None:
+        return ''
+    unit = (
+        field.json_schema_extra.get('unit', '')
+        if isinstance(field.json_schema_extra, dict)
+        else ''
+    )
+    kind = type_name(field.annotation)
+    parts = (f'{kind} in {unit}' if unit else kind, describe_bounds(field))
+    return ', '.join(part for part in parts if part)
+
+
+def type_name(annotation: typing.Any) -> str:
+    """Return the name of a type as docs and messages write it."""
+    origin = typing.get_origin(annotation)
+    if origin is typing.Literal:
+        return ' | '.join(str(a) for a in typing.get_args(annotation))
+    if origin in (typing.Union, types.UnionType):
+        return ' | '.join(type_name(a) for a in typing.get_args(annotation))
+    if annotation is type(None):
+        return 'null'
+    if origin is not None:
+        inner = ', '.join(type_name(a) for a in typing.get_args(annotation))
+        return f'{origin.__name__}[{inner}]'
+    if hasattr(annotation, '__members__'):
+        return ' | '.join(str(m.value) for m in annotation)
+    return getattr(annotation, '__name__', str(annotation))
+
+
+def _model_at(
+    model: type[pydantic.BaseModel], loc: Location
+) -> type[pydantic.BaseModel] | None:
+    """Return the model that holds the key at ``loc``."""
+    current: typing.Any = model
+    for part in loc:
+        current = _step(current, part)
+    found = _model_in(current)
+    return found
+
+
+def _step(annotation: typing.Any, part: int | str) -> typing.Any:
+    """Return the annotation one key further down."""
+    owner = _model_in(annotation)
+    if owner is not None and str(part) in owner.model_fields:
+        return owner.model_fields[str(part)].annotation
+    args = typing.get_args(annotation)
+    return args[-1] if args else None
+
+
+def _model_in(annotation: typing.Any) -> type[pydantic.BaseModel] | None:
+    """Return the model that an annotation is, or contains as an option."""
+    if isinstance(annotation, type) and issubclass(
+        annotation, pydantic.BaseModel
+    ):
+        return annotation
+    if typing.get_origin(annotation) in (typing.Union, types.UnionType):
+        options = map(_model_in, typing.get_args(annotation))
+        return next((o for o in options if o is not None), None)
+    return None
--- /dev/null
+++ b/tests/unit/declarations/test_load.py
@@ -0,0 +1,143 @@
+"""Tests of reading declarations."""
+
+import pathlib
+
+import pytest
+
+from corianderloft._internal import declarations
+from corianderloft._internal.models import catalog
+from corianderloft._internal.models import ids
+
+SERVICE = """
+services:
+  lace-model:
+    kind: model
+    parameters:
+      quick_target_s: {default: 1.9, minimum: 0.1, maximum: 10}
+      supplier: {default: nile, choices: [nile, delta]}
+    classes:
+      stock: {tier: 0, first_token_target_s: "${quick_target_s}"}
+      quote: {tier: 1}
+    routes:
+      - {supplier: "${supplier}", model: lace-7b}
+"""
+WORKSPACE = """
+workspaces:
+  cairo:
+    key_hashes: []
+    services:
+      lace-model: {parameters: {quick_target_s: 0.8}}
+  luxor:
+    key_hashes: []
+    services: {lace-model: }
+    classes: [quote]
+"""
+
+
+def _load(
+    tmp_path: pathlib.Path, *texts: str
+) -> declarations.Declarations | declarations.DeclarationErrors:
+    for number, text in enumerate(texts):
+        (tmp_path / f'{number}.yaml').write_text(text)
+    return declarations.load_directory(tmp_path)
+
+
+def _good(tmp_path: pathlib.Path, *texts: str) -> declarations.Declarations:
+    loaded = _load(tmp_path, *texts)
+    assert isinstance(loaded, declarations.Declarations), str(loaded)
+    return loaded
+
+
+def test_parameters_of_a_workspace_change_its_template_only(
+    tmp_path: pathlib.Path,
+) -> None:
+    loaded = _good(tmp_path, SERVICE, WORKSPACE)
+    template = loaded.services[0]
+    cairo, luxor = loaded.workspaces
+    own = cairo.apply(template).request_class('stock')
+    assert own is not None and own.first_token_target == 0.8
+    assert luxor.apply(template) is template
+    assert cairo.apply(template).routes == template.routes
+    assert luxor.classes == ('quote',)
+
+
+def test_a_workspace_may_choose_its_supplier(tmp_path: pathlib.Path) -> None:
+    text = WORKSPACE.replace('quick_target_s: 0.8', 'supplier: delta')
+    loaded = _good(tmp_path, SERVICE, text)
+    routes = loaded.workspaces[0].apply(loaded.services[0]).routes
+    assert [r.supplier for r in routes] == ['delta']
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'expected'),
+    [
+        ('quick_target_s: 0.8', 'quik_target_s: 1', "mean 'quick_target_s'"),
+        ('quick_target_s: 0.8', 'quick_target_s: 99', 'at most 10'),
+        ('quick_target_s: 0.8', 'supplier: gamma', 'nile | delta'),
+        ('[quote]', '[quotes]', "did you mean 'quote'?"),
+        ('lace-model: }', 'lace-modl: }', "did you mean 'lace-model'?"),
+        ('key_hashes: []', 'key_hashes: [abc]', 'key_hashes.0'),
+        ('workspaces:', 'workspace:', "did you mean 'workspaces'?"),
+    ],
+)
+def test_mistakes_name_file_key_and_what_is_allowed(
+    tmp_path: pathlib.Path, old: str, new: str, expected: str
+) -> None:
+    loaded = _load(tmp_path, SERVICE, WORKSPACE.replace(old, new, 1))
+    assert isinstance(loaded, declarations.DeclarationErrors)
+    assert '1.yaml' in str(loaded)
+    assert expected in str(loaded)
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'expected'),
+    [
+        ('tier: 1', 'teir: 1', "did you mean 'tier'?"),
+        ('kind: model', 'kind: engine', 'model | plain'),
+        ('"${supplier}"', '"${suplier}"', "did you mean 'supplier'?"),
+        ('tier: 1', 'tier: 99', 'at most 15'),
+    ],
+)
+def test_mistakes_in_a_template(
+    tmp_path: pathlib.Path, old: str, new: str, expected: str
+) -> None:
+    loaded = _load(tmp_path, SERVICE.replace(old, new, 1))
+    assert isinstance(loaded, declarations.DeclarationErrors)
+    assert 'services.lace-model' in str(loaded)
+    assert expected in str(loaded)
+
+
+def test_a_name_or_key_declared_twice_is_a_mistake(
+    tmp_path: pathlib.Path,
+) -> None:
+    key_hash = 'a' * 64
+    one = WORKSPACE.replace('key_hashes: []', f'key_hashes: [{key_hash}]')
+    found = str(_load(tmp_path, SERVICE, SERVICE, one, WORKSPACE))
+    assert '1.yaml: services.lace-model: stands in' in found
+    assert '3.yaml: workspaces.cairo: stands in' in found
+    assert "is a key of workspace 'cairo' too" in found
+
+
+def test_the_same_declarations_change_nothing(tmp_path: pathlib.Path) -> None:
+    loaded = _good(tmp_path, SERVICE, WORKSPACE)
+    in_force = catalog.Catalog(
+        ids.Revision(7), loaded.services, loaded.workspaces
+    )
+    assert declarations.compare(in_force, loaded).empty
+    first = declarations.compare(catalog.Catalog(ids.Revision(0)), loaded)
+    assert [line.action.value for line in first.lines] == ['add'] * 3
+
+
+def test_a_supplier_swap_is_one_service_put(tmp_path: pathlib.Path) -> None:
+    loaded = _good(tmp_path, SERVICE, WORKSPACE)
+    in_force = catalog.Catalog(
+        ids.Revision(7), loaded.services, loaded.workspaces
+    )
+    swapped = _good(
+        tmp_path, SERVICE.replace('default: nile', 'default: delta')
+    )
+    diff = declarations.compare(in_force, swapped)
+    assert [s.name for s in diff.change.services_put] == ['lace-model']
+    assert ('routes.delta/lace-7b.supplier', 'delta') in [
+        (line.field, line.after) for line in diff.lines
+    ]
--- /dev/null
+++ b/tests/unit/security/test_keys.py
@@ -0,0 +1,40 @@
+"""Tests of workspace keys."""
+
+from corianderloft._internal.models import catalog
+from corianderloft._internal.models import ids
+from corianderloft._internal import security
+
+
+def _workspace(name: str, *keys: str) -> catalog.Workspace:
+    return catalog.Workspace(
+        ids.WorkspaceId(name), tuple(map(security.hash_key, keys)), ()
+    )
+
+
+def test_a_key_finds_its_own_workspace_only() -> None:
+    one, two = security.new_key(), security.new_key()
+    first, second = _workspace('a', one), _workspace('b', two)
+    index = security.KeyIndex([first, second])
+    assert index.find(one) is first
+    assert index.find(two) is second
+    assert index.find(security.new_key()) is None
+    assert index.find(security.hash_key(one)) is None
+
+
+def test_a_replaced_key_stops_working_and_the_new_one_works() -> None:
+    old, new = security.new_key(), security.new_key()
+    index = security.KeyIndex([_workspace('a', old)])
+    index.put(_workspace('a', old, new))
+    assert index.find(old) is not None
+    assert index.find(new) is not None
+    index.put(_workspace('a', new))
+    assert index.find(old) is None
+    index.remove(ids.WorkspaceId('a'))
+    assert index.find(new) is None
+
+
+def test_odd_keys_find_nothing() -> None:
+    index = security.KeyIndex([_workspace('a', security.new_key())])
+    assert index.find('') is None
+    assert index.find('\udc80') is None
+    assert index.find('x' * 10_000_000) is None
