--- /dev/null
+++ b/src/corianderloft/_internal/metrics/control.py
@@ -0,0 +1,66 @@
+"""What control costs this host: bytes, processor time, calls, memory.
+
+Control is all that is not the relay of requests: messages between hosts and
+calls on the key-value service.
+"""
+
+import collections
+import collections.abc
+import contextlib
+import enum
+import resource
+import time
+
+from corianderloft._internal.metrics import registry
+
+_BYTES = registry.counter(
+    'control_bytes_total', 'Bytes of control messages, by direction.'
+)
+_CPU = registry.counter(
+    'control_cpu_seconds_total', 'Processor time spent on control, by part.'
+)
+_PROCESS_CPU = registry.counter(
+    'process_cpu_seconds_total', 'Processor time of the process.'
+)
+_PROCESS_MEMORY = registry.gauge(
+    'process_resident_bytes', 'Largest resident memory of the process.'
+)
+
+KIBIBYTE = 1024
+
+
+class Direction(enum.Enum):
+    """Which way a message went."""
+
+    SENT = 'sent'
+    RECEIVED = 'received'
+
+
+_bytes: collections.Counter[Direction] = collections.Counter()
+_cpu: collections.defaultdict[str, float] = collections.defaultdict(float)
+
+
+def count_bytes(direction: Direction, size: int) -> None:
+    """Add the size of one control message, in bytes."""
+    _bytes[direction] += size
+
+
+@contextlib.contextmanager
+def cpu_of(part: str) -> collections.abc.Iterator[None]:
+    """Add the processor time of a block that does not wait to ``part``."""
+    began = time.thread_time()
+    try:
+        yield
+    finally:
+        _cpu[part] += time.thread_time() - began
+
+
+@registry.on_collect
+def _collect() -> None:
+    for direction in Direction:
+        _BYTES.set({'direction': direction.value}, _bytes[direction])
+    for part, seconds in _cpu.items():
+        _CPU.set({'part': part}, seconds)
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    _PROCESS_CPU.set({}, usage.ru_utime + usage.ru_stime)
+    _PROCESS_MEMORY.set({}, usage.ru_maxrss * KIBIBYTE)
--- /dev/null
+++ b/src/corianderloft/_internal/metrics/exposition.py
@@ -0,0 +1,45 @@
+"""Exposition of all metrics, and the ASGI application that serves it."""
+
+import collections.abc
+import typing
+
+from aioprometheus import renderer
+
+from corianderloft._internal.metrics import registry
+
+DEFAULT_ACCEPT = ('text/plain',)
+
+Send = collections.abc.Callable[
+    [dict[str, typing.Any]], collections.abc.Awaitable[None]
+]
+
+
+def expose(
+    accept: collections.abc.Sequence[str] = DEFAULT_ACCEPT,
+) -> tuple[bytes, dict[str, str]]:
+    """Return the body and the headers of an exposition.
+
+    Parameters
+    ----------
+    accept : sequence of str
+        Values of the ``Accept`` header of the reader.
+    """
+    registry.collect_all()
+    body, headers = renderer.render(registry.REGISTRY, list(accept))
+    return body, headers
+
+
+async def app(
+    scope: dict[str, typing.Any], receive: typing.Any, send: Send
+) -> None:
+    """Serve the metrics as an ASGI application."""
+    accept = [
+        value.decode('latin-1')
+        for name, value in scope['headers']
+        if name == b'accept'
+    ]
+    body, headers = expose(accept or DEFAULT_ACCEPT)
+    raw = [(k.lower().encode(), v.encode()) for k, v in headers.items()]
+    raw.append((b'content-length', str(len(body)).encode()))
+    await send({'type': 'http.response.start', 'status': 200, 'headers': raw})
+    await send({'type': 'http.response.body', 'body': body})
--- /dev/null
+++ b/src/corianderloft/_internal/metrics/kv_calls.py
@@ -0,0 +1,93 @@
+"""Calls on the key-value service, counted against its budget."""
+
+import collections
+import collections.abc
+import contextlib
+import typing
+
+from corianderloft._internal.kv import interface
+from corianderloft._internal.metrics import registry
+from corianderloft._internal.models import ids
+
+_CALLS = registry.counter(
+    'kv_calls_total',
+    'Calls on the key-value service, by kind and outcome.',
+)
+_WATCHES = registry.gauge('kv_watches', 'Watches that wait.')
+
+_calls: collections.Counter[tuple[str, str]] = collections.Counter()
+_watches: collections.Counter[str] = collections.Counter()
+
+
+class CountedClient:
+    """Client that counts each call of the client it wraps.
+
+    Parameters
+    ----------
+    client : KeyValueClient
+        Does the calls.
+    """
+
+    def __init__(self, client: interface.KeyValueClient) -> None:
+        self._client = client
+
+    async def get(self, key: str) -> interface.Read:
+        """Read one key; ``items`` is empty when it does not exist."""
+        return _counted('read', await self._client.get(key))
+
+    async def get_prefix(self, prefix: str) -> interface.Read:
+        """Read all keys that begin with ``prefix``, in order."""
+        return _counted('read', await self._client.get_prefix(prefix))
+
+    async def transact(
+        self,
+        compares: collections.abc.Sequence[interface.Compare],
+        operations: collections.abc.Sequence[interface.Put | interface.Delete],
+    ) -> interface.Write:
+        """Apply all operations if all compares hold."""
+        outcome = await self._client.transact(compares, operations)
+        return _counted('write', outcome)
+
+    async def grant_lease(self, ttl: float) -> interface.Grant:
+        """Ask for a lease of ``ttl`` seconds."""
+        return _counted('lease', await self._client.grant_lease(ttl))
+
+    async def renew_lease(self, lease_id: ids.LeaseId) -> interface.Renewal:
+        """Extend a lease to its full time to live."""
+        return _counted('lease', await self._client.renew_lease(lease_id))
+
+    async def revoke_lease(
+        self, lease_id: ids.LeaseId
+    ) -> interface.Written | interface.Unavailable | interface.Unknown:
+        """End a lease; keys bound to it are removed."""
+        return _counted('lease', await self._client.revoke_lease(lease_id))
+
+    @contextlib.asynccontextmanager
+    async def watch(
+        self, prefix: str, after: ids.Revision
+    ) -> collections.abc.AsyncIterator[
+        collections.abc.AsyncIterator[interface.WatchItem]
+    ]:
+        """Watch keys below ``prefix`` for changes later than ``after``."""
+        _calls['watch', 'opened'] += 1
+        _watches['open'] += 1
+        try:
+            async with self._client.watch(prefix, after) as items:
+                yield items
+        finally:
+            _watches['open'] -= 1
+
+
+T = typing.TypeVar('T')
+
+
+def _counted(kind: str, outcome: T) -> T:
+    _calls[kind, type(outcome).__name__.lower()] += 1
+    return outcome
+
+
+@registry.on_collect
+def _collect() -> None:
+    for (kind, outcome), count in _calls.items():
+        _CALLS.set({'kind': kind, 'outcome': outcome}, count)
+    _WATCHES.set({}, _watches['open'])
