--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONHASHSEED = 0
 JOBS ?= 4
 
-.PHONY: setup test format lint types unit docs-check demo
+.PHONY: setup test format lint types unit docs docs-check demo
 
 setup: $(STAMP)
 
@@ -27,4 +27,15 @@
 unit: setup
 	$(PY) -m pytest -n $(JOBS) tests
 
+docs: setup
+	$(PY) -m corianderloft._internal.settings.document docs/settings.md
+
+docs-check: setup
+	$(PY) -m corianderloft._internal.settings.document --check \
+		docs/settings.md
+	$(PY) -m pytest tests/docs
+
+demo: setup
+	$(PY) -m corianderloft demo
+
 test: lint types unit
--- a/src/corianderloft/_internal/cli/options.py
+++ b/src/corianderloft/_internal/cli/options.py
@@ -48,13 +48,13 @@
     return factory(settings)
 
 
-def read_revision(text: object, option: str) -> int | output.Failure:
-    """Return a revision given on the command line."""
-    if isinstance(text, int) and not isinstance(text, bool) and text >= 0:
-        return text
+def read_count(value: object, option: str) -> int | output.Failure:
+    """Return a whole number from 0 on, as the command line gave it."""
+    if isinstance(value, int) and not isinstance(value, bool) and value >= 0:
+        return value
     return output.Failure(
         exit_codes.ExitCode.USAGE,
-        f'{option}={text} is no revision; allowed: a whole number from 0 on',
+        f'{option}={value} is wrong; allowed: a whole number from 0 on',
     )
 
 
--- a/src/corianderloft/_internal/commands/apply.py
+++ b/src/corianderloft/_internal/commands/apply.py
@@ -47,7 +47,7 @@
     if isinstance(declared, output.Failure):
         return declared
     if expect is not None:
-        checked = options.read_revision(expect, '--expect')
+        checked = options.read_count(expect, '--expect')
         if isinstance(checked, output.Failure):
             return checked
     identity = ids.ChangeId(str(change_id) or str(uuid.uuid4()))
--- /dev/null
+++ b/src/corianderloft/_internal/commands/history.py
@@ -0,0 +1,58 @@
+"""Command ``history``: the last accepted changes."""
+
+import dataclasses
+import datetime
+import typing
+
+from corianderloft._internal.cli import configuration
+from corianderloft._internal.cli import options
+from corianderloft._internal.cli import output
+from corianderloft._internal.commands import registry
+from corianderloft._internal.kv import interface as kv_interface
+from corianderloft._internal.shared import changes
+
+DEFAULT_LIMIT = 20
+
+
+@registry.COMMANDS.register('history')
+def history(
+    limit: int = DEFAULT_LIMIT,
+    kv: str = options.DEFAULT_KV,
+    format: str = output.TABLE,
+) -> output.Outcome:
+    """Show the last accepted changes, newest first.
+
+    Parameters
+    ----------
+    limit : int
+        Largest number of changes.
+    kv : str
+        URL of the key-value service.
+    format : str
+        ``table`` or ``json``.
+    """
+    checked = options.read_count(limit, '--limit')
+    if isinstance(checked, output.Failure):
+        return checked
+
+    async def read(client: kv_interface.KeyValueClient) -> typing.Any:
+        return await configuration.edit().read_history(client, checked)
+
+    records = configuration.ask(kv, read)
+    if isinstance(records, output.Failure):
+        return records
+    payload = [dataclasses.asdict(record) for record in records]
+    return output.Result(payload, (output.Table(list(map(_row, records))),))
+
+
+def _row(record: changes.ChangeRecord) -> dict[str, typing.Any]:
+    changed = datetime.datetime.fromtimestamp(
+        record.changed_at, datetime.timezone.utc
+    )
+    return {
+        'revision': record.revision,
+        'changed': changed.isoformat(timespec='seconds'),
+        'author': record.author,
+        'change': record.change_id,
+        'summary': record.summary,
+    }
--- a/src/corianderloft/_internal/utils/checking.py
+++ b/src/corianderloft/_internal/utils/checking.py
@@ -17,6 +17,8 @@
     ('gt', 'more than'),
     ('le', 'at most'),
     ('lt', 'less than'),
+    ('min_length', 'length at least'),
+    ('max_length', 'length at most'),
 )
 
 
@@ -104,6 +106,12 @@
     return ', '.join(found + patterns)
 
 
+def unit_of(field: pydantic.fields.FieldInfo) -> str:
+    """Return the unit of a field, or an empty string."""
+    extra = field.json_schema_extra
+    return str(extra.get('unit', '')) if isinstance(extra, dict) else ''
+
+
 def join_key(*parts: int | str) -> str:
     """Return the path of a key, joined by dots."""
     return '.'.join(str(part) for part in parts if part != '')
@@ -138,11 +146,7 @@
     field = owner.model_fields.get(str(loc[-1]))
     if field is None:
         return ''
-    unit = (
-        field.json_schema_extra.get('unit', '')
-        if isinstance(field.json_schema_extra, dict)
-        else ''
-    )
+    unit = unit_of(field)
     kind = type_name(field.annotation)
     parts = (f'{kind} in {unit}' if unit else kind, describe_bounds(field))
     return ', '.join(part for part in parts if part)
