--- a/src/corianderloft/_internal/cli/configuration.py
+++ b/src/corianderloft/_internal/cli/configuration.py
@@ -57,7 +57,7 @@
         exit_codes.ExitCode.UNAVAILABLE,
         f'the key-value service at {endpoint} does not answer:'
         f' {answer.detail}',
-        ('nothing was written; check --kv and try again',),
+        ('no change was made; check --kv and try again',),
     )
 
 
--- a/src/corianderloft/_internal/declarations/diff.py
+++ b/src/corianderloft/_internal/declarations/diff.py
@@ -128,7 +128,9 @@
     value: typing.Any, path: str = ''
 ) -> collections.abc.Iterator[tuple[str, str]]:
     """Yield the path and the text of each plain field below ``value``."""
-    if dataclasses.is_dataclass(value):
+    if isinstance(value, catalog.SupplierRoute):
+        yield path, f'order {value.order}, weight {value.weight}'
+    elif dataclasses.is_dataclass(value):
         for field in dataclasses.fields(value):
             below = f'{path}.{field.name}' if path else field.name
             yield from _flatten(getattr(value, field.name), below)
@@ -143,9 +145,10 @@
 
 def _label(item: typing.Any, index: int) -> str:
     """Return a stable name of an item of a tuple."""
-    named = getattr(item, 'name', None) or getattr(item, 'service', None)
-    if named is not None:
-        return str(named)
     if isinstance(item, catalog.SupplierRoute):
         return f'{item.supplier}/{item.model}'
+    if isinstance(item, catalog.RequestClass):
+        return item.name
+    if isinstance(item, catalog.ServiceOverride):
+        return item.service
     return str(index)
