--- a/src/corianderloft/_internal/cli/options.py
+++ b/src/corianderloft/_internal/cli/options.py
@@ -18,7 +18,7 @@
     """Return the settings in a file, or every mistake in it."""
     loaded = load.load_settings(str(path))
     if isinstance(loaded, load.SettingsErrors):
-        return _mistakes('settings', loaded.problems)
+        return mistakes('settings', loaded.problems)
     return loaded
 
 
@@ -28,7 +28,7 @@
     """Return the declarations below a directory, or every mistake."""
     loaded = declarations.load_directory(str(directory))
     if isinstance(loaded, declarations.DeclarationErrors):
-        return _mistakes('declarations', loaded.problems)
+        return mistakes('declarations', loaded.problems)
     return loaded
 
 
@@ -44,7 +44,7 @@
         kv_settings.KvSettings, {'endpoint': url}, '--kv'
     )
     if isinstance(settings, tuple):
-        return _mistakes('--kv', settings)
+        return mistakes('--kv', settings)
     return factory(settings)
 
 
@@ -58,9 +58,10 @@
     )
 
 
-def _mistakes(
+def mistakes(
     what: str, problems: tuple[checking.Problem, ...]
 ) -> output.Failure:
+    """Return the failure that lists every mistake in what was read."""
     count = f'{len(problems)} mistake{"s" if len(problems) > 1 else ""}'
     return output.Failure(
         exit_codes.ExitCode.INVALID_INPUT,
