--- a/src/corianderloft/_internal/cli/configuration.py
+++ b/src/corianderloft/_internal/cli/configuration.py
@@ -36,27 +36,25 @@
     Parameters
     ----------
     endpoint : str
-        URL of the service, or ``IP:PORT``.
+        What ``--kv`` names: a URL or ``IP:PORT``.
     question : callable
         Takes the client and returns an outcome.
     """
-    client = options.open_kv(endpoint)
+    url = options.kv_url(endpoint)
+    client = options.open_kv(url)
     if isinstance(client, output.Failure):
         return client
     answer = trio.run(question, client)
     if isinstance(answer, kv_interface.Unavailable):
-        return unavailable(endpoint, answer)
+        return unavailable(url, answer)
     return answer
 
 
-def unavailable(
-    endpoint: str, answer: kv_interface.Unavailable
-) -> output.Failure:
+def unavailable(url: str, answer: kv_interface.Unavailable) -> output.Failure:
     """Return the failure for a service that does not answer."""
     return output.Failure(
         exit_codes.ExitCode.UNAVAILABLE,
-        f'the key-value service at {endpoint} does not answer:'
-        f' {answer.detail}',
+        f'the key-value service at {url} does not answer:' f' {answer.detail}',
         ('no change was made; check --kv and try again',),
     )
 
--- a/src/corianderloft/_internal/cli/options.py
+++ b/src/corianderloft/_internal/cli/options.py
@@ -1,5 +1,7 @@
 """Options that several commands share, checked once."""
 
+import os
+
 from corianderloft._internal.cli import exit_codes
 from corianderloft._internal.cli import output
 from corianderloft._internal import declarations
@@ -11,7 +13,10 @@
 from corianderloft._internal.utils import checking
 
 DEFAULT_KV = 'http://127.0.0.1:2379'
-"""Address of the key-value service unless ``--kv`` names another."""
+"""Address of the key-value service unless another is named."""
+
+KV_VARIABLE = 'CORIANDERLOFT_KV'
+"""Environment variable that names it where ``--kv`` is not given."""
 
 
 def read_settings(path: str) -> root.Settings | output.Failure:
@@ -32,11 +37,16 @@
     return loaded
 
 
+def kv_url(option: str) -> str:
+    """Return the URL of the key-value service that ``--kv`` names."""
+    named = str(option) or os.environ.get(KV_VARIABLE) or DEFAULT_KV
+    return named if '://' in named else f'http://{named}'
+
+
 def open_kv(
-    endpoint: str, client: str = 'etcd'
+    url: str, client: str = 'etcd'
 ) -> kv_interface.KeyValueClient | output.Failure:
     """Return a client of the key-value service at a URL."""
-    url = endpoint if '://' in str(endpoint) else f'http://{endpoint}'
     factory = kv_interface.CLIENTS.find(client)
     if isinstance(factory, registry.UnknownPlugin):
         return output.Failure(exit_codes.ExitCode.USAGE, str(factory))
--- a/src/corianderloft/_internal/commands/apply.py
+++ b/src/corianderloft/_internal/commands/apply.py
@@ -18,7 +18,7 @@
 @registry.COMMANDS.register('apply')
 def apply(
     directory: str,
-    kv: str = options.DEFAULT_KV,
+    kv: str = '',
     expect: int | None = None,
     author: str = '',
     change_id: str = '',
@@ -33,7 +33,8 @@
     directory : str
         Directory of declarations.
     kv : str
-        URL of the key-value service.
+        URL of the key-value service; from ``CORIANDERLOFT_KV`` unless
+        given.
     expect : int
         Revision that ``plan`` showed; a newer one is a conflict.
     author : str
@@ -98,7 +99,7 @@
     if isinstance(outcome, changes.EditConflict):
         return configuration.conflict(outcome)
     if isinstance(outcome, kv_interface.Unavailable):
-        return configuration.unavailable(kv, outcome)
+        return configuration.unavailable(options.kv_url(kv), outcome)
     if isinstance(outcome, kv_interface.Unknown):
         return configuration.outcome_unknown(change_id, outcome.detail)
     if not isinstance(outcome, changes.Accepted):
--- a/src/corianderloft/_internal/commands/get.py
+++ b/src/corianderloft/_internal/commands/get.py
@@ -9,7 +9,6 @@
 
 from corianderloft._internal.cli import configuration
 from corianderloft._internal.cli import exit_codes
-from corianderloft._internal.cli import options
 from corianderloft._internal.cli import output
 from corianderloft._internal.cli import tables
 from corianderloft._internal.commands import registry
@@ -20,7 +19,7 @@
 @registry.COMMANDS.register('get')
 def get(
     item: str = '',
-    kv: str = options.DEFAULT_KV,
+    kv: str = '',
     format: str = output.TABLE,
 ) -> output.Outcome:
     """Show the configuration in force.
@@ -30,7 +29,8 @@
     item : str
         ``service/NAME`` or ``workspace/NAME``; all names unless given.
     kv : str
-        URL of the key-value service.
+        URL of the key-value service; from ``CORIANDERLOFT_KV`` unless
+        given.
     format : str
         ``table`` or ``json``.
     """
--- a/src/corianderloft/_internal/commands/history.py
+++ b/src/corianderloft/_internal/commands/history.py
@@ -17,7 +17,7 @@
 @registry.COMMANDS.register('history')
 def history(
     limit: int = DEFAULT_LIMIT,
-    kv: str = options.DEFAULT_KV,
+    kv: str = '',
     format: str = output.TABLE,
 ) -> output.Outcome:
     """Show the last accepted changes, newest first.
@@ -27,7 +27,8 @@
     limit : int
         Largest number of changes.
     kv : str
-        URL of the key-value service.
+        URL of the key-value service; from ``CORIANDERLOFT_KV`` unless
+        given.
     format : str
         ``table`` or ``json``.
     """
--- a/src/corianderloft/_internal/commands/plan.py
+++ b/src/corianderloft/_internal/commands/plan.py
@@ -11,7 +11,7 @@
 @registry.COMMANDS.register('plan')
 def plan(
     directory: str,
-    kv: str = options.DEFAULT_KV,
+    kv: str = '',
     detailed_exit_code: bool = False,
     format: str = output.TABLE,
 ) -> output.Outcome:
@@ -22,7 +22,8 @@
     directory : str
         Directory of declarations.
     kv : str
-        URL of the key-value service.
+        URL of the key-value service; from ``CORIANDERLOFT_KV`` unless
+        given.
     detailed_exit_code : bool
         End with code 4 when there is something to change.
     format : str
--- a/src/corianderloft/_internal/commands/standin_platform.py
+++ b/src/corianderloft/_internal/commands/standin_platform.py
@@ -11,7 +11,7 @@
 
 @registry.COMMANDS.register('standin platform')
 def platform(
-    file: str, kv: str = options.DEFAULT_KV, format: str = output.TABLE
+    file: str, kv: str = '', format: str = output.TABLE
 ) -> output.Outcome:
     """List hosts and backend servers, as the platform would, for trials.
 
@@ -20,7 +20,8 @@
     file : str
         YAML file with ``hosts`` and ``backends``.
     kv : str
-        URL of the key-value service.
+        URL of the key-value service; from ``CORIANDERLOFT_KV`` unless
+        given.
     format : str
         ``table`` or ``json``.
     """
--- a/src/corianderloft/_internal/utils/checking.py
+++ b/src/corianderloft/_internal/utils/checking.py
@@ -161,6 +161,11 @@
         return ' | '.join(type_name(a) for a in typing.get_args(annotation))
     if annotation is type(None):
         return 'null'
+    if _model_in(annotation) is not None:
+        return 'mapping'
+    if origin is tuple:
+        inner = (a for a in typing.get_args(annotation) if a is not ...)
+        return f'list[{", ".join(map(type_name, inner))}]'
     if origin is not None:
         inner = ', '.join(type_name(a) for a in typing.get_args(annotation))
         return f'{origin.__name__}[{inner}]'
