--- a/src/corianderloft/_internal/utils/checking.py
+++ b/src/corianderloft/_internal/utils/checking.py
@@ -167,8 +167,8 @@
         inner = (a for a in typing.get_args(annotation) if a is not ...)
         return f'list[{", ".join(map(type_name, inner))}]'
     if origin is not None:
-        inner = ', '.join(type_name(a) for a in typing.get_args(annotation))
-        return f'{origin.__name__}[{inner}]'
+        args = ', '.join(type_name(a) for a in typing.get_args(annotation))
+        return f'{origin.__name__}[{args}]'
     if hasattr(annotation, '__members__'):
         return ' | '.join(str(m.value) for m in annotation)
     return getattr(annotation, '__name__', str(annotation))
