Serve a request end to end through separate processes

Ruled out: joining them in the command (the demo and tests need the same). Change: entry/daemon.py assembles key-value client, shared state, dispatcher and servers by the names in the settings; tests/lib/system.py starts a whole system of processes; two functional tests: address look-up, chat streamed and not, a booking, and SIGTERM in mid-stream. Conclusion: the thin path stands; everything grows on it.

--- a/src/corianderloft/_internal/commands/serve.py
+++ b/src/corianderloft/_internal/commands/serve.py
@@ -10,7 +10,7 @@
 from corianderloft._internal.commands import registry
 from corianderloft._internal.settings import root
 
-HOST_MODULE = 'corianderloft._internal.entry.host'
+HOST_MODULE = 'corianderloft._internal.entry.daemon'
 
 
 @registry.COMMANDS.register('serve')
--- /dev/null
+++ b/src/corianderloft/_internal/entry/daemon.py
@@ -0,0 +1,114 @@
+"""Puts the parts of an entry host together, by the names in the settings."""
+
+import dataclasses
+import functools
+import time
+
+import trio
+
+from corianderloft._internal.decisions import dispatcher
+from corianderloft._internal.entry import host as entry_host
+from corianderloft._internal import kernel
+from corianderloft._internal.kv import etcd as _etcd  # noqa: F401
+from corianderloft._internal.kv import interface as kv_interface
+from corianderloft._internal.models import ids
+from corianderloft._internal.settings import root
+from corianderloft._internal.shared import interface as shared_interface
+from corianderloft._internal.shared import state
+from corianderloft._internal.utils import tasks
+
+
+@dataclasses.dataclass(frozen=True)
+class Started:
+    """What a host announces once it serves.
+
+    Attributes
+    ----------
+    host_id : HostId
+        Identity of the host.
+    address : str
+        IP number.
+    caller_port, operator_port : int
+        Bound TCP ports.
+    """
+
+    host_id: ids.HostId
+    address: str
+    caller_port: int
+    operator_port: int
+
+
+def make_kv(settings: root.Settings) -> kv_interface.KeyValueClient:
+    """Return the client that the settings name.
+
+    Raises
+    ------
+    ValueError
+        If no client plug-in has that name; checked settings never do.
+    """
+    factory = kv_interface.CLIENTS.find(settings.kv.client)
+    if isinstance(factory, kernel.UnknownPlugin):
+        raise ValueError(str(factory))
+    return factory(settings.kv)
+
+
+def describe(
+    settings: root.Settings, sockets: entry_host.Sockets
+) -> shared_interface.Host:
+    """Return this start of the host, as its peers will see it."""
+    return shared_interface.Host(
+        host_id=ids.HostId(settings.host.host_id),
+        incarnation=ids.Incarnation(time.time_ns()),
+        address=settings.host.address,
+        caller_port=sockets.caller_port,
+        peer_port=settings.peers.port,
+        failure_domain=ids.FailureDomain(settings.host.failure_domain),
+    )
+
+
+async def run(
+    settings: root.Settings,
+    stop: trio.Event | None = None,
+    handle_signals: bool = True,
+    task_status: tasks.TaskStatus[Started] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run one entry host until it has drained.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the host.
+    stop : Event or None
+        Drains the host when set, like SIGTERM.
+    handle_signals : bool
+        Whether SIGTERM and SIGINT drain the host.
+    task_status : TaskStatus
+        Started once callers can connect.
+    """
+    sockets = entry_host.bind(settings)
+    own = describe(settings, sockets)
+    async with trio.open_nursery() as nursery:
+        shared = await nursery.start(
+            state.run_shared, settings, make_kv(settings), own
+        )
+        async with trio.open_nursery() as serving:
+            await serving.start(
+                functools.partial(
+                    entry_host.serve_host,
+                    settings,
+                    shared,
+                    dispatcher.LocalDispatcher(settings.decisions),
+                    sockets,
+                    stop=stop,
+                    handle_signals=handle_signals,
+                )
+            )
+            task_status.started(
+                Started(
+                    own.host_id,
+                    own.address,
+                    sockets.caller_port,
+                    sockets.operator_port,
+                )
+            )
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/functional/test_whole_path.py
@@ -0,0 +1,56 @@
+"""The whole path of a request through separate processes."""
+
+import orjson
+import trio
+
+from tests.lib import processes
+from tests.lib import system as whole
+
+LONG = 'hello [tokens:150]'
+DONE = b'data: [DONE]\n\n'
+
+
+async def test_a_request_is_served_end_to_end() -> None:
+    async with whole.running() as system:
+        answer = await system.call('host-1', 'GET', '/v1/addresses')
+        ports = {a['port'] for a in orjson.loads(answer.content)['addresses']}
+        assert ports == {
+            host.announced['caller_port'] for host in system.hosts.values()
+        }
+        plain = await system.chat('host-2')
+        message = orjson.loads(plain.content)['choices'][0]['message']
+        streamed = await system.chat('host-1', stream=True)
+        events = streamed.content.split(b'\n\n')
+        data = [e.partition(b'data: ')[2] for e in events]
+        assert data[-2] == b'[DONE]'
+        deltas = [orjson.loads(d)['choices'][0] for d in data[:-2]]
+        text = ''.join(d['delta'].get('content', '') for d in deltas)
+        assert text == message['content']
+        booked = await system.call(
+            'host-1',
+            'POST',
+            f'/v1/services/{whole.PLAIN_SERVICE}/bookings',
+            {'booking': 'b1'},
+            X_Class='booking',
+            Idempotency_Key='k1',
+        )
+        assert orjson.loads(booked.content)['runs'] == 1
+
+
+async def test_sigterm_drains_without_cutting_a_stream() -> None:
+    async with whole.running(peers={'answer_ttl_s': 0.5}) as system:
+        leaving = system.hosts['host-1']
+        whole_answers = []
+
+        async def long_answer() -> None:
+            answer = await system.chat('host-1', LONG, stream=True)
+            whole_answers.append(answer.content.endswith(DONE))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(long_answer)
+            await processes.wait_for(
+                lambda: system.running_on_engines(), 'the answer runs'
+            )
+            leaving.terminate()
+        assert whole_answers == [True]
+        assert await leaving.wait_ended() == 0
--- /dev/null
+++ b/tests/lib/system.py
@@ -0,0 +1,257 @@
+"""A whole system of real processes for functional tests."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import hashlib
+import pathlib
+import tempfile
+import typing
+
+import httpcore
+import orjson
+import yaml
+
+from corianderloft._internal.kv import etcd
+from corianderloft._internal.kv import interface as kv_interface
+from corianderloft._internal.models import ids
+from corianderloft._internal.settings import kv as kv_settings
+from tests.lib import calls
+from tests.lib import processes
+
+ADDRESS = '127.0.0.1'
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+OPERATOR_KEY = 'test-operator'
+FAILURE_DOMAINS = ('sialkot', 'lahore', 'gujranwala', 'okara')
+WORKSPACE = 'sialkot-stables'
+MODEL_SERVICE = 'drafting-desk'
+PLAIN_SERVICE = 'yard-counter'
+
+
+@dataclasses.dataclass
+class System:
+    """Processes of one system, and calls on them.
+
+    Attributes
+    ----------
+    started : Processes
+        Starts processes.
+    directory : Path
+        Holds settings.
+    kv : Process
+        The key-value service.
+    hosts, backends : dict
+        Processes by host id and by engine id.
+    """
+
+    started: processes.Processes
+    directory: pathlib.Path
+    kv: processes.Process
+    hosts: dict[str, processes.Process] = dataclasses.field(
+        default_factory=dict
+    )
+    backends: dict[str, processes.Process] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def kv_url(self) -> str:
+        """URL of the key-value service."""
+        return f'http://{ADDRESS}:{self.kv.port}'
+
+    def kv_client(self) -> kv_interface.KeyValueClient:
+        """Return a client of the key-value service."""
+        return etcd.EtcdClient(kv_settings.KvSettings(endpoint=self.kv_url))
+
+    async def put(self, key: str, value: typing.Any) -> None:
+        """Write one key of the platform's lists."""
+        body = orjson.dumps(value)
+        done = await self.kv_client().transact(
+            [], [kv_interface.Put(key, body)]
+        )
+        assert isinstance(done, kv_interface.Written), done
+
+    async def add_engine(
+        self,
+        engine_id: str,
+        supplier: str = 'ravi-cloud',
+        **options: typing.Any,
+    ) -> processes.Process:
+        """Start a model engine and list it."""
+        engine = await self.started.standin(
+            'engine', engine_id=engine_id, **options
+        )
+        self.backends[engine_id] = engine
+        await self.list_backend(engine_id, MODEL_SERVICE, supplier)
+        return engine
+
+    async def add_service(
+        self, engine_id: str = 'counter-1', **options: typing.Any
+    ) -> processes.Process:
+        """Start a plain service and list it."""
+        service = await self.started.standin('service', **options)
+        self.backends[engine_id] = service
+        await self.list_backend(engine_id, PLAIN_SERVICE, 'own-yard')
+        return service
+
+    async def list_backend(
+        self, engine_id: str, service: str, supplier: str, state: str = 'live'
+    ) -> None:
+        """Put a backend server into the platform's list."""
+        models = {'own-yard': 'counter-1', 'jhelum-hosting': 'rug-8b-v2'}
+        await self.put(
+            f'platform/backends/{engine_id}',
+            {
+                'engine_id': engine_id,
+                'service': service,
+                'supplier': supplier,
+                'model': models.get(supplier, 'rug-8b-v3'),
+                'address': ADDRESS,
+                'port': self.backends[engine_id].port,
+                'failure_domain': FAILURE_DOMAINS[0],
+                'slots': 8,
+                'state': state,
+            },
+        )
+
+    async def add_host(
+        self, host_id: str, **sections: typing.Any
+    ) -> processes.Process:
+        """Start an entry host and list it."""
+        domain = FAILURE_DOMAINS[len(self.hosts) % len(FAILURE_DOMAINS)]
+        token = hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
+        credential = {
+            'name': 'test',
+            'role': 'operator',
+            'token_sha256': token,
+        }
+        settings = {
+            'host': {'host_id': host_id, 'failure_domain': domain},
+            'kv': {'endpoint': self.kv_url},
+            'operators': {'credentials': [credential]},
+            **sections,
+        }
+        path = self.directory / f'{host_id}.yaml'
+        path.write_text(yaml.safe_dump(settings))
+        host = await self.started.start(
+            '-m', 'corianderloft', 'serve', str(path)
+        )
+        self.hosts[host_id] = host
+        await self.put(
+            f'platform/hosts/{host_id}',
+            {
+                'address': ADDRESS,
+                'caller_port': host.announced['caller_port'],
+                'peer_port': host.announced.get('peer_port', 0),
+                'failure_domain': domain,
+                'state': 'live',
+            },
+        )
+        return host
+
+    async def apply(
+        self, directory: pathlib.Path = EXAMPLES / 'qureshi'
+    ) -> ids.Revision:
+        """Put a directory of declarations in force by the command line."""
+        process = await self.started.start(
+            '-m',
+            'corianderloft',
+            'apply',
+            str(directory),
+            f'--kv={self.kv_url}',
+            '--format=json',
+        )
+        assert await process.wait_ended() == 0, process.output()
+        return ids.Revision(int(process.announced['revision']))
+
+    async def call(
+        self,
+        host_id: str,
+        method: str,
+        path: str,
+        body: typing.Any = None,
+        **headers: str,
+    ) -> httpcore.Response:
+        """Call a host on its callers' port as a workspace."""
+        host = self.hosts[host_id]
+        port = host.announced['caller_port']
+        named = {name.replace('_', '-'): v for name, v in headers.items()}
+        named.setdefault('Authorization', f'Bearer clk_example_{WORKSPACE}')
+        content = None if body is None else orjson.dumps(body)
+        async with httpcore.AsyncConnectionPool() as pool:
+            return await pool.request(
+                method,
+                f'http://{ADDRESS}:{port}{path}',
+                headers=named,
+                content=content,
+            )
+
+    async def chat(
+        self,
+        host_id: str,
+        content: str = 'hello [tokens:5]',
+        stream: bool = False,
+        class_name: str = 'groom-answer',
+        **headers: str,
+    ) -> httpcore.Response:
+        """Send one chat completion."""
+        body = {
+            'model': 'rug-8b-v3',
+            'messages': [{'role': 'user', 'content': content}],
+            'stream': stream,
+            'seed': 7,
+        }
+        return await self.call(
+            host_id,
+            'POST',
+            '/v1/chat/completions',
+            body,
+            X_Service=MODEL_SERVICE,
+            X_Class=class_name,
+            **headers,
+        )
+
+    async def running_on_engines(self) -> int:
+        """Return how many requests have a slot on a model engine."""
+        reports = [
+            await calls.get(engine.port, '/v1/load')
+            for engine_id, engine in self.backends.items()
+            if engine_id.startswith('engine-')
+        ]
+        return sum(r['running'] for r in reports)
+
+    async def served(self, host_id: str) -> None:
+        """Wait until a host answers a chat completion."""
+
+        async def answers() -> bool:
+            return (await self.chat(host_id)).status == 200
+
+        await processes.wait_for(answers, f'{host_id} answers a chat')
+
+
+@contextlib.asynccontextmanager
+async def running(
+    hosts: int = 2, engines: int = 2, **sections: typing.Any
+) -> collections.abc.AsyncGenerator[System]:
+    """Start a system that serves; its processes end with the block.
+
+    Parameters
+    ----------
+    hosts, engines : int
+        How many of each.
+    **sections : dict
+        Sections of every host's settings.
+    """
+    with tempfile.TemporaryDirectory() as directory:
+        async with processes.running() as started:
+            kv = await started.standin('kv')
+            system = System(started, pathlib.Path(directory), kv)
+            await system.apply()
+            for number in range(1, engines + 1):
+                await system.add_engine(f'engine-{number}')
+            await system.add_service()
+            for number in range(1, hosts + 1):
+                await system.add_host(f'host-{number}', **sections)
+            for host_id in system.hosts:
+                await system.served(host_id)
+            yield system
