Use the shared metrics, log line and credentials; continue streams of lost hosts

Cause: the frame brought counters of reasons, class metrics, the outcome line and operators' roles; the same stood in entry/ as well. A stream whose host was killed could not go on at another. Change: records and refusals use metrics/, logs/ and security/; a POST with seed, Last-Event-ID and X-Model-Version goes on with an answer; nothing is sent under a claim that ran out; a backend server's own word that it leaves goes to the shared state; the feed waits for changes instead of polling.

--- a/src/corianderloft/_internal/entry/answers.py
+++ b/src/corianderloft/_internal/entry/answers.py
@@ -59,9 +59,9 @@
     ) -> None:
         self.call = call
         self.record = record
-        self.tokens = 0
+        self.tokens = call.have
         self.complete = False
-        self.model: ids.ModelVersion | None = None
+        self.model = call.model
         self.viewer: exchange.Exchange | None = None
         self.running: inflight.Running | None = None
         self.idle_since = trio.current_time()
@@ -90,7 +90,9 @@
             raise ValueError(f'token {after} came after token {before}')
         self._keep(_Block(before, after, events))
         self.tokens = after
-        self.record.tokens = after
+        self.record.tokens += after - before
+        if self.viewer is None:
+            self.record.wasted_tokens += after - before
         self.complete = events.endswith(sse.DONE)
         return after - before
 
@@ -108,7 +110,10 @@
     def headers(self) -> list[tuple[bytes, bytes]]:
         """Return the headers that every answer carries."""
         caller_id = self.call.origin.caller_id
-        return [(b'x-request-id', caller_id.encode('ascii'))]
+        headers = [(b'x-request-id', caller_id.encode('ascii'))]
+        if self.model is not None:
+            headers.append((b'x-model-version', self.model.encode('latin-1')))
+        return headers
 
     def covers(self, count: int) -> bool:
         """Return whether all events behind token ``count`` are kept."""
--- a/src/corianderloft/_internal/entry/attempts.py
+++ b/src/corianderloft/_internal/entry/attempts.py
@@ -209,6 +209,8 @@
         )
         if isinstance(body, outbound.Failure):
             return self._failed(body)
+        if verdicts.says_leaving(head.status, body):
+            self._parts.shared.note_backend_leaving(self.backend.engine_id)
         verdict = verdicts.of_engine(
             self.backend.engine_id, head.status, body, have > 0
         )
--- a/src/corianderloft/_internal/entry/calls.py
+++ b/src/corianderloft/_internal/entry/calls.py
@@ -49,12 +49,21 @@
         Checked JSON body.
     stream : bool
         Whether the caller wants a stream of events.
+    seeded : bool
+        Whether the caller chose the seed.
+    have : int
+        Tokens that the caller has from another host.
+    model : ModelVersion or None
+        Model version that began the answer on another host.
     """
 
     origin: Origin
     ticket: requests.Ticket
     body: dict[str, typing.Any]
     stream: bool
+    seeded: bool = True
+    have: int = 0
+    model: ids.ModelVersion | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/corianderloft/_internal/entry/chat.py
+++ b/src/corianderloft/_internal/entry/chat.py
@@ -9,7 +9,7 @@
 from corianderloft._internal.entry import attempts
 from corianderloft._internal.entry import hedging
 from corianderloft._internal.entry import parts as entry_parts
-from corianderloft._internal.entry import refusals
+from corianderloft._internal.metrics import reasons as counts
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import reasons
 from corianderloft._internal.models import requests
@@ -76,7 +76,7 @@
             )
             if isinstance(decision, interface.GiveUp):
                 return self._given_up(ended, decision.reason)
-            refusals.RETRIES.inc({'reason': decision.reason.value})
+            counts.count(decision.reason)
             await trio.sleep(decision.delay)
             ticket = self._ticket()
 
@@ -141,8 +141,7 @@
         self._failed.add(first.backend.engine_id)
         second = await self._start(ticket)
         if isinstance(second, attempts.Attempt):
-            hedge = reasons.RetryReason.HEDGE
-            refusals.RETRIES.inc({'reason': hedge.value})
+            counts.count(reasons.RetryReason.HEDGE)
         return second
 
     def _hedge_delay(self, ticket: requests.Ticket) -> float | None:
@@ -186,7 +185,7 @@
         failure: outbound.Failure,
         reason: reasons.RetryRefusalReason,
     ) -> requests.Refused:
-        refusals.RETRY_REFUSALS.inc({'reason': reason.value})
+        counts.count(reason)
         return requests.Refused(
             GIVEN_UP[reason],
             self._record.run_state(),
--- a/src/corianderloft/_internal/entry/chat_handlers.py
+++ b/src/corianderloft/_internal/entry/chat_handlers.py
@@ -10,6 +10,7 @@
 from corianderloft._internal.entry import checks
 from corianderloft._internal.entry import inflight
 from corianderloft._internal.entry import parts as entry_parts
+from corianderloft._internal.entry import records
 from corianderloft._internal.entry import refusals
 from corianderloft._internal.models import reasons
 from corianderloft._internal.models import requests
@@ -18,9 +19,6 @@
 
 _Reason = reasons.RefusalReason
 
-COMPLETE = 'complete'
-"""Outcome of a request whose whole answer went to the caller."""
-
 _STOPPED: dict[inflight.StopReason, reasons.RefusalReason] = {
     inflight.StopReason.CANCELLED: _Reason.CANCELLED,
     inflight.StopReason.DRAINING: _Reason.DRAINING,
@@ -57,7 +55,7 @@
         call = (
             raw
             if isinstance(raw, requests.Refused)
-            else checks.chat_call(origin, raw)
+            else checks.chat_call(http, origin, raw)
         )
         if isinstance(call, requests.Refused):
             await refusals.send(http, call, origin.caller_id)
@@ -217,7 +215,7 @@
             if answer.viewer is not None:
                 await refusals.send(answer.viewer, ended, caller_id)
             return
-        self._parts.records.end(record, COMPLETE, None)
+        self._parts.records.end(record, records.ANSWERED, None)
         if not answer.call.stream:
             self._parts.answers.forget(answer)
             if answer.viewer is not None:
--- a/src/corianderloft/_internal/entry/checks.py
+++ b/src/corianderloft/_internal/entry/checks.py
@@ -1,5 +1,6 @@
 """Checks of a caller's request, before any decision on it."""
 
+import dataclasses
 import re
 import typing
 import uuid
@@ -16,6 +17,7 @@
 from corianderloft._internal.models import requests
 from corianderloft._internal.models import states
 from corianderloft._internal.network import exchange
+from corianderloft._internal.security import operators
 from corianderloft._internal.settings import callers
 from corianderloft._internal.shared import interface
 from corianderloft._internal.utils import prefixes
@@ -25,7 +27,6 @@
 
 _ID = re.compile(r'[A-Za-z0-9._-]{1,64}')
 _KEY = re.compile(r'[\x21-\x7e]{1,128}')
-_BEARER = 'Bearer '
 _Reason = reasons.RefusalReason
 
 _HOP_BY_HOP = frozenset(
@@ -72,13 +73,13 @@
     http: exchange.Exchange, shared: interface.SharedState
 ) -> catalog.Workspace | requests.Refused:
     """Return the workspace whose key the caller presents."""
-    presented = http.header(b'authorization') or ''
-    if not presented.startswith(_BEARER):
+    key = operators.bearer_key(http.header(b'authorization'))
+    if key is None:
         return refusals.not_run(
             _Reason.UNKNOWN_KEY,
             'header Authorization: expected "Bearer KEY"',
         )
-    workspace = shared.workspace_by_key(presented[len(_BEARER) :])
+    workspace = shared.workspace_by_key(key)
     if workspace is None:
         return refusals.not_run(
             _Reason.UNKNOWN_KEY,
@@ -195,6 +196,16 @@
 
 
 def chat_call(
+    http: exchange.Exchange, origin: calls.Origin, raw: bytes
+) -> calls.ChatCall | requests.Refused:
+    """Check a chat completion, new or begun on another host."""
+    call = chat_body(origin, raw)
+    return (
+        call if isinstance(call, requests.Refused) else _continued(http, call)
+    )
+
+
+def chat_body(
     origin: calls.Origin, raw: bytes
 ) -> calls.ChatCall | requests.Refused:
     """Check the body of a chat completion."""
@@ -224,7 +235,28 @@
     models = {route.model for route in origin.service.routes}
     hashes = prefixes.prefix_hashes(min(models), prompt) if models else ()
     ticket = _ticket(origin, prefixes.estimate_tokens(prompt), asked, hashes)
-    return calls.ChatCall(origin, ticket, body, checked.stream)
+    return calls.ChatCall(
+        origin, ticket, body, checked.stream, checked.seed is not None
+    )
+
+
+def _continued(
+    http: exchange.Exchange, call: calls.ChatCall
+) -> calls.ChatCall | requests.Refused:
+    """Check a call that goes on with an answer begun on another host."""
+    have = last_event_id(http)
+    if isinstance(have, requests.Refused):
+        return have
+    model = http.header(b'x-model-version')
+    if not have:
+        return call
+    if model is None or not call.stream or not call.seeded:
+        return refusals.not_run(
+            _Reason.BAD_REQUEST,
+            'header Last-Event-ID: only a stream with "seed" goes on, and '
+            'only with the header X-Model-Version of its first answer',
+        )
+    return dataclasses.replace(call, have=have, model=ids.ModelVersion(model))
 
 
 def plain_call(
--- a/src/corianderloft/_internal/entry/feeds.py
+++ b/src/corianderloft/_internal/entry/feeds.py
@@ -12,9 +12,6 @@
 from corianderloft._internal.models import ids
 from corianderloft._internal.network import outbound
 
-FOLLOW_INTERVAL = 0.1
-"""Time between two looks at the shared state, in seconds."""
-
 POLL_TIME = 1.0
 """Longest silence of an engine that is polled, in seconds."""
 
@@ -44,6 +41,7 @@
         shared = self._parts.shared
         dispatcher = self._parts.dispatcher
         catalog = backends_seen = hosts = None
+        seen = 0
         while True:
             if (now := shared.current_catalog()) is not catalog:
                 catalog = now
@@ -55,7 +53,7 @@
             if live != hosts:
                 hosts = live
                 dispatcher.use_hosts(self._own, live)
-            await trio.sleep(FOLLOW_INTERVAL)
+            seen = await shared.wait_change(seen)
 
     async def poll_engines(self) -> None:
         """Poll load and cache events of the engines in use, in turn."""
--- a/src/corianderloft/_internal/entry/host.py
+++ b/src/corianderloft/_internal/entry/host.py
@@ -15,7 +15,6 @@
 from corianderloft._internal.entry import feeds
 from corianderloft._internal.entry import operators_app
 from corianderloft._internal.entry import parts as entry_parts
-from corianderloft._internal.entry import refusals
 from corianderloft._internal.network import serving
 from corianderloft._internal.network import tls
 from corianderloft._internal.settings import callers
@@ -94,7 +93,6 @@
     task_status : TaskStatus
         Started with the bound sockets.
     """
-    refusals.start_counters()
     sockets = sockets or bind(settings)
     parts = entry_parts.assemble(settings, shared, dispatcher)
     draining = drain.Drain(parts)
--- a/src/corianderloft/_internal/entry/operators_app.py
+++ b/src/corianderloft/_internal/entry/operators_app.py
@@ -1,7 +1,6 @@
 """The ASGI application on the operators' port."""
 
-import hashlib
-import hmac
+import logging
 import typing
 
 from corianderloft._internal.entry import drain
@@ -12,9 +11,10 @@
 from corianderloft._internal.models import requests
 from corianderloft._internal.models import states
 from corianderloft._internal.network import exchange
-from corianderloft._internal.settings import operators
+from corianderloft._internal.security import operators
+
+logger = logging.getLogger(__name__)
 
-_BEARER = 'Bearer '
 _REQUESTS = '/v1/requests/'
 
 
@@ -34,7 +34,10 @@
     ) -> None:
         self._parts = parts
         self._drain = draining
-        self._credentials = parts.settings.operators.credentials
+        self._operators = operators.Operators(
+            operators.Operator(known.name, known.token_sha256, known.role)
+            for known in parts.settings.operators.credentials
+        )
 
     async def __call__(
         self, scope: typing.Any, receive: typing.Any, send: typing.Any
@@ -47,23 +50,26 @@
         if (http.method, http.path) == ('GET', '/healthz'):
             await http.answer_json(200, {'state': self._drain.state.value})
             return
-        role = self._role(http)
-        if role is None:
+        reads = http.method == 'GET'
+        needed = operators.Role.VIEWER if reads else operators.Role.OPERATOR
+        key = operators.bearer_key(http.header(b'authorization'))
+        found = self._operators.authorize(key, needed)
+        if isinstance(found, operators.Unauthenticated):
             await self._refuse(
                 http,
                 reasons.RefusalReason.UNKNOWN_KEY,
-                'header Authorization: no operator has this token',
+                'header Authorization: no operator has this key',
             )
-        elif http.method == 'GET':
-            await self._show(http)
-        elif role is not operators.Role.OPERATOR:
+        elif isinstance(found, operators.Unauthorized):
             await self._refuse(
                 http,
                 reasons.RefusalReason.FORBIDDEN,
-                f'role {role.value!r} may only read',
+                f'operator {found.name!r} needs role {needed.value!r}',
             )
+        elif reads:
+            await self._show(http)
         else:
-            await self._order(http)
+            await self._order(http, found.name)
 
     async def _show(self, http: exchange.Exchange) -> None:
         if http.path == '/metrics':
@@ -77,8 +83,9 @@
         else:
             await self._unknown(http)
 
-    async def _order(self, http: exchange.Exchange) -> None:
+    async def _order(self, http: exchange.Exchange, name: str) -> None:
         if (http.method, http.path) == ('POST', '/v1/drain'):
+            logger.info('operator %s drains this host', name)
             self._drain.begin()
             await http.answer_json(202, {'state': 'leaving'})
         else:
@@ -112,15 +119,3 @@
     ) -> None:
         refused = requests.Refused(reason, states.RunState.NOT_RUN, detail)
         await refusals.send(http, refused)
-
-    def _role(self, http: exchange.Exchange) -> operators.Role | None:
-        """Return the role of the token; every token is compared."""
-        presented = http.header(b'authorization') or ''
-        token = presented.removeprefix(_BEARER).encode('latin-1')
-        digest = hashlib.sha256(token).hexdigest()
-        roles = [
-            credential.role
-            for credential in self._credentials
-            if hmac.compare_digest(credential.token_sha256, digest)
-        ]
-        return roles[0] if roles else None
--- a/src/corianderloft/_internal/entry/pages.py
+++ b/src/corianderloft/_internal/entry/pages.py
@@ -2,18 +2,15 @@
 
 import typing
 
-from aioprometheus import renderer
-
 from corianderloft._internal.entry import drain
 from corianderloft._internal.entry import parts as entry_parts
-from corianderloft._internal.metrics import registry
+from corianderloft._internal.metrics import exposition
 
 
 def metrics(accept: str | None) -> tuple[bytes, bytes]:
     """Return content type and body of ``/metrics``."""
-    body, headers = renderer.render(
-        registry.REGISTRY, [accept or 'text/plain']
-    )
+    wanted = exposition.DEFAULT_ACCEPT if accept is None else (accept,)
+    body, headers = exposition.expose(wanted)
     return headers['Content-Type'].encode('ascii'), body
 
 
--- a/src/corianderloft/_internal/entry/plain.py
+++ b/src/corianderloft/_internal/entry/plain.py
@@ -1,6 +1,7 @@
 """Carries one call of a plain service to a backend server."""
 
 import dataclasses
+import math
 
 import trio
 import xxhash
@@ -10,8 +11,8 @@
 from corianderloft._internal.entry import chat
 from corianderloft._internal.entry import parts as entry_parts
 from corianderloft._internal.entry import records
-from corianderloft._internal.entry import refusals
 from corianderloft._internal.entry import verdicts
+from corianderloft._internal.metrics import reasons as counts
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import reasons
 from corianderloft._internal.models import requests
@@ -74,6 +75,7 @@
         self._call = call
         self._record = record
         self._failed: set[ids.EngineId] = set()
+        self._valid_until = math.inf
 
     async def run(self) -> Ended:
         """Return the answer; with a key, the call runs at most once."""
@@ -92,6 +94,7 @@
             return PlainAnswer(
                 claim.status, [(b'content-type', content_type)], claim.body
             )
+        self._valid_until = claim.valid_until
         return await self._send_claimed(claim)
 
     async def _send_claimed(self, claim: shared_state.Claimed) -> Ended:
@@ -122,6 +125,9 @@
             grant = await self._parts.dispatcher.acquire(ticket, self._failed)
             if isinstance(grant, requests.Refused):
                 return dataclasses.replace(grant, run=self._record.run_state())
+            if trio.current_time() >= self._valid_until:
+                grant.close(interface.AttemptEnd.CANCELLED)
+                return self._claim_ran_out()
             ended = await self._once(grant)
             if isinstance(ended, PlainAnswer):
                 return ended
@@ -135,7 +141,7 @@
                 )
             if isinstance(decision, interface.GiveUp):
                 return self._given_up(ended, decision.reason)
-            refusals.RETRIES.inc({'reason': decision.reason.value})
+            counts.count(decision.reason)
             await trio.sleep(decision.delay)
         return requests.Refused(
             reasons.RefusalReason.RETRIES_EXHAUSTED,
@@ -183,6 +189,8 @@
         body = await exchange.read_all(cfg.max_answer_bytes, bound)
         if isinstance(body, outbound.Failure):
             return body
+        if verdicts.says_leaving(head.status, body):
+            self._parts.shared.note_backend_leaving(exchange.backend.engine_id)
         verdict = verdicts.of_service(head, exchange.backend.engine_id)
         if verdict is not None:
             return verdict
@@ -193,6 +201,15 @@
         ]
         return PlainAnswer(head.status, headers, body)
 
+    def _claim_ran_out(self) -> requests.Refused:
+        return requests.Refused(
+            reasons.RefusalReason.CLAIM_UNAVAILABLE,
+            self._record.run_state(),
+            f'the claim of key {self._call.key!r} ran out before the call '
+            'was sent',
+            chat.RETRY_TIME,
+        )
+
     def _message(self) -> outbound.Message:
         request_id = self._call.ticket.request_id.encode('ascii')
         return outbound.Message(
@@ -213,7 +230,7 @@
         failure: outbound.Failure,
         reason: reasons.RetryRefusalReason,
     ) -> requests.Refused:
-        refusals.RETRY_REFUSALS.inc({'reason': reason.value})
+        counts.count(reason)
         run = self._record.run_state()
         told = chat.GIVEN_UP[reason]
         if run is states.RunState.UNKNOWN and not self._call.ticket.idempotent:
--- a/src/corianderloft/_internal/entry/plain_handlers.py
+++ b/src/corianderloft/_internal/entry/plain_handlers.py
@@ -1,11 +1,11 @@
 """Handler of calls of plain services on the callers' port."""
 
 from corianderloft._internal.entry import calls
-from corianderloft._internal.entry import chat_handlers
 from corianderloft._internal.entry import checks
 from corianderloft._internal.entry import inflight
 from corianderloft._internal.entry import parts as entry_parts
 from corianderloft._internal.entry import plain
+from corianderloft._internal.entry import records
 from corianderloft._internal.entry import refusals
 from corianderloft._internal.models import reasons
 from corianderloft._internal.models import requests
@@ -71,7 +71,7 @@
                 self._parts.records.end(record, ended.reason.value, ended)
                 await refusals.send(http, ended, caller_id)
                 return
-            self._parts.records.end(record, chat_handlers.COMPLETE, None)
+            self._parts.records.end(record, records.ANSWERED, None)
             await _answer(http, ended, caller_id)
 
 
--- a/src/corianderloft/_internal/entry/records.py
+++ b/src/corianderloft/_internal/entry/records.py
@@ -2,7 +2,6 @@
 
 import collections
 import dataclasses
-import logging
 import time
 import typing
 
@@ -10,30 +9,18 @@
 
 from corianderloft._internal.decisions import interface
 from corianderloft._internal.entry import calls
-from corianderloft._internal.metrics import registry
+from corianderloft._internal.logs import outcomes
+from corianderloft._internal.metrics import classes
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import requests
 from corianderloft._internal.models import states
 
-logger = logging.getLogger(__name__)
+ANSWERED = 'answered'
+"""Outcome of a request whose whole answer went to the caller."""
 
 MAX_TRIES = 16
 """Attempts of one request that its record keeps."""
 
-REQUESTS = registry.counter(
-    'requests_total', 'Requests that ended, by service, class and outcome.'
-)
-FIRST_TOKENS = registry.counter(
-    'first_tokens_total',
-    'First tokens or whole plain answers, by service, class and whether '
-    'the target was met.',
-)
-TOKENS = registry.counter(
-    'tokens_total',
-    'Tokens read from engines, by service, class and whether they went to '
-    'a caller.',
-)
-
 
 @dataclasses.dataclass
 class Try:
@@ -72,9 +59,11 @@
     first_token_after : float or None
         Seconds from arrival to the first token or whole answer.
     tokens : int
-        Tokens that went to the caller.
+        Tokens read from engines.
+    wasted_tokens : int
+        Tokens that were read when no caller was there.
     outcome : str
-        ``running``, ``complete``, ``caller_left`` or the refusal's reason.
+        ``running``, ``answered``, ``caller_left`` or the refusal's reason.
     run : RunState or None
         Whether a refused request ran.
     detail : str
@@ -89,6 +78,7 @@
     tries: list[Try] = dataclasses.field(default_factory=list)
     first_token_after: float | None = None
     tokens: int = 0
+    wasted_tokens: int = 0
     outcome: str = 'running'
     run: states.RunState | None = None
     detail: str = ''
@@ -114,6 +104,17 @@
             return states.RunState.UNKNOWN
         return states.RunState.NOT_RUN
 
+    def met_targets(self) -> bool:
+        """Return whether an answered request met its class's targets."""
+        request_class = self.origin.request_class
+        first = self.first_token_after
+        if first is None or first > request_class.first_token_target:
+            return False
+        if self.tokens < 2 or self.ended_after is None:
+            return True
+        gap = (self.ended_after - first) / (self.tokens - 1)
+        return gap <= request_class.token_gap_target
+
     def as_json(self) -> dict[str, typing.Any]:
         """Return the form that operators read."""
         origin = self.origin
@@ -192,37 +193,45 @@
 
 
 def _count(record: Record) -> None:
-    request_class = record.origin.request_class
-    labels = {
-        'service': str(record.origin.service.name),
-        'class': str(request_class.name),
-    }
-    REQUESTS.inc({**labels, 'outcome': record.outcome})
-    if record.tokens:
-        TOKENS.add({**labels, 'use': 'relayed'}, record.tokens)
-    if record.first_token_after is not None:
-        met = record.first_token_after <= request_class.first_token_target
-        FIRST_TOKENS.inc({**labels, 'met': str(met).lower()})
+    origin = record.origin
+    class_id = classes.ClassId(
+        origin.service.name,
+        origin.request_class.name,
+        origin.request_class.tier,
+    )
+    classes.record(
+        class_id,
+        classes.RequestEnd(
+            record.outcome,
+            record.outcome == ANSWERED and record.met_targets(),
+            record.tokens - record.wasted_tokens,
+            record.wasted_tokens,
+            record.first_token_after,
+        ),
+    )
 
 
 def _log(record: Record) -> None:
-    fields = record.as_json()
-    engines = [str(attempt.engine_id) for attempt in record.tries]
-    logger.info(
-        'request %s of %s: %s',
-        fields['request_id'],
-        fields['workspace'],
-        record.outcome,
-        extra={
-            'request_id': fields['request_id'],
-            'workspace': fields['workspace'],
-            'service': fields['service'],
-            'class': fields['class'],
-            'outcome': record.outcome,
-            'run': fields['run'],
-            'tokens': record.tokens,
-            'first_token_after_s': record.first_token_after,
-            'ended_after_s': record.ended_after,
-            'engines': engines,
-        },
+    origin = record.origin
+    last = record.tries[-1].engine_id if record.tries else None
+    run = record.run_state() if record.run is None else record.run
+    if record.outcome == ANSWERED:
+        run = states.RunState.RAN
+    queued = record.tries[0].started if record.tries else record.ended_after
+    outcomes.log_outcome(
+        outcomes.RequestLine(
+            request_id=origin.request_id,
+            workspace=origin.workspace.workspace_id,
+            service=origin.service.name,
+            class_name=origin.request_class.name,
+            tier=origin.request_class.tier,
+            outcome=record.outcome,
+            run=run.value,
+            engine=last,
+            attempts=len(record.tries),
+            queued=queued or 0.0,
+            first_token=record.first_token_after,
+            total=record.ended_after or 0.0,
+            tokens=record.tokens,
+        )
     )
--- a/src/corianderloft/_internal/entry/refusals.py
+++ b/src/corianderloft/_internal/entry/refusals.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from corianderloft._internal.metrics import registry
+from corianderloft._internal.metrics import reasons as counts
 from corianderloft._internal.models import reasons
 from corianderloft._internal.models import requests
 from corianderloft._internal.models import states
@@ -40,27 +40,6 @@
 }
 """HTTP status of each reason."""
 
-REFUSALS = registry.counter(
-    'refusals_total', 'Requests that were not answered, by reason.'
-)
-RETRIES = registry.counter(
-    'retries_total', 'Attempts after the first of a request, by reason.'
-)
-RETRY_REFUSALS = registry.counter(
-    'retry_refusals_total',
-    'Failed requests that were not sent again, by reason.',
-)
-
-
-def start_counters() -> None:
-    """Give each reason a counter, at 0 until it is met."""
-    for refusal in reasons.RefusalReason:
-        REFUSALS.set({'reason': refusal.value}, 0)
-    for retry in reasons.RetryReason:
-        RETRIES.set({'reason': retry.value}, 0)
-    for kept in reasons.RetryRefusalReason:
-        RETRY_REFUSALS.set({'reason': kept.value}, 0)
-
 
 def not_run(
     reason: reasons.RefusalReason,
@@ -100,7 +79,7 @@
     request_id: str | None = None,
 ) -> None:
     """Count a refusal and tell it to the caller in the form that fits."""
-    REFUSALS.inc({'reason': refused.reason.value})
+    counts.count(refused.reason)
     if http.started:
         await http.send_events(event(refused, request_id))
         await http.end_stream()
--- a/src/corianderloft/_internal/entry/verdicts.py
+++ b/src/corianderloft/_internal/entry/verdicts.py
@@ -8,7 +8,10 @@
 from corianderloft._internal.models import states
 from corianderloft._internal.network import outbound
 
-NOT_RUN_CODES = frozenset({'leaving', 'overloaded'})
+LEAVING = 'leaving'
+"""Code with which a backend server says that it takes no new work."""
+
+NOT_RUN_CODES = frozenset({LEAVING, 'overloaded'})
 """Codes with which an engine says that it did not run a request."""
 
 CALLERS_FAULTS = frozenset({400, 413, 422})
@@ -60,6 +63,11 @@
     return None
 
 
+def says_leaving(status: int, body: bytes) -> bool:
+    """Return whether a backend server says that it leaves."""
+    return status == 503 and _error(body)[0] == LEAVING
+
+
 def _error(body: bytes) -> tuple[str, str]:
     try:
         error = orjson.loads(body)['error']
--- a/src/corianderloft/_internal/settings/operators.py
+++ b/src/corianderloft/_internal/settings/operators.py
@@ -1,23 +1,15 @@
 """Section ``operators``: the port for operators."""
 
-import enum
-
+from corianderloft._internal.security import operators
 from corianderloft._internal.settings import base
 
 
-class Role(enum.Enum):
-    """What an operator's credential may do."""
-
-    VIEWER = 'viewer'
-    OPERATOR = 'operator'
-
-
 class Credential(base.Section):
     """One operator's token."""
 
     name: str = base.setting(..., 'Who holds the token.')
-    role: Role = base.setting(
-        Role.VIEWER, 'Role: `viewer` reads; `operator` also drains.'
+    role: operators.Role = base.setting(
+        operators.Role.VIEWER, 'Role: `viewer` reads; `operator` also drains.'
     )
     token_sha256: str = base.setting(
         ...,
--- a/tests/lib/entry.py
+++ b/tests/lib/entry.py
@@ -4,6 +4,7 @@
 import dataclasses
 import hashlib
 import itertools
+import math
 import typing
 
 import httpcore
@@ -89,6 +90,8 @@
         self.catalog = catalog_of()
         self.backends = listed
         self.fresh = True
+        self.claim_valid_until = math.inf
+        self.leaving: list[ids.EngineId] = []
         self.left = False
         self.answer_ttl = 0.0
         self.own: shared_state.Host | None = None
@@ -101,6 +104,13 @@
     def configuration_fresh(self) -> bool:
         return self.fresh
 
+    async def wait_change(self, seen: int) -> int:
+        await trio.sleep(0.05)
+        return seen + 1
+
+    def note_backend_leaving(self, engine_id: ids.EngineId) -> None:
+        self.leaving.append(engine_id)
+
     def workspace_by_key(self, key: str) -> catalog.Workspace | None:
         return next(
             (w for w in self.catalog.workspaces if key in w.key_hashes), None
@@ -127,7 +137,7 @@
         token = f'{workspace}/{service}/{key}'
         if token not in self.claims:
             self.claims[token] = None
-            return shared_state.Claimed(token)
+            return shared_state.Claimed(token, self.claim_valid_until)
         done = self.claims[token]
         return done or requests.Refused(
             reasons.RefusalReason.CLAIM_IN_PROGRESS,
--- a/tests/unit/entry/test_bad_input.py
+++ b/tests/unit/entry/test_bad_input.py
@@ -81,6 +81,22 @@
     'no tokens': ('POST', CHAT, GOOD, _with(max_tokens=0), 400, ''),
     'many tokens': ('POST', CHAT, GOOD, _with(max_tokens=10**9), 400, ''),
     'large seed': ('POST', CHAT, GOOD, b'{"seed":1e400}', 400, ''),
+    'goes on without seed': (
+        'POST',
+        CHAT,
+        {**GOOD, 'Last-Event-ID': '3', 'X-Model-Version': 'm'},
+        _with(),
+        400,
+        'bad_request',
+    ),
+    'goes on without model': (
+        'POST',
+        CHAT,
+        {**GOOD, 'Last-Event-ID': '3'},
+        _with(seed=1),
+        400,
+        'bad_request',
+    ),
     'large body': ('POST', CHAT, GOOD, b' ' * 5000, 413, 'too_large'),
     'path': ('GET', '/etc', GOOD, b'', 404, 'not_found'),
     'method': ('PUT', CHAT, GOOD, b'', 404, 'not_found'),
@@ -197,21 +213,13 @@
         return
 
     async def check() -> None:
-        checks.chat_call(origin, raw)
+        checks.chat_body(origin, raw)
 
     trio.run(check)
 
 
-def test_every_reason_has_a_status_and_counters() -> None:
+def test_every_reason_has_a_status() -> None:
     assert set(refusals.STATUS) == set(reasons.RefusalReason)
-    refusals.start_counters()
-    for counter, kind in (
-        (refusals.REFUSALS, reasons.RefusalReason),
-        (refusals.RETRIES, reasons.RetryReason),
-        (refusals.RETRY_REFUSALS, reasons.RetryRefusalReason),
-    ):
-        for reason in kind:
-            assert counter.get({'reason': reason.value}) >= 0
 
 
 async def _raw(fixture: entry.Fixture, sent: bytes) -> bytes:
--- a/tests/unit/entry/test_operators.py
+++ b/tests/unit/entry/test_operators.py
@@ -62,7 +62,7 @@
             fixture.operators_url + '/metrics', 'GET', headers=headers
         )
     assert told['workspace'] == 'stables'
-    assert told['outcome'] == 'complete'
+    assert told['outcome'] == 'answered'
     assert told['tokens'] == engines.TOKENS
     tries = [(item['engine_id'], item['end']) for item in told['tries']]
     assert tries == [('e1', 'connection_lost'), ('e2', 'complete')]
--- a/tests/unit/entry/test_plain.py
+++ b/tests/unit/entry/test_plain.py
@@ -93,6 +93,28 @@
         assert fixture.shared.released == ['stables/till/k1']
 
 
+async def test_nothing_is_sent_under_a_claim_that_ran_out(
+    nursery: trio.Nursery,
+) -> None:
+    engine, one = await engines.start(nursery, 't1', charges, 'till')
+    async with entry.running_host(one) as fixture:
+        fixture.shared.claim_valid_until = 0.0
+        answer = await call(fixture, Idempotency_Key='k1')
+    assert answer.refusal() == ('claim_unavailable', 'not_run')
+    assert not engine.seen
+
+
+async def test_backend_server_that_says_it_leaves_is_reported(
+    nursery: trio.Nursery,
+) -> None:
+    _, one = await engines.start(
+        nursery, 'e1', engines.refuses(503, 'leaving')
+    )
+    async with entry.running_host(one) as fixture:
+        await entry.chat(fixture)
+    assert fixture.shared.leaving == ['e1']
+
+
 async def test_key_returns_the_answer_of_its_only_run(
     nursery: trio.Nursery,
 ) -> None:
--- a/tests/unit/entry/test_resume.py
+++ b/tests/unit/entry/test_resume.py
@@ -112,6 +112,24 @@
             assert other.body == engines.whole_body()
 
 
+async def test_answer_goes_on_at_another_host(
+    nursery: trio.Nursery,
+) -> None:
+    _, other = await engines.start(nursery, 'e0', engines.serves, model='x')
+    engine, one = await engines.start(nursery, 'e1', engines.serves)
+    async with entry.running_host(other, one) as fixture:
+        answer = await entry.call(
+            fixture.url + '/v1/chat/completions',
+            body={**entry.BODY, 'seed': 7},
+            headers=entry.headers_of(
+                'stables', Last_Event_ID='5', X_Model_Version='m'
+            ),
+        )
+    assert answer.body == engines.whole_body(after=5)
+    assert answer.headers['x-model-version'] == 'm'
+    assert engine.seen[0].have == 5
+
+
 async def test_more_tokens_than_there_are(nursery: trio.Nursery) -> None:
     _, one = await engines.start(nursery, 'e1', engines.serves)
     async with entry.running_host(one) as fixture:
