Choose engines by own observation and let lower work give way

Ruled out: keeping slots free for crests of higher tiers (crest_factor 1.5): with engines that preempt by priority it costs goodput for nothing. Change: plug-ins fair (queue), adaptive (limiter), observed (balancer), budgeted (retry, hedge), a guaranteed share for every lane, length estimates, judgement of slowed engines, prefix memory. The fake engine preempts the worst running job for a better priority, as the stand-in engine does.

--- a/bench/policy/engine.py
+++ b/bench/policy/engine.py
@@ -55,6 +55,7 @@
         self._sequence = itertools.count()
         self._scopes: set[trio.CancelScope] = set()
         self._cache: dict[int, None] = {}
+        self._sinks: dict[Sink, None] = {}
 
     @property
     def waiting(self) -> int:
@@ -101,7 +102,7 @@
         sink: Sink,
         deliver: collections.abc.Callable[[int], None],
     ) -> None:
-        await self._take_slot(sink.priority)
+        await self._take_slot(sink)
         in_slot = True
         try:
             await trio.sleep(self._prefill(arrival, skip) * self.slow_factor)
@@ -110,11 +111,12 @@
                 chunk = min(_CHUNK, arrival.answer - sent)
                 if sent == skip:
                     chunk = 1
-                elif self._gives_way(sink.priority):
-                    self._free_slot()
+                elif self._gives_way(sink):
                     in_slot = False
-                    await self._take_slot(sink.priority)
+                    self._leave_slot(sink)
+                    await self._take_slot(sink)
                     in_slot = True
+                    await trio.sleep(self._prefill(arrival, sent))
                 await trio.sleep(chunk * self._gap())
                 if sent == skip:
                     sink.first_token()
@@ -124,7 +126,7 @@
                 deliver(chunk)
         finally:
             if in_slot:
-                self._free_slot()
+                self._leave_slot(sink)
 
     def _gap(self) -> float:
         batch = 0.8 + 0.2 * self.running / workload.SLOTS
@@ -140,15 +142,21 @@
             del self._cache[next(iter(self._cache))]
         return tokens / workload.PREFILL_RATE
 
-    def _gives_way(self, priority: int) -> bool:
-        if not self._preempts:
+    def _gives_way(self, sink: Sink) -> bool:
+        """Return whether this stream is the one to pause."""
+        if not self._preempts or not self._waiting:
             return False
-        return any(wanted < priority for wanted, _, _ in self._waiting)
+        worst = max(reversed(self._sinks), key=lambda other: other.priority)
+        return sink is worst and self._waiting[0][0] < sink.priority
 
-    async def _take_slot(self, priority: int) -> None:
+    async def _take_slot(self, sink: Sink) -> None:
         if self.running < workload.SLOTS:
             self.running += 1
-            return
+        else:
+            await self._queue(sink.priority)
+        self._sinks[sink] = None
+
+    async def _queue(self, priority: int) -> None:
         event = trio.Event()
         entry = (priority, next(self._sequence), event)
         heapq.heappush(self._waiting, entry)
@@ -162,6 +170,10 @@
                 heapq.heapify(self._waiting)
             raise
 
+    def _leave_slot(self, sink: Sink) -> None:
+        del self._sinks[sink]
+        self._free_slot()
+
     def _free_slot(self) -> None:
         """Hand the slot to the next in the queue, or leave it empty."""
         if self._waiting:
--- a/bench/policy/oracle.py
+++ b/bench/policy/oracle.py
@@ -1,4 +1,4 @@
-"""A dispatcher that knows all hosts' queues, true loads and lengths."""
+"""A dispatcher that sees all queues and the true state of engines."""
 
 import collections.abc
 import itertools
@@ -59,7 +59,7 @@
         self.pump()
         try:
             with trio.move_on_at(ticket.start_by):
-                await waiter.decided.wait()
+                await waiter.woken.wait()
         except trio.Cancelled:
             if isinstance(waiter.outcome, grants.AttemptGrant):
                 waiter.outcome.close(interface.AttemptEnd.CANCELLED)
@@ -74,31 +74,38 @@
     def pump(self) -> None:
         """Grant while engines are free."""
         while self._queue:
-            free = [v for v in self._views if self._is_free(v)]
-            if not free:
-                return
             now = trio.current_time()
             waiter = min(self._queue, key=lambda w: _order(w, now))
-            chosen = min(free, key=self._badness)
+            free = [v for v in self._views if self._is_free(v, waiter.lane)]
+            if not free:
+                return
+            chosen = min(free, key=lambda v: self._badness(v, waiter.lane))
             self._queue.remove(waiter)
-            chosen.in_flight += 1
+            chosen.add(waiter.lane)
             waiter.decide(grants.AttemptGrant(waiter, chosen, self))
 
-    def _badness(self, view: engines.EngineView) -> float:
-        fake = self._fakes[view.backend.engine_id]
-        return fake.slow_factor * (1 + view.in_flight)
+    def _badness(
+        self, view: engines.EngineView, lane: waiting.Lane
+    ) -> tuple[bool, int]:
+        full = view.in_flight >= workload.SLOTS
+        return full, view.in_flight_up_to(lane)
 
-    def _is_free(self, view: engines.EngineView) -> bool:
+    def _is_free(self, view: engines.EngineView, lane: waiting.Lane) -> bool:
         fake = self._fakes[view.backend.engine_id]
         return (
             fake.up
             and fake.slow_factor < _SLOW
-            and view.in_flight < workload.SLOTS
+            and view.in_flight_up_to(lane) < workload.SLOTS
         )
 
     def saw_first_token(self, grant: grants.AttemptGrant, now: float) -> None:
         """Learn nothing: everything is known."""
 
+    def saw_progress(
+        self, grant: grants.AttemptGrant, tokens: int, now: float
+    ) -> None:
+        """Learn nothing."""
+
     def saw_close(
         self,
         grant: grants.AttemptGrant,
@@ -106,7 +113,7 @@
         now: float,
     ) -> None:
         """Take the slot back."""
-        grant.engine.in_flight -= 1
+        grant.engine.remove(grant.waiter.lane)
         self.pump()
 
     def retry(
--- a/bench/policy/policies.py
+++ b/bench/policy/policies.py
@@ -21,7 +21,7 @@
 
     plugins: tuple[tuple[str, object], ...] = ()
     is_oracle: bool = False
-    engines_preempt: bool = False
+    engines_preempt: bool = True
 
     def settings(self) -> settings.DecisionSettings:
         """Return the settings of a host."""
--- a/bench/policy/workload.py
+++ b/bench/policy/workload.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 import random
+import statistics
 
 from corianderloft._internal.models import catalog
 from corianderloft._internal.models import ids
@@ -24,6 +25,10 @@
 """Swing of demand from which on a moment counts as a crest."""
 
 
+_SAMPLES = 5000
+"""Draws from which a mean length is taken."""
+
+
 @dataclasses.dataclass(frozen=True)
 class ClassMix:
     """One class: its lengths and its part of the demand.
@@ -57,8 +62,13 @@
     max_tokens: int
 
     def mean_answer(self) -> float:
-        """Return the mean answer, in tokens."""
-        return self.answer * math.exp(self.spread**2 / 2)
+        """Return the mean answer, cut at ``max_tokens``, in tokens."""
+        rng = random.Random(0)
+        mean = math.log(self.answer)
+        return statistics.fmean(
+            min(self.max_tokens, rng.lognormvariate(mean, self.spread))
+            for _ in range(_SAMPLES)
+        )
 
     def slot_time(self) -> float:
         """Return the mean time in a slot, in seconds."""
--- a/src/corianderloft/_internal/decisions/balancers/least_reported_load.py
+++ b/src/corianderloft/_internal/decisions/balancers/least_reported_load.py
@@ -18,6 +18,8 @@
 class LeastReportedLoad:
     """Chooses the candidate that last reported the least load."""
 
+    judges_health = False
+
     def __init__(self, cfg: plugins.Settings, rng: random.Random) -> None:
         del cfg
         self._rng = rng
@@ -27,6 +29,7 @@
         waiter: waiting.Waiter,
         candidates: collections.abc.Sequence[engines.EngineView],
         now: float,
+        scene: plugins.Scene,
     ) -> engines.EngineView | None:
         """Return the least loaded by report, ties broken at random."""
         if not candidates:
--- /dev/null
+++ b/src/corianderloft/_internal/decisions/balancers/observed.py
@@ -0,0 +1,84 @@
+"""Balancer ``observed``: own observation first, aged reports second."""
+
+import collections.abc
+import random
+
+from corianderloft._internal.decisions import engines
+from corianderloft._internal.decisions import plugins
+from corianderloft._internal.decisions import waiting
+
+_IDLE_COST = 0.5
+"""Cost of an idle engine, in loads of a full one."""
+
+_CROWDED = 0.8
+"""Part of its slots in use from which an engine costs more."""
+
+_CROWDING = 4.0
+"""How steeply the cost of a crowded engine grows."""
+
+_NOISE = 0.05
+"""Random part of a cost, so that hosts do not choose alike."""
+
+_PREFILL_RATE = 8000.0
+"""Prompt tokens that an engine reads in a second, roughly."""
+
+_MOST_AFFINITY = 0.4
+"""Most that a cached prefix may weigh, in loads of a full engine."""
+
+
+@plugins.BALANCERS.register('observed')
+class Observed:
+    """Chooses the candidate of the least expected delay."""
+
+    judges_health = True
+
+    def __init__(self, cfg: plugins.Settings, rng: random.Random) -> None:
+        self._rng = rng
+        self._affinity = cfg.prefix_affinity
+
+    def choose(
+        self,
+        waiter: waiting.Waiter,
+        candidates: collections.abc.Sequence[engines.EngineView],
+        now: float,
+        scene: plugins.Scene,
+    ) -> engines.EngineView | None:
+        """Return the candidate of the least cost."""
+        if len(candidates) < 2:
+            return candidates[0] if candidates else None
+        matched = scene.prefixes.matched(waiter.ticket.prefix_hashes)
+        prefill = waiter.ticket.prompt_tokens / _PREFILL_RATE
+        most = min(_MOST_AFFINITY, self._affinity * prefill)
+        mean = _mean_of_others(candidates)
+        return min(
+            candidates,
+            key=lambda engine: (
+                self._cost(engine, mean, scene.healthy_gap, now)
+                - most * matched.get(engine.backend.engine_id, 0.0)
+            ),
+        )
+
+    def _cost(
+        self,
+        engine: engines.EngineView,
+        mean: float,
+        healthy_gap: float,
+        now: float,
+    ) -> float:
+        load = engine.load(mean, now) / engine.backend.slots
+        crowding = _CROWDING * max(0.0, load - _CROWDED)
+        cost = _IDLE_COST + load + crowding + engine.excess(now)
+        slowness = engine.slowness(healthy_gap, now)
+        return cost * slowness * (1 + _NOISE * self._rng.random())
+
+
+def _mean_of_others(
+    candidates: collections.abc.Sequence[engines.EngineView],
+) -> float:
+    """Return the mean of what other hosts had in flight, as reported."""
+    others = [
+        max(0, e.report.running + e.report.waiting - e.own_at_report)
+        for e in candidates
+        if e.report is not None
+    ]
+    return sum(others) / len(others) if others else 0.0
--- a/src/corianderloft/_internal/decisions/balancers/round_robin.py
+++ b/src/corianderloft/_internal/decisions/balancers/round_robin.py
@@ -12,6 +12,8 @@
 class RoundRobin:
     """Chooses the candidate that follows the last chosen by identity."""
 
+    judges_health = False
+
     def __init__(self, cfg: plugins.Settings, rng: random.Random) -> None:
         del cfg, rng
         self._last = ''
@@ -21,6 +23,7 @@
         waiter: waiting.Waiter,
         candidates: collections.abc.Sequence[engines.EngineView],
         now: float,
+        scene: plugins.Scene,
     ) -> engines.EngineView | None:
         """Return the next candidate, or None when there is none."""
         if not candidates:
--- /dev/null
+++ b/src/corianderloft/_internal/decisions/demand.py
@@ -0,0 +1,146 @@
+"""What each lane of one service has in flight and waiting on a host."""
+
+import dataclasses
+import math
+
+from corianderloft._internal.decisions import waiting
+
+_MEMORY = 20.0
+"""Time constant of the mean occupancy, in seconds."""
+
+_RATE_MEMORY = 10.0
+"""Time constant of the rate of started work, in seconds."""
+
+
+@dataclasses.dataclass
+class LaneDemand:
+    """Demand of one lane.
+
+    Attributes
+    ----------
+    in_flight : int
+        Attempts that hold a slot.
+    waiting : int
+        Requests in the queue.
+    backlog : float
+        Estimated cost of what waits, in tokens.
+    mean : float
+        Mean of in flight and waiting over the last seconds, in slots.
+    unserved_since : float
+        Since when the lane waits without a start, on trio's clock, in
+        seconds; meaningless while nothing waits.
+    credit : float
+        Guaranteed work that the lane may still start, in tokens.
+    """
+
+    in_flight: int = 0
+    waiting: int = 0
+    backlog: float = 0.0
+    mean: float = 0.0
+    unserved_since: float = 0.0
+    credit: float = 0.0
+    _updated: float = 0.0
+
+    def settle(self, now: float) -> None:
+        """Bring the mean up to ``now`` before the counts change."""
+        part = 1 - math.exp((self._updated - now) / _MEMORY)
+        self.mean += (self.in_flight + self.waiting - self.mean) * part
+        self._updated = now
+
+
+class Demand:
+    """Demand of all lanes of one service on one host.
+
+    Attributes
+    ----------
+    lanes : dict of Lane to LaneDemand
+        Lanes that were ever seen.
+    in_flight : int
+        Attempts of all lanes.
+    """
+
+    def __init__(self) -> None:
+        self.lanes: dict[waiting.Lane, LaneDemand] = {}
+        self.in_flight = 0
+        self._started_cost = 0.0
+        self._started_at = 0.0
+
+    def of(self, lane: waiting.Lane) -> LaneDemand:
+        """Return the demand of one lane."""
+        found = self.lanes.get(lane)
+        if found is None:
+            found = self.lanes[lane] = LaneDemand()
+        return found
+
+    def queued(self, waiter: waiting.Waiter, now: float) -> None:
+        """Note that a request waits."""
+        lane = self.of(waiter.lane)
+        lane.settle(now)
+        if not lane.waiting:
+            lane.unserved_since = now
+        lane.waiting += 1
+        lane.backlog += waiter.cost
+
+    def left_queue(self, waiter: waiting.Waiter, now: float) -> None:
+        """Note that a request no longer waits."""
+        lane = self.of(waiter.lane)
+        lane.settle(now)
+        lane.waiting -= 1
+        lane.backlog = max(0.0, lane.backlog - waiter.cost)
+
+    def started(self, waiter: waiting.Waiter, now: float) -> None:
+        """Note that a request holds a slot."""
+        lane = self.of(waiter.lane)
+        lane.settle(now)
+        lane.in_flight += 1
+        lane.unserved_since = now
+        self.in_flight += 1
+        self._started_cost = self._decayed(now) + waiter.cost
+        self._started_at = now
+
+    def ended(self, waiter: waiting.Waiter, now: float) -> None:
+        """Note that a slot came back."""
+        lane = self.of(waiter.lane)
+        lane.settle(now)
+        lane.in_flight -= 1
+        self.in_flight -= 1
+
+    def start_rate(self, now: float) -> float:
+        """Return the cost started a second, of late, in tokens."""
+        return self._decayed(now) / _RATE_MEMORY
+
+    def in_flight_up_to(self, lane: waiting.Lane) -> int:
+        """Return attempts of ``lane`` and those above."""
+        return sum(d.in_flight for key, d in self.lanes.items() if key <= lane)
+
+    def has_below(self, lane: waiting.Lane) -> bool:
+        """Return whether lower work of this host could give way."""
+        return any(
+            demand.in_flight
+            for key, demand in self.lanes.items()
+            if key.tier > lane.tier
+        )
+
+    def backlog_before(self, lane: waiting.Lane) -> float:
+        """Return the cost that waits in ``lane`` and above, in tokens."""
+        return sum(d.backlog for key, d in self.lanes.items() if key <= lane)
+
+    def reserve_above(self, lane: waiting.Lane, crest: float) -> float:
+        """Return slots that higher lanes would need beyond what they hold.
+
+        Parameters
+        ----------
+        lane : Lane
+            Lane that would start.
+        crest : float
+            How many times its mean a lane may need at a crest.
+        """
+        return sum(
+            max(0.0, crest * demand.mean - demand.in_flight)
+            for key, demand in self.lanes.items()
+            if key < lane
+        )
+
+    def _decayed(self, now: float) -> float:
+        age = now - self._started_at
+        return self._started_cost * math.exp(-age / _RATE_MEMORY)
--- a/src/corianderloft/_internal/decisions/dispatcher.py
+++ b/src/corianderloft/_internal/decisions/dispatcher.py
@@ -16,8 +16,6 @@
 from corianderloft._internal.models import reasons
 from corianderloft._internal.models import requests
 
-_Reason = reasons.RefusalReason
-
 
 class LocalDispatcher:
     """Dispatcher of one host; shares the engines with other hosts.
@@ -49,49 +47,20 @@
         service = self._pools.get(ticket.service)
         if service is None or not service.has_live_engine():
             return refusals.no_backend(ticket.service)
-        waiter = self._waiter(ticket, exclude)
-        service.enqueue(waiter)
-        service.pump(trio.current_time())
-        return await self._decision(service, waiter)
-
-    async def _decision(
-        self, service: pool.ServicePool, waiter: waiting.Waiter
-    ) -> interface.Grant | requests.Refused:
+        now = trio.current_time()
+        weight = self._weights.get(ticket.workspace, 1)
+        waiter = service.waiter(ticket, exclude, weight)
+        service.enqueue(waiter, now)
+        service.pump(now)
         try:
-            with trio.move_on_at(waiter.ticket.start_by):
-                await waiter.decided.wait()
+            await service.keeper.wait(service, waiter)
         except trio.Cancelled:
-            self._abandon(service, waiter)
+            _abandon(service, waiter)
             raise
         if waiter.outcome is not None:
             return waiter.outcome
-        service.queue.discard(waiter)
-        return refusals.not_run(
-            _Reason.DEADLINE,
-            f'request {waiter.ticket.request_id} did not start in time',
-        )
-
-    def _abandon(
-        self, service: pool.ServicePool, waiter: waiting.Waiter
-    ) -> None:
-        if waiter.outcome is None:
-            service.queue.discard(waiter)
-        elif not isinstance(waiter.outcome, requests.Refused):
-            waiter.outcome.close(interface.AttemptEnd.CANCELLED)
-
-    def _waiter(
-        self,
-        ticket: requests.Ticket,
-        exclude: collections.abc.Set[ids.EngineId],
-    ) -> waiting.Waiter:
-        return waiting.Waiter(
-            ticket=ticket,
-            lane=waiting.Lane(ticket.tier),
-            cost=float(ticket.prompt_tokens + ticket.max_tokens),
-            weight=self._weights.get(ticket.workspace, 1),
-            start_target=ticket.start_by,
-            exclude=exclude,
-        )
+        service.discard(waiter, trio.current_time())
+        return refusals.deadline(ticket.request_id)
 
     def retry(
         self,
@@ -121,7 +90,7 @@
         service = self._pools.get(ticket.service)
         if service is None or not ticket.idempotent:
             return None
-        return service.hedge_rule.delay(ticket, float(ticket.max_tokens))
+        return service.hedge_rule.delay(ticket, service.lengths.cost(ticket))
 
     def use_catalog(self, current: catalog.Catalog) -> None:
         """Put a new configuration in force."""
@@ -164,9 +133,7 @@
     def report_load(self, report: backends.LoadReport) -> None:
         """Take in an engine's own, late report of its load."""
         for service in self._pools.values():
-            engine = service.engines.get(report.engine_id)
-            if engine is not None:
-                engine.report = report
+            service.report_load(report)
 
     def cached_prefixes(
         self,
@@ -175,3 +142,15 @@
         removed: collections.abc.Sequence[int],
     ) -> None:
         """Take in late cache events of an engine; gaps are possible."""
+        for service in self._pools.values():
+            if engine_id in service.engines:
+                service.scene.prefixes.add(engine_id, added)
+                service.scene.prefixes.remove(engine_id, removed)
+
+
+def _abandon(service: pool.ServicePool, waiter: waiting.Waiter) -> None:
+    """Leave the queue, or give back a slot that nobody will use."""
+    if waiter.outcome is None:
+        service.discard(waiter, trio.current_time())
+    elif not isinstance(waiter.outcome, requests.Refused):
+        waiter.outcome.close(interface.AttemptEnd.CANCELLED)
--- a/src/corianderloft/_internal/decisions/grants.py
+++ b/src/corianderloft/_internal/decisions/grants.py
@@ -8,6 +8,9 @@
 from corianderloft._internal.decisions import interface
 from corianderloft._internal.decisions import waiting
 
+STEPS_PER_TIER = 4
+"""Engine priorities of one tier; a job is lowered inside its tier only."""
+
 
 class Observer(typing.Protocol):
     """Hears what the relay sees of an attempt."""
@@ -15,6 +18,11 @@
     def saw_first_token(self, grant: 'AttemptGrant', now: float) -> None:
         """Note the first token."""
 
+    def saw_progress(
+        self, grant: 'AttemptGrant', tokens: int, now: float
+    ) -> None:
+        """Note more tokens."""
+
     def saw_close(
         self, grant: 'AttemptGrant', end: interface.AttemptEnd, now: float
     ) -> None:
@@ -38,8 +46,12 @@
         When it was granted, on trio's clock, in seconds.
     first_token_at : float or None
         When the first token arrived.
+    last_progress : float
+        When the last token arrived.
     tokens : int
         Tokens that arrived so far.
+    long_steps : int
+        How many times `priority` was lowered.
     """
 
     def __init__(
@@ -49,12 +61,14 @@
         observer: Observer,
     ) -> None:
         self.backend = engine.backend
-        self.priority = int(waiter.lane.tier)
+        self.priority = waiter.lane.tier * STEPS_PER_TIER
         self.waiter = waiter
         self.engine = engine
         self.started = trio.current_time()
         self.first_token_at: float | None = None
+        self.last_progress = self.started
         self.tokens = 0
+        self.long_steps = 0
         self._observer = observer
         self._closed = False
 
@@ -62,11 +76,21 @@
         """Note that the first token arrived."""
         if self.first_token_at is None:
             self.first_token_at = trio.current_time()
+            self.last_progress = self.first_token_at
             self._observer.saw_first_token(self, self.first_token_at)
 
     def progress(self, tokens: int) -> None:
         """Note that ``tokens`` more tokens arrived."""
+        now = trio.current_time()
         self.tokens += tokens
+        self._observer.saw_progress(self, tokens, now)
+        self.last_progress = now
+
+    def lower(self) -> None:
+        """Lower the priority by a step, but never to the next tier's."""
+        if self.long_steps < STEPS_PER_TIER - 1:
+            self.long_steps += 1
+            self.priority += 1
 
     def close(self, end: interface.AttemptEnd) -> None:
         """Give the slot back.
--- a/src/corianderloft/_internal/decisions/hedges/never.py
+++ b/src/corianderloft/_internal/decisions/hedges/never.py
@@ -20,3 +20,7 @@
     def delay(self, ticket: requests.Ticket, cost: float) -> float | None:
         """Return None."""
         return None
+
+    def spend(self, cost: float) -> bool:
+        """Return False: no second attempt may start."""
+        return False
--- a/src/corianderloft/_internal/decisions/plugins.py
+++ b/src/corianderloft/_internal/decisions/plugins.py
@@ -1,25 +1,53 @@
 """Registries of the decisions, and what a plug-in of each kind offers."""
 
 import collections.abc
+import dataclasses
 import random
 import typing
 
+from corianderloft._internal.decisions import demand
 from corianderloft._internal.decisions import engines
 from corianderloft._internal.decisions import interface
+from corianderloft._internal.decisions import prefixes
 from corianderloft._internal.decisions import waiting
 from corianderloft._internal.kernel import registry
 from corianderloft._internal.models import requests
 from corianderloft._internal.settings import decisions as settings
 
 
+@dataclasses.dataclass
+class Scene:
+    """What a balancer may know besides the engines themselves.
+
+    Attributes
+    ----------
+    prefixes : Prefixes
+        Which engines probably hold which prompt prefixes.
+    healthy_gap : float
+        Time between tokens of a healthy engine, in seconds; 0 when unknown.
+    """
+
+    prefixes: prefixes.Prefixes
+    healthy_gap: float = 0.0
+
+
 class Balancer(typing.Protocol):
-    """Chooses the engine of one request."""
+    """Chooses the engine of one request.
+
+    Attributes
+    ----------
+    judges_health : bool
+        Whether slowed and failed engines are kept from it.
+    """
+
+    judges_health: bool
 
     def choose(
         self,
         waiter: waiting.Waiter,
         candidates: collections.abc.Sequence[engines.EngineView],
         now: float,
+        scene: Scene,
     ) -> engines.EngineView | None:
         """Return one of ``candidates``, or None to go on waiting."""
 
@@ -57,13 +85,21 @@
     def use_host_count(self, count: int) -> None:
         """Note how many live hosts share the engines."""
 
-    def limit(self, engine: engines.EngineView, lane: waiting.Lane) -> float:
-        """Return how many requests may be in flight for ``lane`` to start."""
+    def has_room(self, engine: engines.EngineView, lane: waiting.Lane) -> bool:
+        """Return whether an engine may be given a request of ``lane``."""
+
+    def may_start(
+        self, lane: waiting.Lane, load: demand.Demand, capacity: float
+    ) -> bool:
+        """Return whether a request of ``lane`` may start at all now."""
 
-    def started(
-        self, engine: engines.EngineView, wait: float, expected: float
-    ) -> None:
-        """Note a first token after ``wait`` s where ``expected`` was due."""
+    def capacity(
+        self, live: collections.abc.Iterable[engines.EngineView]
+    ) -> float:
+        """Return the slots that this host may use now."""
+
+    def reported(self, engine: engines.EngineView) -> None:
+        """Take in the engine's newest report."""
 
     def failed(self, engine: engines.EngineView) -> None:
         """Note that the engine refused or failed a request."""
@@ -99,6 +135,9 @@
     def delay(self, ticket: requests.Ticket, cost: float) -> float | None:
         """Return the wait in seconds before a second attempt, or None."""
 
+    def spend(self, cost: float) -> bool:
+        """Charge a second attempt; return False when it may not start."""
+
 
 Settings = settings.DecisionSettings
 BalancerFactory = collections.abc.Callable[[Settings, random.Random], Balancer]
--- a/src/corianderloft/_internal/decisions/pool.py
+++ b/src/corianderloft/_internal/decisions/pool.py
@@ -1,16 +1,23 @@
 """One service on one host: its queue, its engines and its plug-ins."""
 
+import collections
 import collections.abc
 import random
 import typing
 
 from corianderloft._internal.decisions import balancers
+from corianderloft._internal.decisions import demand
 from corianderloft._internal.decisions import engines
 from corianderloft._internal.decisions import grants
+from corianderloft._internal.decisions import guarantee
+from corianderloft._internal.decisions import health
 from corianderloft._internal.decisions import hedges
 from corianderloft._internal.decisions import interface
+from corianderloft._internal.decisions import keeper
+from corianderloft._internal.decisions import lengths
 from corianderloft._internal.decisions import limiters
 from corianderloft._internal.decisions import plugins
+from corianderloft._internal.decisions import prefixes
 from corianderloft._internal.decisions import queues
 from corianderloft._internal.decisions import refusals
 from corianderloft._internal.decisions import retries
@@ -19,7 +26,7 @@
 from corianderloft._internal.models import backends
 from corianderloft._internal.models import catalog
 from corianderloft._internal.models import ids
-from corianderloft._internal.models import reasons
+from corianderloft._internal.models import requests
 
 __all__ = [
     'ServicePool',
@@ -44,6 +51,9 @@
     }
 )
 
+_HARD_ENDS = _FAILED_ENDS - {interface.AttemptEnd.BACKEND_ERROR}
+"""Ends after which an engine is given nothing for a while."""
+
 
 def _plugin(
     plugin_registry: registry.Registry[T], name: str, fallback: str
@@ -78,6 +88,17 @@
         self._rng = rng
         self._sequence = 0
         self._host_count = 1
+        self._live: list[engines.EngineView] = []
+        self._capacity = 0.0
+        self._running: collections.Counter[ids.RequestId] = (
+            collections.Counter()
+        )
+        self.keeper = keeper.Keeper()
+        self.demand = demand.Demand()
+        self.lengths = lengths.Lengths()
+        self.health = health.Health(cfg, rng)
+        self.guarantee = guarantee.Guarantee(cfg)
+        self.scene = plugins.Scene(prefixes.Prefixes())
         self._load_plugins(template)
 
     def _load_plugins(self, template: catalog.ServiceTemplate) -> None:
@@ -100,6 +121,8 @@
             plugins.HEDGE_RULES, _DEFAULT, cfg.hedge_rule
         )(cfg)
         self.limiter.use_host_count(self._host_count)
+        self._judges = self.balancer.judges_health
+        self._refresh()
 
     def use_template(self, template: catalog.ServiceTemplate) -> None:
         """Put a changed template in force; waiting requests stay."""
@@ -115,6 +138,7 @@
         """Note how many live hosts share the engines."""
         self._host_count = count
         self.limiter.use_host_count(count)
+        self._refresh()
 
     def close(self) -> None:
         """Refuse all that waits: the service is no longer declared."""
@@ -134,82 +158,202 @@
                 view = engines.EngineView(backend)
             view.backend = backend
             self.engines[backend.engine_id] = view
+        self._refresh()
+
+    def _refresh(self) -> None:
+        self._live = [e for e in self.engines.values() if e.takes_new_work]
+        self._capacity = self.limiter.capacity(self._live)
 
     def has_live_engine(self) -> bool:
         """Whether any engine may be given new work."""
-        return any(e.takes_new_work for e in self.engines.values())
+        return bool(self._live)
+
+    def report_load(self, report: backends.LoadReport) -> None:
+        """Take in an engine's report."""
+        engine = self.engines.get(report.engine_id)
+        if engine is None:
+            return
+        engine.report = report
+        engine.own_at_report = engine.in_flight
+        self.limiter.reported(engine)
+        self._capacity = self.limiter.capacity(self._live)
+
+    def waiter(
+        self,
+        ticket: requests.Ticket,
+        exclude: collections.abc.Set[ids.EngineId],
+        weight: int,
+    ) -> waiting.Waiter:
+        """Return a request with its estimates, not queued yet."""
+        cost = self.lengths.cost(ticket)
+        return waiting.Waiter(
+            ticket=ticket,
+            lane=waiting.Lane(ticket.tier, cost > self._cfg.long_cost),
+            cost=cost,
+            weight=weight,
+            start_target=ticket.arrived + self._target(ticket),
+            exclude=exclude,
+        )
+
+    def _target(self, ticket: requests.Ticket) -> float:
+        declared = self.template.request_class(ticket.class_name)
+        if declared is None:
+            return ticket.start_by - ticket.arrived
+        return declared.first_token_target
 
-    def enqueue(self, waiter: waiting.Waiter) -> None:
-        """Queue a request; the newest of the lowest tier makes room."""
+    def enqueue(self, waiter: waiting.Waiter, now: float) -> None:
+        """Queue a request, or refuse one that has no chance."""
+        refusal = self._refusal(waiter, now)
+        if refusal is not None:
+            waiter.decide(refusal)
+            return
         self._sequence += 1
         waiter.sequence = self._sequence
         self.queue.push(waiter)
+        self.demand.queued(waiter, now)
         if len(self.queue) > self._cfg.queue_limit:
-            self._shed(waiter)
+            self._shed(waiter, now)
+
+    def _refusal(
+        self, waiter: waiting.Waiter, now: float
+    ) -> requests.Refused | None:
+        request_id = waiter.ticket.request_id
+        if self._running.get(request_id):
+            if not self.hedge_rule.spend(waiter.cost):
+                return refusals.hedge_budget(request_id)
+            return None
+        rate = self.demand.start_rate(now)
+        backlog = self.demand.backlog_before(waiter.lane)
+        left = max(0.0, waiter.ticket.start_by - now)
+        if rate > 0 and backlog / rate > left * self._cfg.early_refusal:
+            return refusals.deadline(request_id, backlog / rate)
+        return None
+
+    def discard(self, waiter: waiting.Waiter, now: float) -> None:
+        """Remove a request that waits no longer."""
+        self.queue.discard(waiter)
+        self.demand.left_queue(waiter, now)
 
-    def _shed(self, arrived: waiting.Waiter) -> None:
+    def any_waiter(self) -> waiting.Waiter | None:
+        """Return a request that waits, or None."""
+        return self.queue.newest_of_lowest_tier()
+
+    def _shed(self, arrived: waiting.Waiter, now: float) -> None:
         victim = self.queue.newest_of_lowest_tier()
         assert victim is not None
-        self.queue.discard(victim)
+        self.discard(victim, now)
         higher = arrived.lane.tier < victim.lane.tier
-        reason = (
-            reasons.RefusalReason.SHED_FOR_HIGHER_TIER
-            if higher
-            else reasons.RefusalReason.QUEUE_FULL
-        )
-        victim.decide(
-            refusals.not_run(
-                reason,
-                f'queue of service {self.template.name!r} is full',
-                retry_after=refusals.RETRY_AFTER_FULL,
-            )
-        )
+        victim.decide(refusals.shed(self.template.name, higher))
 
     def pump(self, now: float) -> None:
         """Grant waiting requests while engines have room."""
+        if not len(self.queue):
+            return
+        self.health.judge(self._live, now)
+        self.scene.healthy_gap = self.health.healthy_gap
         blocked = []
         while True:
-            waiter = self.queue.pop(now, self._lane_has_room)
+            waiter, guaranteed = self._next(now)
             if waiter is None:
                 break
-            if not self._grant(waiter, now):
+            if not self._grant(waiter, guaranteed, now):
                 blocked.append(waiter)
                 if not waiter.exclude:
                     break
         for waiter in reversed(blocked):
             self.queue.put_back(waiter)
 
-    def _grant(self, waiter: waiting.Waiter, now: float) -> bool:
-        engine = self.balancer.choose(waiter, self._candidates(waiter), now)
-        if engine is None:
+    def _next(self, now: float) -> tuple[waiting.Waiter | None, bool]:
+        owed = self.guarantee.owed(self.demand, now)
+        if owed is not None:
+            waiter = self.queue.pop(
+                now, lambda lane: lane == owed and self._has_room(lane, now)
+            )
+            if waiter is not None:
+                return waiter, True
+        return (
+            self.queue.pop(now, lambda lane: self._may_start(lane, now)),
+            False,
+        )
+
+    def _may_start(self, lane: waiting.Lane, now: float) -> bool:
+        if not self.limiter.may_start(lane, self.demand, self._capacity):
             return False
-        engine.in_flight += 1
-        engine.long_in_flight += waiter.lane.long
-        self.retry_rule.granted(now)
-        self.hedge_rule.granted(waiter.cost)
-        waiter.decide(grants.AttemptGrant(waiter, engine, self))
-        return True
+        return self._has_room(lane, now)
+
+    def _has_room(self, lane: waiting.Lane, now: float) -> bool:
+        return any(self._takes(engine, lane, now) for engine in self._live)
 
-    def _has_room(
-        self, engine: engines.EngineView, lane: waiting.Lane
+    def _takes(
+        self, engine: engines.EngineView, lane: waiting.Lane, now: float
     ) -> bool:
-        return engine.takes_new_work and (
-            engine.in_flight < self.limiter.limit(engine, lane)
+        if not self.limiter.has_room(engine, lane):
+            return False
+        return not self._judges or self.health.admits(
+            engine, self._is_lowest(lane), now
         )
 
-    def _lane_has_room(self, lane: waiting.Lane) -> bool:
-        return any(self._has_room(e, lane) for e in self.engines.values())
+    def _is_lowest(self, lane: waiting.Lane) -> bool:
+        return all(
+            key <= lane or not demand.waiting
+            for key, demand in self.demand.lanes.items()
+        )
 
-    def _candidates(self, waiter: waiting.Waiter) -> list[engines.EngineView]:
-        live = [e for e in self.engines.values() if e.takes_new_work]
-        others = [e for e in live if e.backend.engine_id not in waiter.exclude]
-        return [e for e in others or live if self._has_room(e, waiter.lane)]
+    def _grant(
+        self, waiter: waiting.Waiter, guaranteed: bool, now: float
+    ) -> bool:
+        engine = self.balancer.choose(
+            waiter, self._candidates(waiter, now), now, self.scene
+        )
+        if engine is None:
+            return False
+        self.health.granted(engine, now)
+        self.guarantee.started(waiter, self.demand, guaranteed)
+        self.demand.left_queue(waiter, now)
+        self.demand.started(waiter, now)
+        engine.add(waiter.lane)
+        request_id = waiter.ticket.request_id
+        engine.awaiting[request_id] = now
+        self._running[request_id] += 1
+        if not waiter.exclude:
+            self.retry_rule.granted(now)
+        self.hedge_rule.granted(waiter.cost)
+        waiter.decide(grants.AttemptGrant(waiter, engine, self))
+        return True
+
+    def _candidates(
+        self, waiter: waiting.Waiter, now: float
+    ) -> list[engines.EngineView]:
+        others = [
+            e for e in self._live if e.backend.engine_id not in waiter.exclude
+        ]
+        return [
+            e for e in others or self._live if self._takes(e, waiter.lane, now)
+        ]
 
     def saw_first_token(self, grant: grants.AttemptGrant, now: float) -> None:
         """Take in the first token of an attempt."""
+        ticket = grant.waiter.ticket
+        engine = grant.engine
         wait = now - grant.started
-        self.hedge_rule.first_token(wait)
-        self.limiter.started(grant.engine, wait, wait)
+        engine.awaiting.pop(ticket.request_id, None)
+        engine.streams += 1
+        engine.last_progress = now
+        self.health.answered(engine, self._live, now)
+        usual = self.health.usual_wait(ticket.class_name, wait)
+        engine.saw_wait(wait, usual, now)
+        if not grant.waiter.lane.long:
+            self.hedge_rule.first_token(wait)
+        self.scene.prefixes.add(engine.backend.engine_id, ticket.prefix_hashes)
+
+    def saw_progress(
+        self, grant: grants.AttemptGrant, tokens: int, now: float
+    ) -> None:
+        """Take in tokens and lower the priority of a job that runs on."""
+        grant.engine.saw_tokens(tokens, grant.last_progress, now)
+        bound = self._cfg.long_cost * 2**grant.long_steps
+        if grant.tokens > bound:
+            grant.lower()
 
     def saw_close(
         self,
@@ -218,8 +362,20 @@
         now: float,
     ) -> None:
         """Take back the slot of an attempt and give it to the next."""
-        grant.engine.in_flight -= 1
-        grant.engine.long_in_flight -= grant.waiter.lane.long
-        if end in _FAILED_ENDS:
-            self.limiter.failed(grant.engine)
+        engine = grant.engine
+        ticket = grant.waiter.ticket
+        engine.remove(grant.waiter.lane)
+        engine.awaiting.pop(ticket.request_id, None)
+        engine.streams -= grant.first_token_at is not None
+        self._running[ticket.request_id] -= 1
+        if not self._running[ticket.request_id]:
+            del self._running[ticket.request_id]
+        self.demand.ended(grant.waiter, now)
+        if end is interface.AttemptEnd.COMPLETE:
+            self.lengths.learn(ticket, grant.tokens)
+            self.health.answered(engine, self._live, now)
+        elif end in _FAILED_ENDS:
+            self.limiter.failed(engine)
+            hard = end in _HARD_ENDS
+            engine.fail(hard, self._rng.random(), now)
         self.pump(now)
--- a/src/corianderloft/_internal/decisions/queues/fifo.py
+++ b/src/corianderloft/_internal/decisions/queues/fifo.py
@@ -40,7 +40,7 @@
                 continue
             waiter = next(iter(tier))
             if not may_start(waiter.lane):
-                return None
+                continue
             self.discard(waiter)
             return waiter
         return None
--- a/src/corianderloft/_internal/decisions/refusals.py
+++ b/src/corianderloft/_internal/decisions/refusals.py
@@ -27,3 +27,42 @@
         f'service {service!r} has no live backend server',
         retry_after=RETRY_AFTER_FULL,
     )
+
+
+def shed(service: ids.ServiceName, for_higher: bool) -> requests.Refused:
+    """Return the refusal of a request that made room in a full queue."""
+    reason = (
+        reasons.RefusalReason.SHED_FOR_HIGHER_TIER
+        if for_higher
+        else reasons.RefusalReason.QUEUE_FULL
+    )
+    return not_run(
+        reason,
+        f'queue of service {service!r} is full',
+        retry_after=RETRY_AFTER_FULL,
+    )
+
+
+def deadline(
+    request_id: ids.RequestId, wait: float | None = None
+) -> requests.Refused:
+    """Return the refusal of a request that cannot start in time."""
+    if wait is None:
+        return not_run(
+            reasons.RefusalReason.DEADLINE,
+            f'request {request_id} did not start before its deadline',
+        )
+    return not_run(
+        reasons.RefusalReason.DEADLINE,
+        f'request {request_id} would wait about {wait:.0f} s, '
+        'beyond its deadline',
+        retry_after=wait,
+    )
+
+
+def hedge_budget(request_id: ids.RequestId) -> requests.Refused:
+    """Return the refusal of a second attempt beyond the hedge budget."""
+    return not_run(
+        reasons.RefusalReason.QUEUE_FULL,
+        f'second attempt of request {request_id} exceeds the hedge budget',
+    )
--- a/src/corianderloft/_internal/decisions/waiting.py
+++ b/src/corianderloft/_internal/decisions/waiting.py
@@ -50,8 +50,8 @@
         Backend servers that already failed it.
     sequence : int
         Place in the order of arrival.
-    decided : Event
-        Set once `outcome` is known.
+    woken : Event
+        Set when the request has something to look at.
     outcome : Grant or Refused or None
         What was decided.
     """
@@ -63,10 +63,10 @@
     start_target: float
     exclude: collections.abc.Set[ids.EngineId]
     sequence: int = 0
-    decided: trio.Event = dataclasses.field(default_factory=trio.Event)
+    woken: trio.Event = dataclasses.field(default_factory=trio.Event)
     outcome: interface.Grant | requests.Refused | None = None
 
     def decide(self, outcome: interface.Grant | requests.Refused) -> None:
         """Wake the request with its outcome."""
         self.outcome = outcome
-        self.decided.set()
+        self.woken.set()
--- a/tests/unit/decisions/test_dispatcher.py
+++ b/tests/unit/decisions/test_dispatcher.py
@@ -10,7 +10,7 @@
 
 
 async def test_grants_up_to_the_slots_and_then_queues() -> None:
-    dispatcher = lib.dispatcher(engines=1, slots=2)
+    dispatcher = lib.dispatcher(engines=1, slots=2, limiter='slot_share')
     first = await lib.granted(dispatcher, lib.ticket())
     await lib.granted(dispatcher, lib.ticket())
     async with trio.open_nursery() as nursery:
@@ -23,7 +23,7 @@
 async def test_deadline_refuses_as_not_run(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
-    dispatcher = lib.dispatcher(engines=1, slots=1)
+    dispatcher = lib.dispatcher(engines=1, slots=1, limiter='slot_share')
     await lib.granted(dispatcher, lib.ticket())
     refused = await dispatcher.acquire(lib.ticket(wait=1.0))
     assert isinstance(refused, requests.Refused)
@@ -32,7 +32,7 @@
 
 
 async def test_cancelled_acquire_leaks_no_slot() -> None:
-    dispatcher = lib.dispatcher(engines=1, slots=1)
+    dispatcher = lib.dispatcher(engines=1, slots=1, limiter='slot_share')
     held = await lib.granted(dispatcher, lib.ticket())
     with trio.CancelScope() as scope:
         async with trio.open_nursery() as nursery:
