--- /dev/null
+++ b/src/corianderloft/_internal/standin/engine/server.py
@@ -0,0 +1,276 @@
+"""The model engine as an ASGI application."""
+
+import dataclasses
+import itertools
+import urllib.parse
+
+import pydantic
+import trio
+
+from corianderloft._internal.standin.engine import batch as engine_batch
+from corianderloft._internal.standin.engine import chat
+from corianderloft._internal.standin.engine import loads
+from corianderloft._internal.standin.engine import orders
+from corianderloft._internal.standin.engine import tokens
+from corianderloft._internal.standin import faults
+from corianderloft._internal.standin import http
+from corianderloft._internal.standin import settings as standin_settings
+from corianderloft._internal.utils import prefixes
+from corianderloft._internal.utils import tasks
+
+
+async def serve_engine(
+    settings: standin_settings.EngineSettings,
+    task_status: tasks.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve a model engine on loopback; reports the bound port."""
+    engine = Engine(settings)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(engine.batch.run)
+        nursery.start_soon(engine.loads.run, engine.batch)
+        await http.serve(engine.routes(), settings.port, task_status)
+
+
+class Engine:
+    """One model engine.
+
+    Parameters
+    ----------
+    settings : EngineSettings
+        Identity, slots and times.
+    """
+
+    def __init__(self, settings: standin_settings.EngineSettings) -> None:
+        self._settings = settings
+        self.batch = engine_batch.Batch(settings)
+        self.loads = loads.LoadHistory(settings.load_lag)
+        self.loads.sample(self.batch)
+        self.state = orders.EngineState([settings.model])
+        self._unnamed = itertools.count(1)
+
+    def routes(self) -> http.Routes:
+        """Return the application."""
+        served = {
+            'POST /v1/chat/completions': self._chat,
+            'DELETE /v1/requests/*': self._cancel,
+            'PATCH /v1/requests/*': self._change_priority,
+            'GET /v1/load': self._load,
+            'GET /v1/cache/events': self._cache_events,
+            'POST /v1/cache/export': self._export_cache,
+            'POST /v1/cache/import': self._import_cache,
+            'POST /v1/orders': self._order,
+            'GET /v1/state': self._read_state,
+            'GET /healthz': self._health,
+        }
+        control = {
+            'POST /control/faults': self._set_faults,
+            'GET /control/counts': self._counts,
+        }
+        faulty = {
+            key: self._under_faults(handler) for key, handler in served.items()
+        }
+        return http.Routes(faulty | control)
+
+    def _under_faults(self, handler: http.Handler) -> http.Handler:
+        """Return a handler that also fails as the faults say."""
+
+        async def handle(call: http.Call) -> None:
+            if self.batch.faults.crashed:
+                await call.cut()
+            elif self.batch.faults.silent:
+                await call.disconnected()
+            else:
+                await handler(call)
+
+        return handle
+
+    async def _chat(self, call: http.Call) -> None:
+        req = chat.parse(call.json())
+        if isinstance(req, chat.BadRequest):
+            await call.reply(_error('bad_request', req.detail), 400)
+            return
+        refusal = self._refusal()
+        if refusal is not None:
+            self.batch.totals.refused += 1
+            await call.reply(_error(refusal, 'the request was not run'), 503)
+            return
+        if self._settings.check_model and req.model not in self.state.models:
+            detail = f'model {req.model!r} is not loaded'
+            await call.reply(_error('model_not_found', detail), 404)
+            return
+        job = self._job(call, req)
+        self.batch.add(job)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._answer, call, req, job, nursery)
+                await call.disconnected()
+                nursery.cancel_scope.cancel()
+        finally:
+            self.batch.remove(job)
+
+    def _refusal(self) -> str | None:
+        """Return the code with which a new request is refused."""
+        if len(self.batch.waiting) >= self._settings.queue_limit:
+            return 'overloaded'
+        return self.batch.faults.refusal()
+
+    def _job(self, call: http.Call, req: chat.ChatRequest) -> engine_batch.Job:
+        answer = tokens.answer_for(
+            req.model,
+            req.messages,
+            req.seed,
+            req.max_tokens,
+            self._settings.mean_answer_tokens,
+        )
+        prompt = prefixes.prompt_bytes(req.messages)
+        request_id = call.headers.get('x-request-id')
+        return engine_batch.Job(
+            request_id or f'engine-{next(self._unnamed)}',
+            req.priority,
+            answer,
+            min(int(call.headers.get('last-event-id', 0)), answer.length),
+            prefixes.estimate_tokens(prompt),
+            prefixes.prefix_hashes(req.model, prompt),
+        )
+
+    async def _answer(
+        self,
+        call: http.Call,
+        req: chat.ChatRequest,
+        job: engine_batch.Job,
+        nursery: trio.Nursery,
+    ) -> None:
+        if req.stream:
+            await self._stream(call, req, job)
+        else:
+            await self._whole(call, req, job)
+        nursery.cancel_scope.cancel()
+
+    async def _stream(
+        self, call: http.Call, req: chat.ChatRequest, job: engine_batch.Job
+    ) -> None:
+        await call.start(http.EVENT_STREAM_TYPE)
+        async for n in job.receive:
+            ready = [n, *_drain(job)]
+            events = [
+                chat.event(job.request_id, req.model, job.answer, n)
+                for n in ready
+            ]
+            await call.chunk(b''.join(events))
+            self.batch.totals.tokens_delivered += len(ready)
+        if job.state is engine_batch.JobState.CRASHED:
+            # Without its last chunk the server cuts the connection.
+            return
+        if job.state is engine_batch.JobState.CANCELLED:
+            await call.chunk(chat.error_event('cancelled'))
+        else:
+            last = chat.last_event(job.request_id, req.model, job.answer)
+            await call.chunk(last + chat.DONE)
+        await call.finish()
+
+    async def _whole(
+        self, call: http.Call, req: chat.ChatRequest, job: engine_batch.Job
+    ) -> None:
+        first = job.position + 1
+        generated = [n async for n in job.receive]
+        if job.state is engine_batch.JobState.CRASHED:
+            await call.cut()
+            return
+        if job.state is engine_batch.JobState.CANCELLED:
+            await call.reply(_error('cancelled', 'the request ended'), 500)
+            return
+        await call.reply(
+            chat.completion(
+                job.request_id,
+                req.model,
+                job.answer,
+                first,
+                job.prompt_tokens,
+            )
+        )
+        self.batch.totals.tokens_delivered += len(generated)
+
+    async def _cancel(self, call: http.Call) -> None:
+        jobs = self.batch.find(call.path.rpartition('/')[2])
+        for job in jobs:
+            self.batch.remove(job)
+        await call.reply({'cancelled': len(jobs)}, 200 if jobs else 404)
+
+    async def _change_priority(self, call: http.Call) -> None:
+        priority = (call.json() or {}).get('priority')
+        if not isinstance(priority, int):
+            await call.reply(_error('bad_request', 'priority: integer'), 400)
+            return
+        jobs = self.batch.find(call.path.rpartition('/')[2])
+        for job in jobs:
+            job.priority = priority
+        await call.reply({'changed': len(jobs)}, 200 if jobs else 404)
+
+    async def _load(self, call: http.Call) -> None:
+        await call.reply(
+            {
+                'engine_id': self._settings.engine_id,
+                'slots': self._settings.slots,
+                'state': self._availability(),
+            }
+            | self.loads.report()
+        )
+
+    def _availability(self) -> str:
+        return 'leaving' if self.batch.faults.leaving else 'live'
+
+    async def _cache_events(self, call: http.Call) -> None:
+        query = urllib.parse.parse_qs(call.query)
+        after = int(query.get('after', ['0'])[0])
+        await call.reply(self.batch.cache.events_after(after))
+
+    async def _export_cache(self, call: http.Call) -> None:
+        hashes = (call.json() or {}).get('hashes', [])
+        await call.reply({'hashes': self.batch.cache.held(hashes)})
+
+    async def _import_cache(self, call: http.Call) -> None:
+        hashes = (call.json() or {}).get('hashes', [])
+        self.batch.cache.add(hashes)
+        await call.reply({'hashes': self.batch.cache.held(hashes)})
+
+    async def _order(self, call: http.Call) -> None:
+        try:
+            order = orders.Order.model_validate_json(call.body)
+        except pydantic.ValidationError as exc:
+            await call.reply(_error('bad_request', str(exc)), 400)
+            return
+        accepted = self.state.accept(order, self._settings.check_fencing)
+        if not accepted:
+            detail = f'{order.fencing} is below {self.state.fencing}'
+            await call.reply(_error('old_fencing_number', detail), 409)
+            return
+        await call.reply({'order_id': order.order_id})
+
+    async def _read_state(self, call: http.Call) -> None:
+        await call.reply(dataclasses.asdict(self.state))
+
+    async def _health(self, call: http.Call) -> None:
+        await call.reply({'state': self._availability()})
+
+    async def _set_faults(self, call: http.Call) -> None:
+        changed = await faults.change(call, self.batch.faults)
+        if changed and self.batch.faults.crashed:
+            self.batch.crash()
+            self.state = orders.EngineState([self._settings.model])
+
+    async def _counts(self, call: http.Call) -> None:
+        await call.reply(dataclasses.asdict(self.batch.totals))
+
+
+def _drain(job: engine_batch.Job) -> list[int]:
+    """Return the tokens that are ready and not yet received."""
+    ready = []
+    while True:
+        try:
+            ready.append(job.receive.receive_nowait())
+        except (trio.WouldBlock, trio.EndOfChannel):
+            return ready
+
+
+def _error(code: str, message: str) -> chat.Json:
+    return {'error': {'code': code, 'message': message}}
