Give each host home engines; preempt at once in the fake engine

Cause: hosts met on the same engine on the word of late reports. Ruled out: none yet of exchanging loads between hosts (no carrier yet). Change: homes.home_shares lays hosts and engines along one line; an engine away from home costs more (away_cost). The fake engine interrupts the worst running job at once instead of at its next 8 tokens.

--- a/bench/policy/engine.py
+++ b/bench/policy/engine.py
@@ -30,6 +30,14 @@
         """Note more tokens."""
 
 
+class _Stream:
+    """One request inside the engine."""
+
+    def __init__(self, sink: Sink) -> None:
+        self.sink = sink
+        self.give_way = trio.Event()
+
+
 class FakeEngine:
     """Batches continuously, queues by priority, slows down and crashes.
 
@@ -55,7 +63,7 @@
         self._sequence = itertools.count()
         self._scopes: set[trio.CancelScope] = set()
         self._cache: dict[int, None] = {}
-        self._sinks: dict[Sink, None] = {}
+        self._streams: dict[_Stream, None] = {}
 
     @property
     def waiting(self) -> int:
@@ -102,31 +110,42 @@
         sink: Sink,
         deliver: collections.abc.Callable[[int], None],
     ) -> None:
-        await self._take_slot(sink)
-        in_slot = True
+        stream = _Stream(sink)
+        await self._take_slot(stream)
         try:
             await trio.sleep(self._prefill(arrival, skip) * self.slow_factor)
             sent = skip
             while sent < arrival.answer:
-                chunk = min(_CHUNK, arrival.answer - sent)
-                if sent == skip:
-                    chunk = 1
-                elif self._gives_way(sink):
-                    in_slot = False
-                    self._leave_slot(sink)
-                    await self._take_slot(sink)
-                    in_slot = True
-                    await trio.sleep(self._prefill(arrival, sent))
-                await trio.sleep(chunk * self._gap())
-                if sent == skip:
+                most = 1 if sent == skip else _CHUNK
+                tokens = await self._generate(
+                    stream, min(most, arrival.answer - sent)
+                )
+                if tokens and sent == skip:
                     sink.first_token()
-                sent += chunk
-                self.generated += chunk
-                sink.progress(chunk)
-                deliver(chunk)
+                sent += tokens
+                self.generated += tokens
+                sink.progress(tokens)
+                deliver(tokens)
+                if stream.give_way.is_set() and sent < arrival.answer:
+                    await self._pause(stream)
+                    await trio.sleep(self._prefill(arrival, sent))
         finally:
-            if in_slot:
-                self._leave_slot(sink)
+            if stream in self._streams:
+                self._leave_slot(stream)
+
+    async def _generate(self, stream: _Stream, tokens: int) -> int:
+        """Return tokens generated until done or told to give way."""
+        gap = self._gap()
+        began = trio.current_time()
+        with trio.move_on_after(tokens * gap):
+            await stream.give_way.wait()
+            return int((trio.current_time() - began) / gap)
+        return tokens
+
+    async def _pause(self, stream: _Stream) -> None:
+        self._leave_slot(stream)
+        stream.give_way = trio.Event()
+        await self._take_slot(stream)
 
     def _gap(self) -> float:
         batch = 0.8 + 0.2 * self.running / workload.SLOTS
@@ -142,24 +161,19 @@
             del self._cache[next(iter(self._cache))]
         return tokens / workload.PREFILL_RATE
 
-    def _gives_way(self, sink: Sink) -> bool:
-        """Return whether this stream is the one to pause."""
-        if not self._preempts or not self._waiting:
-            return False
-        worst = max(reversed(self._sinks), key=lambda other: other.priority)
-        return sink is worst and self._waiting[0][0] < sink.priority
-
-    async def _take_slot(self, sink: Sink) -> None:
+    async def _take_slot(self, stream: _Stream) -> None:
         if self.running < workload.SLOTS:
             self.running += 1
         else:
-            await self._queue(sink.priority)
-        self._sinks[sink] = None
+            await self._queue(stream.sink.priority)
+        self._streams[stream] = None
 
     async def _queue(self, priority: int) -> None:
         event = trio.Event()
         entry = (priority, next(self._sequence), event)
         heapq.heappush(self._waiting, entry)
+        if self._preempts:
+            self._preempt(priority)
         try:
             await event.wait()
         except trio.Cancelled:
@@ -170,8 +184,18 @@
                 heapq.heapify(self._waiting)
             raise
 
-    def _leave_slot(self, sink: Sink) -> None:
-        del self._sinks[sink]
+    def _preempt(self, priority: int) -> None:
+        """Tell the worst running stream to give way to ``priority``."""
+        worst = max(
+            (s for s in reversed(self._streams) if not s.give_way.is_set()),
+            key=lambda stream: stream.sink.priority,
+            default=None,
+        )
+        if worst is not None and worst.sink.priority > priority:
+            worst.give_way.set()
+
+    def _leave_slot(self, stream: _Stream) -> None:
+        del self._streams[stream]
         self._free_slot()
 
     def _free_slot(self) -> None:
--- a/src/corianderloft/_internal/decisions/balancers/observed.py
+++ b/src/corianderloft/_internal/decisions/balancers/observed.py
@@ -35,6 +35,7 @@
     def __init__(self, cfg: plugins.Settings, rng: random.Random) -> None:
         self._rng = rng
         self._affinity = cfg.prefix_affinity
+        self._away = cfg.away_cost
 
     def choose(
         self,
@@ -68,6 +69,7 @@
         load = engine.load(mean, now) / engine.backend.slots
         crowding = _CROWDING * max(0.0, load - _CROWDED)
         cost = _IDLE_COST + load + crowding + engine.excess(now)
+        cost += self._away * (1.0 - engine.home_part)
         slowness = engine.slowness(healthy_gap, now)
         return cost * slowness * (1 + _NOISE * self._rng.random())
 
--- a/src/corianderloft/_internal/decisions/dispatcher.py
+++ b/src/corianderloft/_internal/decisions/dispatcher.py
@@ -36,7 +36,8 @@
         self._pools: dict[ids.ServiceName, pool.ServicePool] = {}
         self._backends: tuple[backends.Backend, ...] = ()
         self._weights: dict[ids.WorkspaceId, int] = {}
-        self._host_count = 1
+        self._own = ids.HostId('')
+        self._hosts: tuple[ids.HostId, ...] = ()
 
     async def acquire(
         self,
@@ -108,7 +109,7 @@
         service = self._pools.get(template.name)
         if service is None:
             service = pool.ServicePool(template, self._cfg, self._rng)
-            service.use_host_count(self._host_count)
+            service.use_hosts(self._own, self._hosts)
             self._pools[template.name] = service
         service.use_template(template)
 
@@ -125,9 +126,10 @@
         self, own: ids.HostId, live: collections.abc.Sequence[ids.HostId]
     ) -> None:
         """Replace the list of live entry hosts, this one included."""
-        self._host_count = max(1, len(live))
+        self._own = own
+        self._hosts = tuple(live)
         for service in self._pools.values():
-            service.use_host_count(self._host_count)
+            service.use_hosts(own, self._hosts)
             service.pump(trio.current_time())
 
     def report_load(self, report: backends.LoadReport) -> None:
--- a/src/corianderloft/_internal/decisions/engines.py
+++ b/src/corianderloft/_internal/decisions/engines.py
@@ -38,6 +38,8 @@
         Attempts of this host that hold a slot.
     lanes : Counter of Lane
         The same by lane.
+    home_part : float
+        Part of it that is this host's own, from 0 to 1.
     borrowed : float
         Slots beyond the even share that this host may use.
     report : LoadReport or None
@@ -71,6 +73,7 @@
     lanes: collections.Counter[waiting.Lane] = dataclasses.field(
         default_factory=collections.Counter
     )
+    home_part: float = 1.0
     borrowed: float = 0.0
     report: backends.LoadReport | None = None
     own_at_report: int = 0
--- a/src/corianderloft/_internal/decisions/pool.py
+++ b/src/corianderloft/_internal/decisions/pool.py
@@ -12,6 +12,7 @@
 from corianderloft._internal.decisions import guarantee
 from corianderloft._internal.decisions import health
 from corianderloft._internal.decisions import hedges
+from corianderloft._internal.decisions import homes
 from corianderloft._internal.decisions import interface
 from corianderloft._internal.decisions import keeper
 from corianderloft._internal.decisions import lengths
@@ -87,7 +88,8 @@
         self._cfg = cfg
         self._rng = rng
         self._sequence = 0
-        self._host_count = 1
+        self._own = ids.HostId('')
+        self._hosts: tuple[ids.HostId, ...] = ()
         self._live: list[engines.EngineView] = []
         self._capacity = 0.0
         self._running: collections.Counter[ids.RequestId] = (
@@ -120,7 +122,7 @@
         self.hedge_rule = _plugin(
             plugins.HEDGE_RULES, _DEFAULT, cfg.hedge_rule
         )(cfg)
-        self.limiter.use_host_count(self._host_count)
+        self.limiter.use_host_count(max(1, len(self._hosts)))
         self._judges = self.balancer.judges_health
         self._refresh()
 
@@ -134,10 +136,11 @@
         for waiter in previous.waiters():
             self.queue.push(waiter)
 
-    def use_host_count(self, count: int) -> None:
-        """Note how many live hosts share the engines."""
-        self._host_count = count
-        self.limiter.use_host_count(count)
+    def use_hosts(self, own: ids.HostId, live: tuple[ids.HostId, ...]) -> None:
+        """Note which live hosts share the engines."""
+        self._own = own
+        self._hosts = live
+        self.limiter.use_host_count(max(1, len(live)))
         self._refresh()
 
     def close(self) -> None:
@@ -162,6 +165,11 @@
 
     def _refresh(self) -> None:
         self._live = [e for e in self.engines.values() if e.takes_new_work]
+        shares = homes.home_shares(
+            self._own, self._hosts, [e.backend.engine_id for e in self._live]
+        )
+        for engine in self._live:
+            engine.home_part = shares.get(engine.backend.engine_id, 0.0)
         self._capacity = self.limiter.capacity(self._live)
 
     def has_live_engine(self) -> bool:
--- a/src/corianderloft/_internal/settings/decisions.py
+++ b/src/corianderloft/_internal/settings/decisions.py
@@ -63,6 +63,9 @@
     most_ejected: float = base.setting(
         0.34, 'Largest part of engines that is ejected.', ge=0, lt=1
     )
+    away_cost: float = base.setting(
+        0.5, 'Cost of an engine away from home, in loads of a full one.', ge=0
+    )
     prefix_affinity: float = base.setting(
         0.2, 'Weight of a second of prompt reading that a cache saves.', ge=0
     )
