Count only work that a request cannot go before; remember slowness

Cause: reports do not tell tiers apart, so short work avoided engines full of low work and met on engines full of short work; slowness was forgotten in seconds and tried again with short work. Change: the cost counts own work of the lane and above plus the lane's part of others' load; slowness is kept for a minute and tried again by long work first, ever less often; most_ejected 0.4.

--- a/src/corianderloft/_internal/decisions/balancers/observed.py
+++ b/src/corianderloft/_internal/decisions/balancers/observed.py
@@ -36,6 +36,7 @@
         self._rng = rng
         self._affinity = cfg.prefix_affinity
         self._away = cfg.away_cost
+        self._total = cfg.total_load_cost
 
     def choose(
         self,
@@ -51,26 +52,31 @@
         prefill = waiter.ticket.prompt_tokens / _PREFILL_RATE
         most = min(_MOST_AFFINITY, self._affinity * prefill)
         mean = _mean_of_others(candidates)
-        return min(
-            candidates,
-            key=lambda engine: (
-                self._cost(engine, mean, scene.healthy_gap, now)
-                - most * matched.get(engine.backend.engine_id, 0.0)
-            ),
-        )
+        costs = [
+            self._cost(engine, waiter.lane, mean, scene, now)
+            - most * matched.get(engine.backend.engine_id, 0.0)
+            for engine in candidates
+        ]
+        return candidates[costs.index(min(costs))]
 
     def _cost(
         self,
         engine: engines.EngineView,
+        lane: waiting.Lane,
         mean: float,
-        healthy_gap: float,
+        scene: plugins.Scene,
         now: float,
     ) -> float:
-        load = engine.load(mean, now) / engine.backend.slots
-        crowding = _CROWDING * max(0.0, load - _CROWDED)
-        cost = _IDLE_COST + load + crowding + engine.excess(now)
+        slots = engine.backend.slots
+        others = engine.others(mean, now)
+        ahead = engine.in_flight_up_to(lane) + others * scene.lane_part
+        load = ahead / slots
+        total = (engine.in_flight + others) / slots
+        cost = _IDLE_COST + load + _CROWDING * max(0.0, load - _CROWDED)
+        cost += self._total * total
+        cost += engine.excess(now)
         cost += self._away * (1.0 - engine.home_part)
-        slowness = engine.slowness(healthy_gap, now)
+        slowness = engine.slowness(scene.healthy_gap, now)
         return cost * slowness * (1 + _NOISE * self._rng.random())
 
 
--- a/src/corianderloft/_internal/decisions/demand.py
+++ b/src/corianderloft/_internal/decisions/demand.py
@@ -113,6 +113,14 @@
         """Return attempts of ``lane`` and those above."""
         return sum(d.in_flight for key, d in self.lanes.items() if key <= lane)
 
+    def part_up_to(self, lane: waiting.Lane) -> float:
+        """Return the mean part of slots in ``lane`` and those above."""
+        everything = sum(d.mean for d in self.lanes.values())
+        if everything <= 0:
+            return 1.0
+        above = sum(d.mean for key, d in self.lanes.items() if key <= lane)
+        return above / everything
+
     def has_below(self, lane: waiting.Lane) -> bool:
         """Return whether lower work of this host could give way."""
         return any(
--- a/src/corianderloft/_internal/decisions/engines.py
+++ b/src/corianderloft/_internal/decisions/engines.py
@@ -15,6 +15,9 @@
 _MEMORY = 4.0
 """Time constant at which observations lose their weight, in seconds."""
 
+_SLOW_MEMORY = 60.0
+"""Time constant at which an engine's slowness is forgotten, in seconds."""
+
 _RAMP = 4.0
 """Slots a second that an engine is given after it came back."""
 
@@ -66,6 +69,10 @@
         When it last came back.
     ejected : bool
         Whether it is judged too slow for new work.
+    probe_at : float
+        When an ejected engine may be given a trial.
+    probe_pause : float
+        Wait before the trial after that, in seconds.
     """
 
     backend: backends.Backend
@@ -90,6 +97,8 @@
     closed_until: float = -math.inf
     reopened_at: float = -math.inf
     ejected: bool = False
+    probe_at: float = -math.inf
+    probe_pause: float = 0.0
 
     @property
     def takes_new_work(self) -> bool:
@@ -149,16 +158,19 @@
             gap = max(gap, silence / self.tokens_per_event)
             return max(1.0, gap / healthy_gap)
         ratio = max(1.0, gap / healthy_gap)
-        return 1.0 + (ratio - 1.0) * _freshness(silence)
+        return 1.0 + (ratio - 1.0) * math.exp(-silence / _SLOW_MEMORY)
+
+    def others(self, mean_others: float, now: float) -> float:
+        """Return what other hosts have in it, as far as can be known.
 
-    def load(self, mean_load: float, now: float) -> float:
-        """Return requests in it, of all hosts, as far as can be known."""
+        An aged report gives way to the mean over all engines.
+        """
         if self.report is None:
-            return self.in_flight + mean_load
+            return mean_others
         weight = _freshness(now - self.report.measured_at)
         reported = self.report.running + self.report.waiting
         others = max(0, reported - self.own_at_report)
-        return self.in_flight + weight * others + (1 - weight) * mean_load
+        return weight * others + (1 - weight) * mean_others
 
     def ramp(self, now: float) -> float:
         """Return the most it is given so soon after its return."""
--- a/src/corianderloft/_internal/decisions/health.py
+++ b/src/corianderloft/_internal/decisions/health.py
@@ -13,7 +13,11 @@
 """How often the engines are judged anew, in seconds."""
 
 _PROBE_EVERY = 0.5
-"""Time between two trials of closed or ejected engines, in seconds."""
+"""Time between two trials of closed engines, in seconds."""
+
+_FIRST_PROBE = 0.5
+_MOST_PROBE = 16.0
+"""Shortest and longest wait before a trial of an ejected engine."""
 
 _USUAL_WEIGHT = 0.05
 """Part of the usual wait that the newest first token makes up."""
@@ -54,14 +58,22 @@
             limit = self._cfg.eject_slowness
             if engine.ejected:
                 limit = self._cfg.readmit_slowness
-            engine.ejected = rank < most and slowness >= limit
+            self._eject(engine, rank < most and slowness >= limit, now)
+
+    def _eject(
+        self, engine: engines.EngineView, slow: bool, now: float
+    ) -> None:
+        if slow and not engine.ejected:
+            engine.probe_pause = _FIRST_PROBE
+            engine.probe_at = now + _FIRST_PROBE
+        engine.ejected = slow
 
     def most_ejected(self, count: int) -> int:
         """Return how many of ``count`` engines may be ejected."""
         return int(count * self._cfg.most_ejected)
 
     def admits(
-        self, engine: engines.EngineView, lowest: bool, now: float
+        self, engine: engines.EngineView, spare: bool, now: float
     ) -> bool:
         """Return whether an engine may be given a request.
 
@@ -69,24 +81,28 @@
         ----------
         engine : EngineView
             The engine.
-        lowest : bool
-            Whether no lower lane waits, so that a trial may use it.
+        spare : bool
+            Whether the request can bear a slow answer: long work.
         now : float
             Current time.
         """
         if not engine.closed and not engine.ejected:
             return engine.in_flight < engine.ramp(now)
-        if now < self._next_probe or engine.in_flight:
+        if engine.in_flight:
             return False
         if engine.closed:
-            return now >= engine.closed_until
-        return lowest
+            return now >= max(engine.closed_until, self._next_probe)
+        patience = 0.0 if spare else engine.probe_pause
+        return now >= engine.probe_at + patience
 
     def granted(self, engine: engines.EngineView, now: float) -> None:
         """Note a grant; one to a closed or ejected engine is a trial."""
-        if engine.closed or engine.ejected:
-            pause = _PROBE_EVERY * self._rng.uniform(0.7, 1.3)
-            self._next_probe = now + pause
+        jitter = self._rng.uniform(0.7, 1.3)
+        if engine.closed:
+            self._next_probe = now + _PROBE_EVERY * jitter
+        elif engine.ejected:
+            engine.probe_at = now + engine.probe_pause * jitter
+            engine.probe_pause = min(_MOST_PROBE, engine.probe_pause * 2)
 
     def answered(
         self,
--- a/src/corianderloft/_internal/decisions/plugins.py
+++ b/src/corianderloft/_internal/decisions/plugins.py
@@ -25,10 +25,13 @@
         Which engines probably hold which prompt prefixes.
     healthy_gap : float
         Time between tokens of a healthy engine, in seconds; 0 when unknown.
+    lane_part : float
+        Part of what is in flight that the request cannot go before.
     """
 
     prefixes: prefixes.Prefixes
     healthy_gap: float = 0.0
+    lane_part: float = 1.0
 
 
 class Balancer(typing.Protocol):
--- a/src/corianderloft/_internal/decisions/pool.py
+++ b/src/corianderloft/_internal/decisions/pool.py
@@ -297,19 +297,12 @@
     ) -> bool:
         if not self.limiter.has_room(engine, lane):
             return False
-        return not self._judges or self.health.admits(
-            engine, self._is_lowest(lane), now
-        )
-
-    def _is_lowest(self, lane: waiting.Lane) -> bool:
-        return all(
-            key <= lane or not demand.waiting
-            for key, demand in self.demand.lanes.items()
-        )
+        return not self._judges or self.health.admits(engine, lane.long, now)
 
     def _grant(
         self, waiter: waiting.Waiter, guaranteed: bool, now: float
     ) -> bool:
+        self.scene.lane_part = self.demand.part_up_to(waiter.lane)
         engine = self.balancer.choose(
             waiter, self._candidates(waiter, now), now, self.scene
         )
--- a/src/corianderloft/_internal/settings/decisions.py
+++ b/src/corianderloft/_internal/settings/decisions.py
@@ -61,10 +61,13 @@
         1.6, 'Times the healthy time between tokens that readmits.', ge=1
     )
     most_ejected: float = base.setting(
-        0.34, 'Largest part of engines that is ejected.', ge=0, lt=1
+        0.4, 'Largest part of engines that is ejected.', ge=0, lt=1
     )
     away_cost: float = base.setting(
-        0.5, 'Cost of an engine away from home, in loads of a full one.', ge=0
+        1.0, 'Cost of an engine away from home, in loads of a full one.', ge=0
+    )
+    total_load_cost: float = base.setting(
+        0.25, 'Weight of the load that a request may go before.', ge=0
     )
     prefix_affinity: float = base.setting(
         0.2, 'Weight of a second of prompt reading that a cache saves.', ge=0
