Doubt engines not heard of; let the fake engine preempt while it reads

Cause: a host's first visit to a slowed engine was with short work, and the fake engine could not pause a job while it read a long prompt. Change: doubt_cost keeps short work to engines heard of lately; prompt reading is chunked in the fake engine, as in engines that batch continuously.

--- a/bench/policy/engine.py
+++ b/bench/policy/engine.py
@@ -113,7 +113,7 @@
         stream = _Stream(sink)
         await self._take_slot(stream)
         try:
-            await trio.sleep(self._prefill(arrival, skip) * self.slow_factor)
+            await self._read_prompt(stream, arrival, skip)
             sent = skip
             while sent < arrival.answer:
                 most = 1 if sent == skip else _CHUNK
@@ -128,11 +128,23 @@
                 deliver(tokens)
                 if stream.give_way.is_set() and sent < arrival.answer:
                     await self._pause(stream)
-                    await trio.sleep(self._prefill(arrival, sent))
+                    await self._read_prompt(stream, arrival, sent)
         finally:
             if stream in self._streams:
                 self._leave_slot(stream)
 
+    async def _read_prompt(
+        self, stream: _Stream, arrival: workload.Arrival, sent: int
+    ) -> None:
+        """Read a prompt; begin again after giving way."""
+        while True:
+            seconds = self._prefill(arrival, sent) * self.slow_factor
+            with trio.move_on_after(seconds) as reading:
+                await stream.give_way.wait()
+            if reading.cancelled_caught:
+                return
+            await self._pause(stream)
+
     async def _generate(self, stream: _Stream, tokens: int) -> int:
         """Return tokens generated until done or told to give way."""
         gap = self._gap()
--- a/src/corianderloft/_internal/decisions/balancers/observed.py
+++ b/src/corianderloft/_internal/decisions/balancers/observed.py
@@ -36,6 +36,7 @@
         self._rng = rng
         self._affinity = cfg.prefix_affinity
         self._away = cfg.away_cost
+        self._doubt = cfg.doubt_cost
         self._total = cfg.total_load_cost
 
     def choose(
@@ -77,6 +78,8 @@
         cost += engine.excess(now)
         cost += self._away * (1.0 - engine.home_part)
         slowness = engine.slowness(scene.healthy_gap, now)
+        if not lane.long:
+            slowness += self._doubt * engine.doubt(now)
         return cost * slowness * (1 + _NOISE * self._rng.random())
 
 
--- a/src/corianderloft/_internal/decisions/engines.py
+++ b/src/corianderloft/_internal/decisions/engines.py
@@ -18,6 +18,9 @@
 _SLOW_MEMORY = 60.0
 """Time constant at which an engine's slowness is forgotten, in seconds."""
 
+_KNOWN_FOR = 15.0
+"""Time constant at which an engine unheard of becomes unknown, in seconds."""
+
 _RAMP = 4.0
 """Slots a second that an engine is given after it came back."""
 
@@ -160,6 +163,10 @@
         ratio = max(1.0, gap / healthy_gap)
         return 1.0 + (ratio - 1.0) * math.exp(-silence / _SLOW_MEMORY)
 
+    def doubt(self, now: float) -> float:
+        """Return how little its speed is known, from 0 to 1."""
+        return 1.0 - math.exp((self.last_progress - now) / _KNOWN_FOR)
+
     def others(self, mean_others: float, now: float) -> float:
         """Return what other hosts have in it, as far as can be known.
 
--- a/src/corianderloft/_internal/settings/decisions.py
+++ b/src/corianderloft/_internal/settings/decisions.py
@@ -69,6 +69,9 @@
     total_load_cost: float = base.setting(
         0.25, 'Weight of the load that a request may go before.', ge=0
     )
+    doubt_cost: float = base.setting(
+        0.5, 'Slowness added for short work on an engine not heard of.', ge=0
+    )
     prefix_affinity: float = base.setting(
         0.2, 'Weight of a second of prompt reading that a cache saves.', ge=0
     )
