Hold back in an outage; judge by the fastest quarter; overcommit by tier

Cause: hosts that knew only their slowed home engine took it for healthy; a busy host kept middle tiers waiting while others ran low work; in an outage every host tried every engine. Change: healthy is the faster quarter of gaps, or the lowest of late when few engines are known; work above the lowest tier may use twice its share; when most engines failed only trials go out, at most every 2.2 s.

--- a/src/corianderloft/_internal/decisions/demand.py
+++ b/src/corianderloft/_internal/decisions/demand.py
@@ -122,12 +122,8 @@
         return above / everything
 
     def has_below(self, lane: waiting.Lane) -> bool:
-        """Return whether lower work of this host could give way."""
-        return any(
-            demand.in_flight
-            for key, demand in self.lanes.items()
-            if key.tier > lane.tier
-        )
+        """Return whether lower tiers were ever seen, which give way."""
+        return any(key.tier > lane.tier for key in self.lanes)
 
     def backlog_before(self, lane: waiting.Lane) -> float:
         """Return the cost that waits in ``lane`` and above, in tokens."""
--- a/src/corianderloft/_internal/decisions/health.py
+++ b/src/corianderloft/_internal/decisions/health.py
@@ -3,7 +3,6 @@
 import collections.abc
 import math
 import random
-import statistics
 
 from corianderloft._internal.decisions import engines
 from corianderloft._internal.decisions import plugins
@@ -19,6 +18,16 @@
 _MOST_PROBE = 16.0
 """Shortest and longest wait before a trial of an ejected engine."""
 
+_FIRST_OUTAGE_PROBE = 1.0
+_MOST_OUTAGE_PROBE = 2.2
+"""Shortest and longest wait between trials while all engines fail."""
+
+_ENOUGH_TO_COMPARE = 3
+"""Engines heard of whose faster quarter says what is healthy."""
+
+_LOWEST_MEMORY = 120.0
+"""Time constant at which the lowest time between tokens rises, in seconds."""
+
 _USUAL_WEIGHT = 0.05
 """Part of the usual wait that the newest first token makes up."""
 
@@ -31,20 +40,31 @@
         self._rng = rng
         self._judged_at = -math.inf
         self._next_probe = -math.inf
+        self._probe_pause = _FIRST_OUTAGE_PROBE
+        self._failed: set[ids.EngineId] = set()
+        self._live_count = 0
         self._usual: dict[ids.ClassName, float] = {}
+        self._lowest_gap = math.inf
         self.healthy_gap = 0.0
 
     def judge(
         self, live: collections.abc.Sequence[engines.EngineView], now: float
     ) -> None:
         """Eject the slowest engines, as many as the floor allows."""
-        if now - self._judged_at < _REFRESH:
+        if now < self._judged_at + _REFRESH:
             return
+        elapsed = now - self._judged_at
         self._judged_at = now
+        self._live_count = len(live)
         gaps = [e.gap for e in live if e.gap is not None]
         if not gaps:
             return
-        self.healthy_gap = statistics.median_low(gaps)
+        self._lowest_gap = min(
+            min(gaps), self._lowest_gap * math.exp(elapsed / _LOWEST_MEMORY)
+        )
+        self.healthy_gap = sorted(gaps)[len(gaps) // 4]
+        if len(gaps) < _ENOUGH_TO_COMPARE:
+            self.healthy_gap = self._lowest_gap
         ranked = sorted(
             (
                 (e.slowness(self.healthy_gap, now), i)
@@ -86,6 +106,8 @@
         now : float
             Current time.
         """
+        if self.outage:
+            return not engine.in_flight and now >= self._next_probe
         if not engine.closed and not engine.ejected:
             return engine.in_flight < engine.ramp(now)
         if engine.in_flight:
@@ -98,12 +120,32 @@
     def granted(self, engine: engines.EngineView, now: float) -> None:
         """Note a grant; one to a closed or ejected engine is a trial."""
         jitter = self._rng.uniform(0.7, 1.3)
-        if engine.closed:
+        if self.outage:
+            self._next_probe = now + self._probe_pause * jitter
+            self._probe_pause = min(_MOST_OUTAGE_PROBE, self._probe_pause * 2)
+        elif engine.closed:
             self._next_probe = now + _PROBE_EVERY * jitter
         elif engine.ejected:
             engine.probe_at = now + engine.probe_pause * jitter
             engine.probe_pause = min(_MOST_PROBE, engine.probe_pause * 2)
 
+    @property
+    def outage(self) -> bool:
+        """Whether most engines failed and none has answered since."""
+        return len(self._failed) > max(1, self._live_count // 2)
+
+    def failed(
+        self, engine: engines.EngineView, hard: bool, now: float
+    ) -> None:
+        """Note a failed attempt; in an outage only trials go out."""
+        engine.fail(hard, self._rng.random(), now)
+        if not hard:
+            return
+        was_outage = self.outage
+        self._failed.add(engine.backend.engine_id)
+        if self.outage and not was_outage:
+            self._next_probe = now + _FIRST_PROBE * self._rng.random()
+
     def answered(
         self,
         engine: engines.EngineView,
@@ -111,7 +153,10 @@
         now: float,
     ) -> None:
         """Note a first token; if one came back, try the others at once."""
-        if engine.answer(now):
+        was_outage = self.outage
+        self._failed.clear()
+        self._probe_pause = _FIRST_OUTAGE_PROBE
+        if engine.answer(now) or was_outage:
             self._next_probe = now
             for other in live:
                 if other.closed:
--- a/src/corianderloft/_internal/decisions/pool.py
+++ b/src/corianderloft/_internal/decisions/pool.py
@@ -377,6 +377,5 @@
             self.health.answered(engine, self._live, now)
         elif end in _FAILED_ENDS:
             self.limiter.failed(engine)
-            hard = end in _HARD_ENDS
-            engine.fail(hard, self._rng.random(), now)
+            self.health.failed(engine, end in _HARD_ENDS, now)
         self.pump(now)
--- a/src/corianderloft/_internal/settings/decisions.py
+++ b/src/corianderloft/_internal/settings/decisions.py
@@ -29,7 +29,7 @@
         0.0, 'Times their mean that higher tiers are kept room for.', ge=0
     )
     overcommit: float = base.setting(
-        1.5, 'Times its share that work above the lowest may use.', ge=1
+        2.0, 'Times its share that work above the lowest may use.', ge=1
     )
     guaranteed_part: float = base.setting(
         0.05,
@@ -70,7 +70,7 @@
         0.25, 'Weight of the load that a request may go before.', ge=0
     )
     doubt_cost: float = base.setting(
-        0.5, 'Slowness added for short work on an engine not heard of.', ge=0
+        1.0, 'Slowness added for short work on an engine not heard of.', ge=0
     )
     prefix_affinity: float = base.setting(
         0.2, 'Weight of a second of prompt reading that a cache saves.', ge=0
