Route by supplier, limit workspaces across hosts, split the pool

Cause: a template's routes and limits had no effect; pool.py had grown large. Ruled out: a limit that each host holds alone; it would let through the limit times the number of hosts. Change: routes.py (order first, weight inside an order, weight 0 and unknown suppliers get no new work), limits.py (shares by live hosts, corrected by peers' demand once a carrier tells it through Limits.use_peer_demand), subsets.py (each engine takes a fixed number of hosts by rendezvous hashing above 64 engines), observations.py, engine_set.py and chosen.py out of pool.py.

--- a/src/corianderloft/_internal/decisions/dispatcher.py
+++ b/src/corianderloft/_internal/decisions/dispatcher.py
@@ -6,6 +6,7 @@
 import trio
 
 from corianderloft._internal.decisions import interface
+from corianderloft._internal.decisions import limits
 from corianderloft._internal.decisions import plugins
 from corianderloft._internal.decisions import pool
 from corianderloft._internal.decisions import refusals
@@ -26,6 +27,11 @@
         Section ``decisions`` of the settings.
     rng : Random or None
         Source of random numbers; None for one of its own.
+
+    Attributes
+    ----------
+    limits : Limits
+        Limits of workspaces; hosts may tell it what their peers see.
     """
 
     def __init__(
@@ -36,6 +42,7 @@
         self._pools: dict[ids.ServiceName, pool.ServicePool] = {}
         self._backends: tuple[backends.Backend, ...] = ()
         self._weights: dict[ids.WorkspaceId, int] = {}
+        self.limits = limits.Limits()
         self._own = ids.HostId('')
         self._hosts: tuple[ids.HostId, ...] = ()
 
@@ -46,11 +53,14 @@
     ) -> interface.Grant | requests.Refused:
         """Queue a request until it may run on a backend server."""
         service = self._pools.get(ticket.service)
-        if service is None or not service.has_live_engine():
+        if service is None or not service.engine_set.live:
             return refusals.no_backend(ticket.service)
         now = trio.current_time()
         weight = self._weights.get(ticket.workspace, 1)
         waiter = service.waiter(ticket, exclude, weight)
+        refusal = self._over_limit(service, waiter, now)
+        if refusal is not None:
+            return refusal
         service.enqueue(waiter, now)
         service.pump(now)
         try:
@@ -63,6 +73,18 @@
         service.discard(waiter, trio.current_time())
         return refusals.deadline(ticket.request_id)
 
+    def _over_limit(
+        self, service: pool.ServicePool, waiter: waiting.Waiter, now: float
+    ) -> requests.Refused | None:
+        """Charge the workspace for a first attempt."""
+        if waiter.exclude or service.seen.is_hedge(waiter):
+            return None
+        workspace = waiter.ticket.workspace
+        wait = self.limits.wait(workspace, waiter.cost, now)
+        if wait <= 0:
+            return None
+        return refusals.workspace_limit(workspace, wait)
+
     def retry(
         self,
         ticket: requests.Ticket,
@@ -77,7 +99,7 @@
             return interface.GiveUp(
                 reasons.RetryRefusalReason.NO_OTHER_BACKEND
             )
-        return service.retry_rule.decide(
+        return service.plugins.retry_rule.decide(
             ticket,
             end,
             attempts,
@@ -91,25 +113,28 @@
         service = self._pools.get(ticket.service)
         if service is None or not ticket.idempotent:
             return None
-        return service.hedge_rule.delay(ticket, service.lengths.cost(ticket))
+        return service.plugins.hedge_rule.delay(
+            ticket, service.seen.lengths.cost(ticket)
+        )
 
     def use_catalog(self, current: catalog.Catalog) -> None:
         """Put a new configuration in force."""
         self._weights = {
             w.workspace_id: w.limits.weight for w in current.workspaces
         }
+        self.limits.use_catalog(current)
         known = {service.name for service in current.services}
         for template in current.services:
             self._use_template(template)
         for name in set(self._pools) - known:
-            self._pools.pop(name).close()
+            self._pools.pop(name).close(trio.current_time())
         self.use_backends(self._backends)
 
     def _use_template(self, template: catalog.ServiceTemplate) -> None:
         service = self._pools.get(template.name)
         if service is None:
             service = pool.ServicePool(template, self._cfg, self._rng)
-            service.use_hosts(self._own, self._hosts)
+            service.engine_set.use_hosts(self._own, self._hosts)
             self._pools[template.name] = service
         service.use_template(template)
 
@@ -119,7 +144,9 @@
         """Replace the list of backend servers, leaving ones included."""
         self._backends = tuple(current)
         for name, service in self._pools.items():
-            service.use_backends(b for b in current if b.service == name)
+            service.engine_set.use_backends(
+                b for b in current if b.service == name
+            )
             service.pump(trio.current_time())
 
     def use_hosts(
@@ -128,14 +155,15 @@
         """Replace the list of live entry hosts, this one included."""
         self._own = own
         self._hosts = tuple(live)
+        self.limits.use_hosts(own, live)
         for service in self._pools.values():
-            service.use_hosts(own, self._hosts)
+            service.engine_set.use_hosts(own, self._hosts)
             service.pump(trio.current_time())
 
     def report_load(self, report: backends.LoadReport) -> None:
         """Take in an engine's own, late report of its load."""
         for service in self._pools.values():
-            service.report_load(report)
+            service.engine_set.report_load(report)
 
     def cached_prefixes(
         self,
@@ -145,7 +173,7 @@
     ) -> None:
         """Take in late cache events of an engine; gaps are possible."""
         for service in self._pools.values():
-            if engine_id in service.engines:
+            if engine_id in service.engine_set.engines:
                 service.scene.prefixes.add(engine_id, added)
                 service.scene.prefixes.remove(engine_id, removed)
 
--- a/src/corianderloft/_internal/decisions/engines.py
+++ b/src/corianderloft/_internal/decisions/engines.py
@@ -6,7 +6,6 @@
 
 from corianderloft._internal.decisions import waiting
 from corianderloft._internal.models import backends
-from corianderloft._internal.models import ids
 from corianderloft._internal.models import states
 
 _WEIGHT = 0.25
@@ -60,8 +59,6 @@
         Attempts between their first token and their end.
     last_progress : float
         When tokens last arrived, on trio's clock, in seconds.
-    awaiting : dict of RequestId to float
-        When each attempt without a first token was granted.
     excess_wait : float
         Mean wait for a first token beyond what is usual, in seconds.
     failures : int
@@ -91,9 +88,6 @@
     tokens_per_event: float = 1.0
     streams: int = 0
     last_progress: float = -math.inf
-    awaiting: dict[ids.RequestId, float] = dataclasses.field(
-        default_factory=dict
-    )
     excess_wait: float = 0.0
     excess_at: float = -math.inf
     failures: int = 0
--- /dev/null
+++ b/src/corianderloft/_internal/decisions/observations.py
@@ -0,0 +1,125 @@
+"""What the relay sees of attempts, and what is learned of it."""
+
+import collections
+import collections.abc
+
+from corianderloft._internal.decisions import demand as demand_module
+from corianderloft._internal.decisions import engine_set
+from corianderloft._internal.decisions import grants
+from corianderloft._internal.decisions import health as health_module
+from corianderloft._internal.decisions import interface
+from corianderloft._internal.decisions import lengths as lengths_module
+from corianderloft._internal.decisions import plugins
+from corianderloft._internal.decisions import waiting
+from corianderloft._internal.models import ids
+
+_FAILED_ENDS = frozenset(
+    {
+        interface.AttemptEnd.CONNECT_FAILED,
+        interface.AttemptEnd.CONNECTION_LOST,
+        interface.AttemptEnd.SILENT,
+        interface.AttemptEnd.BACKEND_REFUSED,
+        interface.AttemptEnd.BACKEND_ERROR,
+    }
+)
+
+_HARD_ENDS = _FAILED_ENDS - {interface.AttemptEnd.BACKEND_ERROR}
+"""Ends after which an engine is given nothing for a while."""
+
+
+class Observations:
+    """Learns from the attempts of one service.
+
+    Attributes
+    ----------
+    demand : Demand
+        What each lane has in flight and waiting.
+    lengths : Lengths
+        History of answers.
+    running : Counter of RequestId
+        Attempts in flight of each request.
+    """
+
+    def __init__(
+        self,
+        cfg: plugins.Settings,
+        used: engine_set.EngineSet,
+        health: health_module.Health,
+        scene: plugins.Scene,
+        slot_freed: collections.abc.Callable[[float], None],
+    ) -> None:
+        self._cfg = cfg
+        self._engine_set = used
+        self._health = health
+        self._scene = scene
+        self._slot_freed = slot_freed
+        self.demand = demand_module.Demand()
+        self.lengths = lengths_module.Lengths()
+        self.running: collections.Counter[ids.RequestId] = (
+            collections.Counter()
+        )
+        self.limiter: plugins.Limiter | None = None
+        self.hedge_rule: plugins.HedgeRule | None = None
+
+    def saw_grant(self, grant: grants.AttemptGrant, now: float) -> None:
+        """Take in that an attempt begins."""
+        waiter = grant.waiter
+        self.demand.left_queue(waiter, now)
+        self.demand.started(waiter, now)
+        grant.engine.add(waiter.lane)
+        self._engine_set.routes.started(grant.engine, waiter.cost)
+        self.running[waiter.ticket.request_id] += 1
+
+    def saw_first_token(self, grant: grants.AttemptGrant, now: float) -> None:
+        """Take in the first token of an attempt."""
+        ticket = grant.waiter.ticket
+        engine = grant.engine
+        wait = now - grant.started
+        engine.streams += 1
+        engine.last_progress = now
+        self._health.answered(engine, self._engine_set.live, now)
+        usual = self._health.usual_wait(ticket.class_name, wait)
+        engine.saw_wait(wait, usual, now)
+        if self.hedge_rule is not None and not grant.waiter.lane.long:
+            self.hedge_rule.first_token(wait)
+        self._scene.prefixes.add(
+            engine.backend.engine_id, ticket.prefix_hashes
+        )
+
+    def saw_progress(
+        self, grant: grants.AttemptGrant, tokens: int, now: float
+    ) -> None:
+        """Take in tokens and lower the priority of a job that runs on."""
+        grant.engine.saw_tokens(tokens, grant.last_progress, now)
+        if grant.tokens > self._cfg.long_cost * 2**grant.long_steps:
+            grant.lower()
+
+    def saw_close(
+        self,
+        grant: grants.AttemptGrant,
+        end: interface.AttemptEnd,
+        now: float,
+    ) -> None:
+        """Take back the slot of an attempt and give it to the next."""
+        self._release(grant, now)
+        if end is interface.AttemptEnd.COMPLETE:
+            self.lengths.learn(grant.waiter.ticket, grant.tokens)
+            self._health.answered(grant.engine, self._engine_set.live, now)
+        elif end in _FAILED_ENDS:
+            if self.limiter is not None:
+                self.limiter.failed(grant.engine)
+            self._health.failed(grant.engine, end in _HARD_ENDS, now)
+        self._slot_freed(now)
+
+    def _release(self, grant: grants.AttemptGrant, now: float) -> None:
+        request_id = grant.waiter.ticket.request_id
+        grant.engine.remove(grant.waiter.lane)
+        grant.engine.streams -= grant.first_token_at is not None
+        self.running[request_id] -= 1
+        if not self.running[request_id]:
+            del self.running[request_id]
+        self.demand.ended(grant.waiter, now)
+
+    def is_hedge(self, waiter: waiting.Waiter) -> bool:
+        """Return whether another attempt of the request is in flight."""
+        return bool(self.running.get(waiter.ticket.request_id))
--- a/src/corianderloft/_internal/decisions/refusals.py
+++ b/src/corianderloft/_internal/decisions/refusals.py
@@ -66,3 +66,14 @@
         reasons.RefusalReason.QUEUE_FULL,
         f'second attempt of request {request_id} exceeds the hedge budget',
     )
+
+
+def workspace_limit(
+    workspace: ids.WorkspaceId, wait: float
+) -> requests.Refused:
+    """Return the refusal of a workspace that is over its limit."""
+    return not_run(
+        reasons.RefusalReason.WORKSPACE_LIMIT,
+        f'workspace {workspace!r} is over its limit',
+        retry_after=wait,
+    )
--- /dev/null
+++ b/src/corianderloft/_internal/decisions/routes.py
@@ -0,0 +1,70 @@
+"""Suppliers of a service: by order first, by weight inside an order."""
+
+import collections.abc
+import itertools
+
+from corianderloft._internal.decisions import engines
+from corianderloft._internal.models import backends
+from corianderloft._internal.models import catalog
+
+_Key = tuple[str, str]
+
+
+def _key(supplier: str, model: str) -> _Key:
+    return supplier, model
+
+
+class Routes:
+    """Keeps new work on the routes that a template declares.
+
+    Parameters
+    ----------
+    declared : iterable of SupplierRoute
+        Routes of the template; one of weight 0 takes no new work.
+    """
+
+    def __init__(
+        self, declared: collections.abc.Iterable[catalog.SupplierRoute]
+    ) -> None:
+        self._routes = {
+            _key(route.supplier, route.model): route
+            for route in declared
+            if route.weight > 0
+        }
+        self._served = dict.fromkeys(self._routes, 0.0)
+
+    def serves(self, backend: backends.Backend) -> bool:
+        """Return whether a route gives this backend server new work."""
+        return _key(backend.supplier, backend.model) in self._routes
+
+    def prefer(
+        self, candidates: list[engines.EngineView]
+    ) -> list[engines.EngineView]:
+        """Return the candidates of the route whose turn it is.
+
+        That is the lowest order with room, and in it the route that was
+        given the least for its weight.
+        """
+        if len(self._routes) < 2 or not candidates:
+            return candidates
+        by_route = {
+            key: list(group)
+            for key, group in itertools.groupby(
+                sorted(candidates, key=_engine_key), key=_engine_key
+            )
+        }
+        return by_route[min(by_route, key=self._turn)]
+
+    def started(self, engine: engines.EngineView, cost: float) -> None:
+        """Note work given to an engine."""
+        key = _engine_key(engine)
+        if key in self._served:
+            self._served[key] += cost
+
+    def _turn(self, key: _Key) -> tuple[int, float]:
+        route = self._routes[key]
+        return route.order, self._served[key] / route.weight
+
+
+def _engine_key(engine: engines.EngineView) -> _Key:
+    return _key(engine.backend.supplier, engine.backend.model)
--- a/src/corianderloft/_internal/settings/decisions.py
+++ b/src/corianderloft/_internal/settings/decisions.py
@@ -63,6 +63,12 @@
     most_ejected: float = base.setting(
         0.4, 'Largest part of engines that is ejected.', ge=0, lt=1
     )
+    subset_above: int = base.setting(
+        64, 'Engines of a service up to which a host uses all.', 'engines'
+    )
+    subset_hosts_per_engine: int = base.setting(
+        4, 'Hosts that use one engine beyond that.', 'hosts', ge=1
+    )
     away_cost: float = base.setting(
         1.0, 'Cost of an engine away from home, in loads of a full one.', ge=0
     )
