--- /dev/null
+++ b/tests/lib/streams.py
@@ -0,0 +1,88 @@
+"""Streams of many callers at once, each checked against the whole answer."""
+
+import dataclasses
+import typing
+
+import orjson
+import trio
+
+from tests.lib import calls
+from tests.lib import system as whole
+
+CHAT = '/v1/chat/completions'
+
+
+@dataclasses.dataclass(frozen=True)
+class Streamed:
+    """What one caller received.
+
+    Attributes
+    ----------
+    status : int
+        Status of the answer.
+    counts : tuple of int
+        Token counts of the events with content, in order of arrival.
+    text : str
+        All content.
+    done : bool
+        Whether the end of the answer arrived.
+    """
+
+    status: int
+    counts: tuple[int, ...]
+    text: str
+    done: bool
+
+
+def read_stream(status: int, content: bytes) -> Streamed:
+    """Take a streamed answer apart."""
+    events = [e for e in content.split(b'\n\n') if e]
+    fields = [dict(_field(line) for line in e.split(b'\n')) for e in events]
+    chunks = [_chunk(f) for f in fields]
+    contents = [_content(chunk) for chunk in chunks]
+    return Streamed(
+        status,
+        tuple(
+            int(f[b'id']) for f, content in zip(fields, contents) if content
+        ),
+        ''.join(contents),
+        bool(fields) and fields[-1].get(b'data') == b'[DONE]',
+    )
+
+
+def _chunk(fields: dict[bytes, bytes]) -> typing.Any:
+    data = fields.get(b'data', b'[DONE]')
+    return {} if data == b'[DONE]' else orjson.loads(data)
+
+
+def _content(chunk: typing.Any) -> str:
+    choices = chunk.get('choices', [])
+    return ''.join(c['delta'].get('content', '') for c in choices)
+
+
+def _field(line: bytes) -> tuple[bytes, bytes]:
+    name, _, value = line.partition(b': ')
+    return name, value
+
+
+async def expected(system: whole.System, engine_id: str, content: str) -> str:
+    """Return the whole answer to ``content``, from an engine itself."""
+    port = system.backends[engine_id].port
+    reply = await calls.post(port, CHAT, whole.chat_body(content, True))
+    return read_stream(reply.status, reply.content).text
+
+
+async def stream_all(
+    system: whole.System, host_id: str, contents: list[str]
+) -> list[Streamed]:
+    """Stream the answers to all ``contents`` at once, in their order."""
+    answers: dict[int, Streamed] = {}
+
+    async def one(number: int, content: str) -> None:
+        reply = await system.chat(host_id, content, stream=True)
+        answers[number] = read_stream(reply.status, reply.content)
+
+    async with trio.open_nursery() as nursery:
+        for number, content in enumerate(contents):
+            nursery.start_soon(one, number, content)
+    return [answers[number] for number in sorted(answers)]
