--- a/src/corianderloft/_internal/kv/budget.py
+++ b/src/corianderloft/_internal/kv/budget.py
@@ -4,8 +4,6 @@
 every process keeps to its part.
 """
 
-import collections.abc
-import contextlib
 import enum
 
 from corianderloft._internal.kv import interface
@@ -13,8 +11,10 @@
 from corianderloft._internal.settings import kv as kv_settings
 from corianderloft._internal.utils import token_bucket
 
-CALLS = metrics.counter(
-    'kv_calls_total', 'Calls on the key-value service by kind and outcome.'
+ATTEMPTS = metrics.counter(
+    'kv_attempts_total',
+    'Calls sent to the key-value service, repeats included, by kind and '
+    'outcome.',
 )
 REFUSED = metrics.counter(
     'kv_calls_over_budget_total', 'Calls not made: over the budget, by kind.'
@@ -22,9 +22,6 @@
 REPEATED = metrics.counter(
     'kv_calls_repeated_total', 'Calls made again after a lost reply, by kind.'
 )
-WAITING = metrics.gauge(
-    'kv_waiting_watches', 'Watches on the key-value service that wait.'
-)
 
 
 class CallKind(enum.Enum):
@@ -64,15 +61,6 @@
             f"{kind.value} call over this process's budget (section kv)"
         )
 
-    @contextlib.contextmanager
-    def waiting_watch(self) -> collections.abc.Iterator[None]:
-        """Count a watch as waiting while the context lasts."""
-        WAITING.inc({})
-        try:
-            yield
-        finally:
-            WAITING.dec({})
-
 
 def count_outcome(kind: CallKind, outcome: object) -> None:
     """Count a call that was made, by how it ended."""
@@ -83,7 +71,7 @@
             name = 'unknown'
         case _:
             name = 'answered'
-    CALLS.inc({'kind': kind.value, 'outcome': name})
+    ATTEMPTS.inc({'kind': kind.value, 'outcome': name})
 
 
 def count_repeat(kind: CallKind) -> None:
--- a/src/corianderloft/_internal/kv/etcd.py
+++ b/src/corianderloft/_internal/kv/etcd.py
@@ -140,8 +140,7 @@
             self._settings.watch_silence,
         )
         try:
-            with self._budget.waiting_watch():
-                yield stream
+            yield stream
         finally:
             # A watch that was of use lets the next one start at once.
             if stream.heard:
