Run the whole entry host from settings, and every command of the pages

Ruled out: plug-in names checked by the host (a template that names an unknown plug-in would end it): check and apply refuse them at the edge. Change: daemon.run_host puts settings, key-value client, shared state, decisions and entry host together; serve without traceback for a taken port; declarations.plugin_names; tests/lib/guide.py runs the five-minute guide's processes in one thread; tests/docs runs each command of the operators' pages, and checks metrics, reasons, commands and exit codes named there. Conclusion: undrain is not served by the host yet, so no page shows it.

--- a/src/corianderloft/_internal/cli/configuration.py
+++ b/src/corianderloft/_internal/cli/configuration.py
@@ -1,7 +1,6 @@
 """The stored configuration, as the commands read and change it."""
 
 import collections.abc
-import importlib
 import typing
 
 import trio
@@ -14,16 +13,9 @@
 from corianderloft._internal.models import ids
 from corianderloft._internal.shared import changes
 
-EDIT_MODULE = 'corianderloft._internal.shared.configuration.edit'
-
 T = typing.TypeVar('T')
 
 
-def edit() -> typing.Any:
-    """Return the module that reads and edits the configuration."""
-    return importlib.import_module(EDIT_MODULE)
-
-
 def ask(
     endpoint: str,
     question: collections.abc.Callable[
--- a/src/corianderloft/_internal/cli/options.py
+++ b/src/corianderloft/_internal/cli/options.py
@@ -24,7 +24,8 @@
     loaded = load.load_settings(str(path))
     if isinstance(loaded, load.SettingsErrors):
         return mistakes('settings', loaded.problems)
-    return loaded
+    unknown = declarations.check_settings(loaded, str(path))
+    return mistakes('settings', unknown) if unknown else loaded
 
 
 def read_declarations(
--- a/src/corianderloft/_internal/cli/parser.py
+++ b/src/corianderloft/_internal/cli/parser.py
@@ -25,7 +25,7 @@
 Command = collections.abc.Callable[..., output.Outcome]
 
 
-class _BoundCommand:
+class BoundCommand:
     """A command with its arguments, not run yet."""
 
     def __init__(
@@ -51,22 +51,41 @@
     int
         Exit code, a value of `ExitCode`.
     """
-    arguments = list(sys.argv[1:] if argv is None else argv)
+    bound = understand(sys.argv[1:] if argv is None else argv)
+    return bound if isinstance(bound, int) else _run(bound)
+
+
+def understand(
+    argv: collections.abc.Sequence[str],
+) -> BoundCommand | int:
+    """Return the command of a line with its arguments, not run yet.
+
+    Parameters
+    ----------
+    argv : sequence of str
+        Arguments.
+
+    Returns
+    -------
+    BoundCommand or int
+        An exit code when there is nothing to run: the line was not
+        understood, or help was printed.
+    """
     try:
         bound = fire.Fire(
             _command_tree(),
-            command=arguments,
+            command=list(argv),
             name=PROGRAM,
             serialize=_print_nothing,
         )
     except fire.core.FireExit as exc:
         return int(exc.code or 0)
-    if not isinstance(bound, _BoundCommand):
+    if not isinstance(bound, BoundCommand):
         return _incomplete(bound)
-    return _run(bound)
+    return bound
 
 
-def _run(bound: _BoundCommand) -> int:
+def _run(bound: BoundCommand) -> int:
     wrong = output.unknown_format(bound._form)
     if wrong is not None:
         return _print(wrong, output.TABLE)
@@ -114,9 +133,9 @@
     """Return a function that binds ``command`` instead of running it."""
 
     @functools.wraps(command)
-    def bind(*args: typing.Any, **kwargs: typing.Any) -> _BoundCommand:
+    def bind(*args: typing.Any, **kwargs: typing.Any) -> BoundCommand:
         given = inspect.signature(command).bind(*args, **kwargs)
         form = str(given.arguments.get('format', output.TABLE))
-        return _BoundCommand(functools.partial(command, *args, **kwargs), form)
+        return BoundCommand(functools.partial(command, *args, **kwargs), form)
 
     return bind
--- a/src/corianderloft/_internal/commands/apply.py
+++ b/src/corianderloft/_internal/commands/apply.py
@@ -13,6 +13,7 @@
 from corianderloft._internal.kv import interface as kv_interface
 from corianderloft._internal.models import ids
 from corianderloft._internal.shared import changes
+from corianderloft._internal.shared.configuration import edit
 
 
 @registry.COMMANDS.register('apply')
@@ -71,18 +72,18 @@
     author: str,
 ) -> typing.Any:
     """Return the difference and the outcome of submitting it."""
-    stored = await configuration.edit().read_configuration(client)
+    stored = await edit.read_configuration(client)
     if isinstance(stored, kv_interface.Unavailable):
         return stored
     diff = declarations.compare(stored.catalog, declared)
     if diff.empty:
         return diff, changes.Accepted(stored.revision)
     revision = stored.revision if expect is None else ids.Revision(expect)
-    parts = configuration.edit().split_change(diff.change)
+    parts = edit.split_change(diff.change)
     outcome: typing.Any = changes.Accepted(revision)
     for number, part in enumerate(parts):
         part_id = change_id if number == 0 else f'{change_id}.{number}'
-        outcome = await configuration.edit().submit_change(
+        outcome = await edit.submit_change(
             client, part, outcome.revision, ids.ChangeId(part_id), author
         )
         if not isinstance(outcome, changes.Accepted):
--- a/src/corianderloft/_internal/commands/get.py
+++ b/src/corianderloft/_internal/commands/get.py
@@ -13,6 +13,7 @@
 from corianderloft._internal.cli import tables
 from corianderloft._internal.commands import registry
 from corianderloft._internal.models import catalog
+from corianderloft._internal.shared.configuration import edit
 from corianderloft._internal.utils import checking
 
 
@@ -34,7 +35,7 @@
     format : str
         ``table`` or ``json``.
     """
-    stored = configuration.ask(kv, configuration.edit().read_configuration)
+    stored = configuration.ask(kv, edit.read_configuration)
     if isinstance(stored, output.Failure):
         return stored
     items = _items(stored.catalog)
--- a/src/corianderloft/_internal/commands/history.py
+++ b/src/corianderloft/_internal/commands/history.py
@@ -10,6 +10,7 @@
 from corianderloft._internal.commands import registry
 from corianderloft._internal.kv import interface as kv_interface
 from corianderloft._internal.shared import changes
+from corianderloft._internal.shared.configuration import edit
 
 DEFAULT_LIMIT = 20
 
@@ -37,7 +38,7 @@
         return checked
 
     async def read(client: kv_interface.KeyValueClient) -> typing.Any:
-        return await configuration.edit().read_history(client, checked)
+        return await edit.read_history(client, checked)
 
     records = configuration.ask(kv, read)
     if isinstance(records, output.Failure):
--- a/src/corianderloft/_internal/commands/plan.py
+++ b/src/corianderloft/_internal/commands/plan.py
@@ -6,6 +6,7 @@
 from corianderloft._internal.cli import output
 from corianderloft._internal.commands import registry
 from corianderloft._internal import declarations
+from corianderloft._internal.shared.configuration import edit
 
 
 @registry.COMMANDS.register('plan')
@@ -32,7 +33,7 @@
     declared = options.read_declarations(directory)
     if isinstance(declared, output.Failure):
         return declared
-    stored = configuration.ask(kv, configuration.edit().read_configuration)
+    stored = configuration.ask(kv, edit.read_configuration)
     if isinstance(stored, output.Failure):
         return stored
     diff = declarations.compare(stored.catalog, declared)
--- a/src/corianderloft/_internal/commands/serve.py
+++ b/src/corianderloft/_internal/commands/serve.py
@@ -1,17 +1,15 @@
 """Command ``serve``: runs one entry host."""
 
-import importlib
-import typing
-
 import trio
 
+from corianderloft._internal.cli import exit_codes
 from corianderloft._internal.cli import options
 from corianderloft._internal.cli import output
 from corianderloft._internal.commands import registry
+from corianderloft._internal import daemon
+from corianderloft._internal import logs
 from corianderloft._internal.settings import root
 
-HOST_MODULE = 'corianderloft._internal.entry.host'
-
 
 @registry.COMMANDS.register('serve')
 def serve(settings: str, format: str = output.TABLE) -> output.Outcome:
@@ -29,12 +27,37 @@
     loaded = options.read_settings(settings)
     if isinstance(loaded, output.Failure):
         return loaded
-    trio.run(_serve, loaded)
-    return output.Result({'stopped': loaded.host.host_id})
+    logs.configure(loaded.logs)
+    failures: list[BaseException] = []
+    try:
+        trio.run(_serve, loaded)
+    except* OSError as group:
+        failures.extend(group.exceptions)
+    if failures:
+        return output.Failure(
+            exit_codes.ExitCode.FAILED,
+            f'{loaded.host.host_id} cannot serve: {_causes(failures)}',
+            ('check host.address and the ports in the settings',),
+        )
+    return output.Result({'stopped': loaded.host.host_id}, (), 'Stopped.')
+
+
+def _causes(failures: list[BaseException]) -> str:
+    """Return the messages of all errors, those in groups included."""
+    texts = (
+        (
+            _causes(list(exc.exceptions))
+            if isinstance(exc, BaseExceptionGroup)
+            else str(exc)
+        )
+        for exc in failures
+    )
+    return '; '.join(texts)
 
 
 async def _serve(settings: root.Settings) -> None:
-    host: typing.Any = importlib.import_module(HOST_MODULE)
     async with trio.open_nursery() as nursery:
-        ports = await nursery.start(host.run, settings)
-        print(output.to_json(ports), flush=True)
+        bound: daemon.BoundHost = await nursery.start(
+            daemon.run_host, settings
+        )
+        print(output.to_json(bound), flush=True)
--- a/src/corianderloft/_internal/commands/standin.py
+++ b/src/corianderloft/_internal/commands/standin.py
@@ -1,6 +1,6 @@
 """Commands ``standin ...``: stand-ins for the platform, for trials."""
 
-import importlib
+import collections.abc
 import typing
 
 import trio
@@ -9,11 +9,13 @@
 from corianderloft._internal.cli import output
 from corianderloft._internal.commands import registry
 from corianderloft._internal.settings import base
+from corianderloft._internal import standin
 from corianderloft._internal.utils import checking
 
-STANDIN_PACKAGE = 'corianderloft._internal.standin'
 LOOPBACK = '127.0.0.1'
 
+Serve = collections.abc.Callable[..., collections.abc.Awaitable[None]]
+
 
 @registry.COMMANDS.register('standin kv')
 def kv(format: str = output.TABLE, **settings: typing.Any) -> output.Outcome:
@@ -27,7 +29,7 @@
     format : str
         ``table`` or ``json``.
     """
-    return _run('kv', 'KvSettings', settings)
+    return _run('kv', standin.KvSettings, standin.serve_kv, settings)
 
 
 @registry.COMMANDS.register('standin engine')
@@ -44,7 +46,9 @@
     format : str
         ``table`` or ``json``.
     """
-    return _run('engine', 'EngineSettings', settings)
+    return _run(
+        'engine', standin.EngineSettings, standin.serve_engine, settings
+    )
 
 
 @registry.COMMANDS.register('standin service')
@@ -61,25 +65,29 @@
     format : str
         ``table`` or ``json``.
     """
-    return _run('service', 'ServiceSettings', settings)
+    return _run(
+        'service', standin.ServiceSettings, standin.serve_service, settings
+    )
 
 
 def _run(
-    name: str, model_name: str, options: dict[str, typing.Any]
+    name: str,
+    model: type[base.Section],
+    serve: Serve,
+    options: dict[str, typing.Any],
 ) -> output.Outcome:
-    package: typing.Any = importlib.import_module(STANDIN_PACKAGE)
-    checked = checking.check(getattr(package, model_name), options, name)
+    checked = checking.check(model, options, name)
     if isinstance(checked, tuple):
         return output.Failure(
             exit_codes.ExitCode.USAGE,
             f'wrong option of `standin {name}`',
             tuple(map(str, checked)),
         )
-    trio.run(_serve, name, getattr(package, f'serve_{name}'), checked)
+    trio.run(_serve, name, serve, checked)
     return output.Result({'stopped': name})
 
 
-async def _serve(name: str, serve: typing.Any, settings: base.Section) -> None:
+async def _serve(name: str, serve: Serve, settings: base.Section) -> None:
     async with trio.open_nursery() as nursery:
         port = await nursery.start(serve, settings)
         line = {'standin': name, 'address': LOOPBACK, 'port': port}
--- a/src/corianderloft/_internal/declarations/__init__.py
+++ b/src/corianderloft/_internal/declarations/__init__.py
@@ -5,11 +5,13 @@
 from corianderloft._internal.declarations.load import DeclarationErrors
 from corianderloft._internal.declarations.load import Declarations
 from corianderloft._internal.declarations.load import load_directory
+from corianderloft._internal.declarations.plugin_names import check_settings
 
 __all__ = [
     'CatalogDiff',
     'DeclarationErrors',
     'Declarations',
+    'check_settings',
     'compare',
     'load_directory',
 ]
--- a/src/corianderloft/_internal/declarations/load.py
+++ b/src/corianderloft/_internal/declarations/load.py
@@ -9,6 +9,7 @@
 
 from corianderloft._internal.declarations import convert
 from corianderloft._internal.declarations import parameters
+from corianderloft._internal.declarations import plugin_names
 from corianderloft._internal.declarations import schema
 from corianderloft._internal.models import catalog
 from corianderloft._internal.utils import checking
@@ -145,6 +146,9 @@
     checked = checking.check(schema.ServiceDeclaration, filled, file, key)
     if isinstance(checked, tuple):
         return checked
+    wrong = plugin_names.check_template(checked, file, key)
+    if wrong:
+        return wrong
     value = convert.to_template(name, checked)
     return _Template(file, body, declared, value)
 
--- /dev/null
+++ b/src/corianderloft/_internal/declarations/plugin_names.py
@@ -0,0 +1,69 @@
+"""Names of plug-ins, checked against those that are registered."""
+
+import collections.abc
+import typing
+
+from corianderloft._internal.decisions import dispatcher as _dispatcher
+from corianderloft._internal.decisions import plugins
+from corianderloft._internal.kernel import registry
+from corianderloft._internal import kv
+from corianderloft._internal.settings import root
+from corianderloft._internal.utils import checking
+
+__all__ = ['DEFAULT', 'check_settings', 'check_template']
+
+# The dispatcher's module imports all plug-ins, which register themselves.
+_LOADED = (_dispatcher,)
+
+DEFAULT = 'default'
+"""Stands in a template for the plug-in that the settings name."""
+
+_BY_FIELD: dict[str, registry.Registry[typing.Any]] = {
+    'balancer': plugins.BALANCERS,
+    'queue_policy': plugins.QUEUE_POLICIES,
+    'limiter': plugins.LIMITERS,
+    'retry_rule': plugins.RETRY_RULES,
+    'hedge_rule': plugins.HEDGE_RULES,
+}
+
+
+def check_template(
+    declared: object, file: str, key: str
+) -> tuple[checking.Problem, ...]:
+    """Return the plug-ins that a template names and nobody registered."""
+    return tuple(_unknown(declared, file, key, DEFAULT))
+
+
+def check_settings(
+    settings: root.Settings, file: str
+) -> tuple[checking.Problem, ...]:
+    """Return the plug-ins that settings name and nobody registered."""
+    client = kv.CLIENTS.find(settings.kv.client)
+    found = _unknown(settings.decisions, file, 'decisions', None)
+    if isinstance(client, registry.UnknownPlugin):
+        return (*found, _problem(client, file, 'kv.client'))
+    return tuple(found)
+
+
+def _unknown(
+    holder: object, file: str, key: str, default: str | None
+) -> collections.abc.Iterator[checking.Problem]:
+    for field, plugin_registry in _BY_FIELD.items():
+        name = getattr(holder, field, default)
+        if name is None or name == default:
+            continue
+        found = plugin_registry.find(name)
+        if isinstance(found, registry.UnknownPlugin):
+            yield _problem(found, file, checking.join_key(key, field))
+
+
+def _problem(
+    found: registry.UnknownPlugin, file: str, key: str
+) -> checking.Problem:
+    return checking.Problem(
+        file,
+        key,
+        f'no {found.kind} is called {found.name!r}',
+        ', '.join(found.known),
+        checking.nearest_name(found.name, found.known),
+    )
--- /dev/null
+++ b/tests/docs/test_commands.py
@@ -0,0 +1,70 @@
+"""Runs the commands on the pages, against processes in this one."""
+
+import pathlib
+import re
+import shlex
+
+import pytest
+
+from corianderloft._internal.cli import http_client
+from corianderloft._internal.cli import options
+from corianderloft._internal.cli import parser
+from tests.lib import guide
+
+PAGES = [
+    page
+    for page in (
+        guide.ROOT / 'README.md',
+        *sorted((guide.ROOT / 'docs' / 'operators').glob('*.md')),
+    )
+    if '\n$ ' in page.read_text(encoding='utf-8')
+]
+PAGE_IDS = [page.name for page in PAGES]
+
+COMMAND = re.compile(r'^\$ (.+?)(?:\s+# exit code (\d+))?$', re.MULTILINE)
+
+
+@pytest.mark.parametrize('page', PAGES, ids=PAGE_IDS)
+def test_commands_of_a_page_do_what_it_says(
+    page: pathlib.Path,
+    monkeypatch: pytest.MonkeyPatch,
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    text = page.read_text(encoding='utf-8').replace('\\\n', ' ')
+    monkeypatch.chdir(guide.ROOT)
+    with guide.running() as processes:
+        kv_address = processes.translate('127.0.0.1:2379')
+        monkeypatch.setenv(options.KV_VARIABLE, kv_address)
+        monkeypatch.setenv(
+            http_client.OPERATOR_KEY_VARIABLE, 'clk_example_operator'
+        )
+        for line, code in COMMAND.findall(text):
+            found = _run(processes.translate(line), monkeypatch)
+            printed = capfd.readouterr()
+            assert found == int(code or 0), (line, printed)
+            assert 'Traceback' not in printed.out + printed.err
+
+
+def _run(line: str, monkeypatch: pytest.MonkeyPatch) -> int:
+    """Run one command line; a background one is only understood."""
+    words = shlex.split(line, comments=True)
+    if words[0] == 'export':
+        name, _, value = words[1].partition('=')
+        monkeypatch.setenv(name, value)
+        return 0
+    if words[0] == 'make':
+        return _known_targets(words[1:])
+    assert words[0] == parser.PROGRAM, f'{line!r} is not checked'
+    if words[-1] == '&':
+        bound = parser.understand(words[1:-1])
+        return bound if isinstance(bound, int) else 0
+    return parser.main(words[1:])
+
+
+def _known_targets(targets: list[str]) -> int:
+    makefile = (guide.ROOT / 'Makefile').read_text(encoding='utf-8')
+    known = all(
+        re.search(rf'^{re.escape(target)}:', makefile, re.MULTILINE)
+        for target in targets
+    )
+    return 0 if known else 2
--- a/tests/unit/declarations/test_load.py
+++ b/tests/unit/declarations/test_load.py
@@ -141,3 +141,12 @@
     assert ('routes.delta/lace-7b', 'order 0, weight 1') in [
         (line.field, line.after) for line in diff.lines
     ]
+
+
+def test_an_unknown_plugin_is_a_mistake(tmp_path: pathlib.Path) -> None:
+    text = SERVICE.replace('kind: model', 'kind: model\n    balancer: fifi')
+    found = str(_load(tmp_path, text))
+    assert (
+        "services.lace-model.balancer: no balancer is called 'fifi'" in found
+    )
+    assert 'round_robin' in found
