--- a/src/corianderloft/_internal/commands/serve.py
+++ b/src/corianderloft/_internal/commands/serve.py
@@ -6,7 +6,7 @@
 from corianderloft._internal.cli import options
 from corianderloft._internal.cli import output
 from corianderloft._internal.commands import registry
-from corianderloft._internal import daemon
+from corianderloft._internal.entry import daemon
 from corianderloft._internal import logs
 from corianderloft._internal.settings import root
 
@@ -57,7 +57,7 @@
 
 async def _serve(settings: root.Settings) -> None:
     async with trio.open_nursery() as nursery:
-        bound: daemon.BoundHost = await nursery.start(
-            daemon.run_host, settings
+        bound: daemon.Started = await nursery.start(
+            daemon.run, settings
         )
         print(output.to_json(bound), flush=True)
--- a/tests/lib/entry.py
+++ b/tests/lib/entry.py
@@ -11,6 +11,7 @@
 import trio
 
 from corianderloft._internal.decisions import interface as decisions
+from corianderloft._internal.entry import calls
 from corianderloft._internal.entry import host
 from corianderloft._internal.models import backends
 from corianderloft._internal.models import catalog
@@ -72,6 +73,15 @@
     )
 
 
+def origin() -> calls.Origin:
+    """Return the origin of a request of ``stables`` to ``desk``."""
+    current = catalog_of()
+    service = current.services[0]
+    return calls.Origin(
+        current.workspaces[0], service, service.classes[0], 'r1'
+    )
+
+
 class FakeShared:
     """Shared state of a single host, all in memory."""
 
@@ -234,6 +244,7 @@
     dispatcher: FakeDispatcher
     sockets: host.Sockets
     stop: trio.Event
+    ended: trio.Event
 
     @property
     def url(self) -> str:
@@ -273,6 +284,7 @@
     shared = FakeShared(*listed)
     dispatcher = FakeDispatcher(shared)
     stop = trio.Event()
+    ended = trio.Event()
     sockets = host.bind(cfg)
     shared.own = shared_state.Host(
         ids.HostId('h1'),
@@ -295,10 +307,11 @@
             handle_signals=False,
             task_status=task_status,
         )
+        ended.set()
 
     async with trio.open_nursery() as nursery:
         await nursery.start(serve)
-        yield Fixture(shared, dispatcher, sockets, stop)
+        yield Fixture(shared, dispatcher, sockets, stop, ended)
         nursery.cancel_scope.cancel()
 
 
@@ -361,6 +374,72 @@
     )
 
 
+class Reader:
+    """A caller's connection that reads a stream piece by piece."""
+
+    def __init__(self, connection: httpcore.AsyncHTTPConnection) -> None:
+        self._connection = connection
+        self._response: httpcore.Response | None = None
+        self.body = b''
+
+    async def open(
+        self, method: str, url: str, headers: dict[str, str], body: bytes
+    ) -> int:
+        self._response = await self._connection.handle_async_request(
+            httpcore.Request(
+                method,
+                url,
+                headers={
+                    'Host': 'h',
+                    'Content-Length': str(len(body)),
+                    **headers,
+                },
+                content=body,
+            )
+        )
+        self._chunks = self._response.aiter_stream().__aiter__()
+        return self._response.status
+
+    async def until(self, count: int) -> None:
+        """Read until token ``count`` is there."""
+        while not self.body or max(token_ids(self.body), default=0) < count:
+            self.body += await anext(self._chunks)
+
+    async def rest(self) -> bytes:
+        """Read to the end."""
+        async for chunk in self._chunks:
+            self.body += chunk
+        return self.body
+
+    async def leave(self) -> None:
+        """Close the connection."""
+        await self._connection.aclose()
+
+
+@contextlib.asynccontextmanager
+async def reading(
+    fixture: Fixture, workspace: str = 'stables', **extra: str
+) -> typing.AsyncIterator[Reader]:
+    """Begin a streamed completion on a connection of its own."""
+    async with open_reader(fixture) as reader:
+        status = await reader.open(
+            'POST',
+            fixture.url + '/v1/chat/completions',
+            headers_of(workspace, **extra),
+            orjson.dumps(BODY),
+        )
+        assert status == 200
+        yield reader
+
+
+@contextlib.asynccontextmanager
+async def open_reader(fixture: Fixture) -> typing.AsyncIterator[Reader]:
+    """Make a connection to the callers' port."""
+    origin = httpcore.URL(fixture.url).origin
+    async with httpcore.AsyncHTTPConnection(origin) as connection:
+        yield Reader(connection)
+
+
 def token_ids(body: bytes) -> list[int]:
     """Return the ids of all events, in order."""
     return [
--- a/tests/lib/guide.py
+++ b/tests/lib/guide.py
@@ -11,7 +11,7 @@
 import trio
 
 from corianderloft._internal.cli import platform_file
-from corianderloft._internal import daemon
+from corianderloft._internal.entry import daemon
 from corianderloft._internal import kv
 from corianderloft._internal.kv import interface as kv_interface
 from corianderloft._internal.settings import kv as kv_settings
@@ -116,14 +116,14 @@
     for path in sorted((EXAMPLES / 'settings').glob('host-*.yaml')):
         loaded = load.load_settings(path)
         assert isinstance(loaded, root.Settings), loaded
-        bound: daemon.BoundHost = await nursery.start(
+        bound: daemon.Started = await nursery.start(
             functools.partial(
-                daemon.run_host, _movable(loaded, guide), handle_signals=False
+                daemon.run, _movable(loaded, guide), handle_signals=False
             )
         )
         guide.ports[loaded.callers.port] = bound.caller_port
         guide.ports[loaded.operators.port] = bound.operator_port
-        guide.ports[loaded.peers.port] = bound.peer_port
+        guide.ports[loaded.peers.port] = loaded.peers.port
 
 
 def _movable(loaded: root.Settings, guide: Guide) -> root.Settings:
