--- a/src/corianderloft/_internal/entry/daemon.py
+++ b/src/corianderloft/_internal/entry/daemon.py
@@ -11,6 +11,7 @@
 from corianderloft._internal import kernel
 from corianderloft._internal.kv import etcd as _etcd  # noqa: F401
 from corianderloft._internal.kv import interface as kv_interface
+from corianderloft._internal.metrics import kv_calls
 from corianderloft._internal.models import ids
 from corianderloft._internal.settings import root
 from corianderloft._internal.shared import interface as shared_interface
@@ -49,7 +50,7 @@
     factory = kv_interface.CLIENTS.find(settings.kv.client)
     if isinstance(factory, kernel.UnknownPlugin):
         raise ValueError(str(factory))
-    return factory(settings.kv)
+    return kv_calls.CountedClient(factory(settings.kv))
 
 
 def describe(
