--- a/tests/lib/system.py
+++ b/tests/lib/system.py
@@ -28,6 +28,16 @@
 PLAIN_SERVICE = 'yard-counter'
 
 
+def chat_body(content: str, stream: bool) -> dict[str, typing.Any]:
+    """Return the body of a chat completion."""
+    return {
+        'model': 'rug-8b-v3',
+        'messages': [{'role': 'user', 'content': content}],
+        'stream': stream,
+        'seed': 7,
+    }
+
+
 @dataclasses.dataclass
 class System:
     """Processes of one system, and calls on them.
@@ -195,12 +205,7 @@
         **headers: str,
     ) -> httpcore.Response:
         """Send one chat completion."""
-        body = {
-            'model': 'rug-8b-v3',
-            'messages': [{'role': 'user', 'content': content}],
-            'stream': stream,
-            'seed': 7,
-        }
+        body = chat_body(content, stream)
         return await self.call(
             host_id,
             'POST',
