Show that bookings run at most once and one of two operators loses

Cause: the claims were tested on a fake store only. Ruled out: counting statuses alone; the stand-in service counts its runs. Change: tests/functional/test_bookings.py (lost answer, callers at two hosts at once, key reused, outage, lost reply of the claim, host killed in flight) and test_configuration_faults.py (two operators with the same revision).

--- /dev/null
+++ b/tests/functional/test_bookings.py
@@ -0,0 +1,96 @@
+"""Calls that may not be repeated run at most once, whatever fails."""
+
+import collections
+import typing
+
+import httpcore
+import orjson
+import trio
+
+from tests.lib import calls
+from tests.lib import system as whole
+
+CALLERS = 8
+
+
+def _error(reply: httpcore.Response) -> dict[str, typing.Any]:
+    return dict(orjson.loads(reply.content)['error'])
+
+
+async def test_a_lost_answer_is_unknown_and_never_sent_again() -> None:
+    async with whole.running(2, 1) as system:
+        await calls.set_faults(
+            system.backends['counter-1'].port, lose_answers=1
+        )
+        first = await system.book('host-1', 'lost', 'k-lost')
+        assert _error(first)['run'] == 'unknown'
+        second = await system.book('host-2', 'lost', 'k-lost')
+        assert _error(second)['run'] != 'not_run'
+        assert await system.runs('lost') == 1
+
+
+async def test_callers_at_all_hosts_at_once_run_it_once() -> None:
+    async with whole.running(2, 1) as system:
+        port = system.backends['counter-1'].port
+        await calls.set_faults(port, delay=0.3)
+        replies: list[httpcore.Response] = []
+
+        async def book(host_id: str) -> None:
+            replies.append(await system.book(host_id, 'race', 'k-race'))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(CALLERS):
+                nursery.start_soon(book, f'host-{number % 2 + 1}')
+        again = await system.book('host-2', 'race', 'k-race')
+        assert await system.runs('race') == 1
+    assert orjson.loads(again.content)['runs'] == 1
+    seen = collections.Counter(reply.status for reply in replies)
+    assert seen[200] >= 1
+    others = [reply for reply in replies if reply.status != 200]
+    assert all(_error(reply)['run'] == 'unknown' for reply in others)
+
+
+async def test_another_body_under_the_same_key_is_refused() -> None:
+    async with whole.running(1, 1) as system:
+        await system.book('host-1', 'one', 'k-same')
+        other = await system.book('host-1', 'two', 'k-same')
+        assert _error(other)['reason'] == 'key_reused'
+        assert await system.runs('two') == 0
+
+
+async def test_without_the_service_it_is_refused_and_did_not_run() -> None:
+    async with whole.running(1, 1) as system:
+        await calls.set_faults(system.kv.port, outage='refuse')
+        refused = await system.book('host-1', 'outage', 'k-outage')
+        assert _error(refused)['reason'] == 'claim_unavailable'
+        assert _error(refused)['run'] == 'not_run'
+        assert await system.runs('outage') == 0
+        chat = await system.chat('host-1')
+        assert chat.status == 200
+        await calls.set_faults(system.kv.port, outage='none')
+        booked = await system.book('host-1', 'outage', 'k-outage')
+        assert booked.status == 200
+        assert await system.runs('outage') == 1
+
+
+async def test_a_lost_reply_of_the_claim_runs_it_at_most_once() -> None:
+    async with whole.running(2, 1) as system:
+        await calls.set_faults(system.kv.port, lose_replies=1)
+        first = await system.book('host-1', 'claim', 'k-claim')
+        ran = await system.runs('claim')
+        assert ran == (1 if first.status == 200 else 0)
+        await system.book('host-2', 'claim', 'k-claim')
+        assert await system.runs('claim') <= 1
+
+
+async def test_a_killed_host_leaves_its_booking_run_once_at_most() -> None:
+    async with whole.running(2, 1) as system:
+        port = system.backends['counter-1'].port
+        await calls.set_faults(port, delay=0.5)
+        with trio.move_on_after(0.3):
+            await system.book('host-1', 'killed', 'k-killed')
+        system.hosts['host-1'].kill()
+        second = await system.book('host-2', 'killed', 'k-killed')
+        await trio.sleep(0.5)
+        assert await system.runs('killed') == 1
+        assert second.status == 200 or _error(second)['run'] == 'unknown'
--- /dev/null
+++ b/tests/functional/test_configuration_faults.py
@@ -0,0 +1,28 @@
+"""Changes of the configuration under races, outages and load."""
+
+import collections
+
+import trio
+
+from corianderloft._internal.cli import exit_codes
+from tests.lib import system as whole
+
+
+async def test_of_two_operators_at_once_one_gets_a_conflict() -> None:
+    async with whole.running(1, 1) as system:
+        codes: collections.Counter[exit_codes.ExitCode] = collections.Counter()
+
+        async def edit(name: str, deadline: int) -> None:
+            directory = system.edited(
+                {'deadline_s: 30': f'deadline_s: {deadline}'}, name
+            )
+            applied = await system.apply(directory, '--expect=1')
+            codes[applied.code] += 1
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(edit, 'first', 31)
+            nursery.start_soon(edit, 'second', 32)
+    assert codes == {
+        exit_codes.ExitCode.OK: 1,
+        exit_codes.ExitCode.CONFLICT: 1,
+    }
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -26,14 +26,7 @@
         deltas = [orjson.loads(d)['choices'][0] for d in data[:-2]]
         text = ''.join(d['delta'].get('content', '') for d in deltas)
         assert text == message['content']
-        booked = await system.call(
-            'host-1',
-            'POST',
-            f'/v1/services/{whole.PLAIN_SERVICE}/bookings',
-            {'booking': 'b1'},
-            X_Class='booking',
-            Idempotency_Key='k1',
-        )
+        booked = await system.book('host-1', 'b1', 'k1')
         assert orjson.loads(booked.content)['runs'] == 1
 
 
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -137,11 +137,21 @@
 
     async def start(self, *args: str) -> Process:
         """Start a process and wait until it announces its port."""
+        process = self._spawn(args)
+        await process.wait_announced()
+        return process
+
+    async def run(self, *args: str) -> Process:
+        """Start a process and wait until it ends."""
+        process = self._spawn(args)
+        await process.wait_ended()
+        return process
+
+    def _spawn(self, args: tuple[str, ...]) -> Process:
         directory = self._directory / str(len(self._started))
         directory.mkdir()
         process = Process(args, directory)
         self._started.append(process)
-        await process.wait_announced()
         return process
 
     async def standin(self, kind: str, **options: typing.Any) -> Process:
--- a/tests/lib/system.py
+++ b/tests/lib/system.py
@@ -5,6 +5,7 @@
 import dataclasses
 import hashlib
 import pathlib
+import shutil
 import tempfile
 import typing
 
@@ -12,9 +13,9 @@
 import orjson
 import yaml
 
+from corianderloft._internal.cli import exit_codes
 from corianderloft._internal.kv import etcd
 from corianderloft._internal.kv import interface as kv_interface
-from corianderloft._internal.models import ids
 from corianderloft._internal.settings import kv as kv_settings
 from tests.lib import calls
 from tests.lib import processes
@@ -38,6 +39,14 @@
     }
 
 
+@dataclasses.dataclass(frozen=True)
+class Applied:
+    """How ``apply`` ended, and what it printed."""
+
+    code: exit_codes.ExitCode
+    printed: dict[str, typing.Any]
+
+
 @dataclasses.dataclass
 class System:
     """Processes of one system, and calls on them.
@@ -160,19 +169,57 @@
         return host
 
     async def apply(
-        self, directory: pathlib.Path = EXAMPLES / 'qureshi'
-    ) -> ids.Revision:
+        self,
+        directory: pathlib.Path = EXAMPLES / 'qureshi',
+        *flags: str,
+    ) -> Applied:
         """Put a directory of declarations in force by the command line."""
-        process = await self.started.start(
+        process = await self.started.run(
             '-m',
             'corianderloft',
             'apply',
             str(directory),
             f'--kv={self.kv_url}',
             '--format=json',
+            *flags,
         )
-        assert await process.wait_ended() == 0, process.output()
-        return ids.Revision(int(process.announced['revision']))
+        return Applied(
+            exit_codes.ExitCode(process.returncode or 0),
+            orjson.loads(process.output() or '{}'),
+        )
+
+    def edited(
+        self, replacements: dict[str, str], name: str = 'edited'
+    ) -> pathlib.Path:
+        """Return a copy of Qureshi's declarations with texts replaced."""
+        target = self.directory / name
+        shutil.copytree(EXAMPLES / 'qureshi', target, dirs_exist_ok=True)
+        path = target / 'services.yaml'
+        text = path.read_text()
+        for old, new in replacements.items():
+            assert old in text, old
+            text = text.replace(old, new)
+        path.write_text(text)
+        return target
+
+    async def book(
+        self, host_id: str, booking: str, key: str
+    ) -> httpcore.Response:
+        """Make a booking, which must run at most once."""
+        return await self.call(
+            host_id,
+            'POST',
+            f'/v1/services/{PLAIN_SERVICE}/bookings',
+            {'booking': booking},
+            X_Class='booking',
+            Idempotency_Key=key,
+        )
+
+    async def runs(self, booking: str) -> int:
+        """Return how often a booking ran."""
+        port = self.backends['counter-1'].port
+        ran = await calls.get(port, '/bookings')
+        return int(ran['bookings'].get(booking, 0))
 
     async def call(
         self,
@@ -251,7 +298,7 @@
         async with processes.running() as started:
             kv = await started.standin('kv')
             system = System(started, pathlib.Path(directory), kv)
-            await system.apply()
+            assert (await system.apply()).code is exit_codes.ExitCode.OK
             for number in range(1, engines + 1):
                 await system.add_engine(f'engine-{number}')
             await system.add_service()
