Read many keys in pages as of one revision

Cause: a read of 36,000 keys came as one reply and held the process's loop up while it was decoded; token streams must not wait for that. Ruled out: decoding in a thread (the interpreter lock holds the loop anyway).

--- a/src/corianderloft/_internal/kv/codec.py
+++ b/src/corianderloft/_internal/kv/codec.py
@@ -2,6 +2,7 @@
 
 import base64
 import collections.abc
+import dataclasses
 import typing
 
 import orjson
@@ -33,6 +34,25 @@
     return {'key': to_text(start), 'range_end': to_text(end)}
 
 
+def key_after(key: str) -> str:
+    """Return the first key behind ``key``, as base64 text."""
+    return to_text(key.encode() + b'\0')
+
+
+@dataclasses.dataclass(frozen=True)
+class Page:
+    """Part of a range; ``more`` says that it goes on."""
+
+    found: interface.Found
+    more: bool
+
+
+def page(body: Json) -> Page:
+    """Return the page that a range reply holds."""
+    found = interface.Found(revision(body), key_values(body))
+    return Page(found, bool(body.get('more')))
+
+
 def transaction(
     compares: collections.abc.Sequence[interface.Compare],
     operations: collections.abc.Sequence[interface.Put | interface.Delete],
--- a/src/corianderloft/_internal/kv/etcd.py
+++ b/src/corianderloft/_internal/kv/etcd.py
@@ -20,6 +20,7 @@
 from corianderloft._internal.settings import kv as kv_settings
 
 HTTP_OK = 200
+PAGE_ITEMS = 1000
 CLIENT_ERRORS = range(400, 500)
 """Statuses that say that the service did not act on the call."""
 
@@ -60,21 +61,36 @@
 
     async def get(self, key: str) -> interface.Read:
         """Read one key; ``items`` is empty when it does not exist."""
-        return await self._range({'key': codec.to_text(key.encode())})
+        page = await self._page({'key': codec.to_text(key.encode())})
+        return page.found if isinstance(page, codec.Page) else page
 
     async def get_prefix(self, prefix: str) -> interface.Read:
-        """Read all keys that begin with ``prefix``, in order."""
-        return await self._range(codec.prefix_range(prefix))
+        """Read all keys that begin with ``prefix``, in order.
 
-    async def _range(self, query: codec.Json) -> interface.Read:
+        Many keys come in pages as of one revision, so that no reply holds
+        the process up for long.
+        """
+        query = codec.prefix_range(prefix) | {'limit': str(PAGE_ITEMS)}
+        items: list[interface.KeyValue] = []
+        while True:
+            page = await self._page(query)
+            if isinstance(page, interface.Unavailable):
+                return page
+            items += page.found.items
+            if not page.more:
+                return interface.Found(page.found.revision, tuple(items))
+            query['key'] = codec.key_after(items[-1].key)
+            query['revision'] = str(page.found.revision)
+
+    async def _page(
+        self, query: codec.Json
+    ) -> codec.Page | interface.Unavailable:
         result = await self._read('/v3/kv/range', query)
         if isinstance(result, interface.Unknown):
             return interface.Unavailable(result.detail)
         if isinstance(result, interface.Unavailable):
             return result
-        return interface.Found(
-            codec.revision(result), codec.key_values(result)
-        )
+        return codec.page(result)
 
     async def transact(
         self,
--- a/src/corianderloft/_internal/standin/kv/codec.py
+++ b/src/corianderloft/_internal/standin/kv/codec.py
@@ -101,9 +101,12 @@
 def found(
     revision: int,
     items: collections.abc.Sequence[tuple[bytes, store.Record]],
+    limit: int = 0,
 ) -> Json:
-    """Return the reply to a range."""
+    """Return the reply to a range; a ``limit`` of 0 is none."""
+    shown = items[:limit] if limit else items
     return header(revision) | {
-        'kvs': [key_value(key, record) for key, record in items],
+        'kvs': [key_value(key, record) for key, record in shown],
         'count': str(len(items)),
+        'more': len(shown) < len(items),
     }
--- a/src/corianderloft/_internal/standin/kv/server.py
+++ b/src/corianderloft/_internal/standin/kv/server.py
@@ -130,14 +130,17 @@
     async def _range(self, body: codec.Json) -> tuple[int, codec.Json]:
         key = codec.decode(body, 'key')
         end = codec.decode(body, 'range_end')
-        if self.faults.read_age:
-            return 200, codec.found(
-                *self.store.select_as_of(key, end, self.faults.read_age)
-            )
-        return 200, self._select(key, end)
-
-    def _select(self, key: bytes, end: bytes) -> codec.Json:
-        return codec.found(self.store.revision, self.store.select(key, end))
+        revision = codec.number(body, 'revision')
+        if not revision:
+            revision = self.store.revision_before(self.faults.read_age)
+        items = self.store.select_at(key, end, revision)
+        if items is None:
+            raise codec.BadCall(f'revision {revision} has been compacted')
+        limit = codec.number(body, 'limit')
+        return 200, codec.found(revision, items, limit)
+
+    def _select(self, key: bytes) -> codec.Json:
+        return codec.found(self.store.revision, self.store.select(key, b''))
 
     async def _put(self, body: codec.Json) -> tuple[int, codec.Json]:
         return 200, codec.header(self._apply([codec.put(body)]))
@@ -153,11 +156,7 @@
         holds = all(self._holds(compare) for compare in compares)
         if not holds:
             responses = [
-                {
-                    'response_range': self._select(
-                        codec.decode(part, 'key'), b''
-                    )
-                }
+                {'response_range': self._select(codec.decode(part, 'key'))}
                 for request in body.get('failure', [])
                 if (part := request.get('request_range')) is not None
             ]
--- a/src/corianderloft/_internal/standin/kv/store.py
+++ b/src/corianderloft/_internal/standin/kv/store.py
@@ -96,24 +96,35 @@
             return self._keys[first:]
         return self._keys[first : bisect.bisect_left(self._keys, end)]
 
-    def select_as_of(
-        self, key: bytes, end: bytes, age: float
-    ) -> tuple[int, list[tuple[bytes, Record]]]:
-        """Return a revision and a selection as they were ``age`` s ago."""
-        horizon = trio.current_time() - age
+    def select_at(
+        self, key: bytes, end: bytes, revision: int
+    ) -> list[tuple[bytes, Record]] | None:
+        """Return a selection as of a revision, None when it is compacted."""
+        if revision + 1 < self.oldest_revision():
+            return None
+        if revision >= self.revision:
+            return self.select(key, end)
         found = dict(self.select(key, end))
-        revision = self.revision
         for change in reversed(self._history):
-            if change.changed_at <= horizon:
+            if change.revision <= revision:
                 break
-            revision = change.revision - 1
             if not covers(key, end, change.key):
                 continue
             if change.before is None:
                 found.pop(change.key, None)
             else:
                 found[change.key] = change.before
-        return revision, sorted(found.items())
+        return sorted(found.items())
+
+    def revision_before(self, age: float) -> int:
+        """Return the revision of the store ``age`` seconds ago."""
+        horizon = trio.current_time() - age
+        revision = self.revision
+        for change in reversed(self._history):
+            if change.changed_at <= horizon:
+                break
+            revision = change.revision - 1
+        return max(revision, self.oldest_revision() - 1)
 
     def mod_revision(self, key: bytes) -> int:
         """Return the revision of the last write, 0 for no such key."""
--- a/tests/unit/kv/test_etcd.py
+++ b/tests/unit/kv/test_etcd.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 
+import pytest
 import trio
 
 from corianderloft._internal.kv import etcd
@@ -95,3 +96,17 @@
         kv = etcd.EtcdClient(kv_settings.KvSettings(endpoint=endpoint))
         written = await kv.transact([], [interface.Put('a', b'1')])
     assert isinstance(written, interface.Unavailable)
+
+
+async def test_many_keys_come_in_pages_as_of_one_revision(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(etcd, 'PAGE_ITEMS', 2)
+    async with client() as kv:
+        puts = [interface.Put(f'p/{n}', b'') for n in range(5)]
+        written = await kv.transact([], puts)
+        found = await kv.get_prefix('p/')
+    assert isinstance(written, interface.Written)
+    assert isinstance(found, interface.Found)
+    assert found.revision == written.revision
+    assert [item.key for item in found.items] == [put.key for put in puts]
