Keep membership and the configuration by messages between hosts

Cause: hosts without disks must act as one system at a flat cost a node. Ruled out: a lease for each host in the key-value service, a watch for each host, verifying the configuration by reads (they may be old). Pushing news at once is not proved: with 9 hosts probes alone are in time.

--- a/src/corianderloft/_internal/settings/peers.py
+++ b/src/corianderloft/_internal/settings/peers.py
@@ -3,12 +3,29 @@
 from corianderloft._internal.settings import base
 
 
+class PeerKey(base.Section):
+    """One key that messages between hosts are hashed with."""
+
+    key_id: int = base.setting(..., 'Number of the key.', ge=0, le=65535)
+    secret: str = base.setting(..., 'Secret shared by all hosts.')
+
+
 class PeerSettings(base.Section):
     """Messages between hosts."""
 
     port: int = base.setting(
         0, 'UDP and TCP port; 0 lets the kernel choose.', ge=0, le=65535
     )
+    keys: tuple[PeerKey, ...] = base.setting(
+        (PeerKey(key_id=0, secret='corianderloft'),),
+        'Keys for the keyed hash of messages; the first signs, all are'
+        ' accepted. Set them: the default protects against accidents only.',
+    )
+    seeds: tuple[str, ...] = base.setting(
+        (),
+        'Peers to find the others through when the key-value service is'
+        ' down, as IP:PORT.',
+    )
     answer_size: int = base.setting(
         8, 'Largest number of addresses in an answer to a caller.', ge=1
     )
--- a/src/corianderloft/_internal/shared/configuration/catalogs.py
+++ b/src/corianderloft/_internal/shared/configuration/catalogs.py
@@ -1,12 +1,23 @@
 """The configuration in force on this host, decoded."""
 
 import collections.abc
+import logging
 
+import pydantic
+
+from corianderloft._internal.metrics import registry
 from corianderloft._internal.models import catalog
 from corianderloft._internal.models import ids
 from corianderloft._internal.shared.configuration import layout
 from corianderloft._internal.shared import mirror
 
+logger = logging.getLogger(__name__)
+
+UNREADABLE = registry.counter(
+    'configuration_entries_unreadable',
+    'Stored values that are not understood.',
+)
+
 
 class CatalogView:
     """Decodes changed keys only and indexes the workspaces by key hash."""
@@ -24,16 +35,15 @@
     ) -> None:
         """Put changed entries in force as ``revision``.
 
-        Raises
-        ------
-        pydantic.ValidationError
-            If a value does not have the stored form.
+        An entry that cannot be decoded leaves its key as it was; it is
+        counted and logged.
         """
         for entry in entries:
-            if entry.key.startswith(layout.SERVICE_PREFIX):
-                self._apply_service(entry)
-            elif entry.key.startswith(layout.SHARD_PREFIX):
-                self._apply_shard(entry)
+            try:
+                self._apply_entry(entry)
+            except pydantic.ValidationError as exc:
+                UNREADABLE.inc({})
+                logger.error('%s cannot be read: %s', entry.key, exc)
         self.current = catalog.Catalog(
             revision,
             tuple(s for _, s in sorted(self._services.items())),
@@ -48,6 +58,12 @@
         """Return the workspace that lists the hash of ``key``."""
         return self._by_hash.get(layout.hash_key(key))
 
+    def _apply_entry(self, entry: mirror.Entry) -> None:
+        if entry.key.startswith(layout.SERVICE_PREFIX):
+            self._apply_service(entry)
+        elif entry.key.startswith(layout.SHARD_PREFIX):
+            self._apply_shard(entry)
+
     def _apply_service(self, entry: mirror.Entry) -> None:
         if entry.value is None:
             self._services.pop(entry.key, None)
--- /dev/null
+++ b/src/corianderloft/_internal/shared/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership: which hosts are live, kept by messages between them."""
--- a/src/corianderloft/_internal/shared/state.py
+++ b/src/corianderloft/_internal/shared/state.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import logging
 import random
 import typing
 
@@ -13,15 +14,33 @@
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import states
 from corianderloft._internal.settings import root
+from corianderloft._internal.shared import backend_list
 from corianderloft._internal.shared.claims import claims
 from corianderloft._internal.shared.configuration import catalogs
+from corianderloft._internal.shared.configuration import currency
+from corianderloft._internal.shared.configuration import exchange
 from corianderloft._internal.shared.configuration import follow
 from corianderloft._internal.shared.configuration import layout
+from corianderloft._internal.shared.configuration import watching
 from corianderloft._internal.shared import interface
+from corianderloft._internal.shared.membership import addresses
+from corianderloft._internal.shared.membership import detector
+from corianderloft._internal.shared.membership import incarnations
+from corianderloft._internal.shared.membership import view
 from corianderloft._internal.shared import mirror
+from corianderloft._internal.shared.peers import codec
+from corianderloft._internal.shared.peers import keys
+from corianderloft._internal.shared.peers import messages
+from corianderloft._internal.shared.peers import transport
 from corianderloft._internal.shared import platform_lists
 from corianderloft._internal.utils import tasks
 
+logger = logging.getLogger(__name__)
+
+LEAVE_SPREAD_S = 2.0
+SEED_PAUSE_S = 1.0
+SEED_LONGEST_PAUSE_S = 30.0
+
 
 class HostSharedState:
     """Implementation of `interface.SharedState`.
@@ -33,7 +52,9 @@
     kv : KeyValueClient
         The platform's key-value service.
     host : Host
-        This host.
+        This host, with the port that its peers reach it at.
+    peers : Transport
+        Messages to other hosts.
     rng : random.Random
         Source of jitter.
     """
@@ -43,38 +64,82 @@
         settings: root.Settings,
         kv: kv_interface.KeyValueClient,
         host: interface.Host,
+        peers: transport.Transport,
         rng: random.Random,
     ) -> None:
         self._settings = settings
-        self._own = host
+        self._kv = kv
+        self._peers = peers
         self._rng = rng
+        self._changes = 0
+        self._changed = trio.Event()
         self._configuration = mirror.Mirror(layout.CONFIG_PREFIX)
         self._platform = mirror.Mirror(platform_lists.PLATFORM_PREFIX)
         self._catalogs = catalogs.CatalogView()
-        self._backends: dict[str, backends.Backend] = {}
-        self._hosts: dict[str, interface.Host] = {}
-        self._changes = 0
-        self._changed = trio.Event()
-        self._followers = (
-            follow.ConfigurationFollower(
-                kv, self._configuration, self._apply_configuration, rng
-            ),
-            follow.Follower(kv, self._platform, self._apply_platform, rng),
-        )
+        self._backends = backend_list.BackendList()
+        self._evidence = currency.Currency()
+        self._view = view.View(host)
+        seeds = tuple(_parse_address(s) for s in settings.peers.seeds)
+        self._detector = detector.Detector(self._view, peers, self, seeds, rng)
+        self._alone = not seeds
+        self._follow(kv)
         self._claims = claims.Claims(
             kv,
             host,
             settings.configuration.claim_life_s,
             self._claim_interval,
-            lambda host_id, incarnation: True,
+            self._may_run,
+            rng,
+        )
+
+    def _follow(self, kv: kv_interface.KeyValueClient) -> None:
+        rng = self._rng
+        configuration = follow.ConfigurationFollower(
+            kv,
+            self._configuration,
+            self._apply_configuration,
+            rng,
+            self._evidence,
+        )
+        platform = follow.Follower(
+            kv, self._platform, self._apply_platform, rng
+        )
+        self._watching = watching.Watching(
+            self._view,
+            configuration,
+            platform,
+            self._evidence,
+            lambda: self._configuration.revision > 0,
+            rng,
+        )
+        self._configuration_puller = exchange.Puller(
+            messages.FetchKind.CONFIGURATION,
+            self._configuration,
+            self._peers,
+            self._apply_configuration,
+            self._evidence.confirm,
+            configuration.verify,
+            rng,
+        )
+        self._platform_puller = exchange.Puller(
+            messages.FetchKind.PLATFORM,
+            self._platform,
+            self._peers,
+            self._apply_platform,
+            lambda asked_at: None,
+            platform.read,
             rng,
         )
 
     async def run(self) -> None:
         """Keep the shared state until cancelled."""
         async with trio.open_nursery() as nursery:
-            for follower in self._followers:
-                nursery.start_soon(follower.run)
+            nursery.start_soon(self._peers.serve, self._answer_fetch)
+            nursery.start_soon(self._find_seeds)
+            nursery.start_soon(self._detector.run)
+            nursery.start_soon(self._watching.run)
+            nursery.start_soon(self._configuration_puller.run)
+            nursery.start_soon(self._platform_puller.run)
             nursery.start_soon(self._claims.run)
 
     def current_catalog(self) -> catalog.Catalog:
@@ -83,7 +148,10 @@
 
     def configuration_fresh(self) -> bool:
         """See `interface.SharedState`."""
-        return self._configuration.revision > 0
+        if self._view.replaced or not self._configuration.revision:
+            return False
+        bound = self._settings.configuration.stale_after_s
+        return self._alone or self._evidence.confirmed_within(bound)
 
     async def wait_change(self, seen: int) -> int:
         """See `interface.SharedState`."""
@@ -93,12 +161,7 @@
 
     def note_backend_leaving(self, engine_id: ids.EngineId) -> None:
         """See `interface.SharedState`."""
-        known = self._backends.get(engine_id)
-        if known:
-            self._backends[engine_id] = dataclasses.replace(
-                known, state=states.BackendState.LEAVING
-            )
-            self._note_change()
+        self._detector.note_backend_leaving(engine_id)
 
     def workspace_by_key(self, key: str) -> catalog.Workspace | None:
         """See `interface.SharedState`."""
@@ -106,41 +169,33 @@
 
     def current_backends(self) -> tuple[backends.Backend, ...]:
         """See `interface.SharedState`."""
-        return tuple(self._backends.values())
+        return self._backends.current()
 
     def live_hosts(self) -> tuple[interface.Host, ...]:
         """See `interface.SharedState`."""
-        others = (
-            host
-            for host in self._hosts.values()
-            if host.state is states.HostState.LIVE
-            and host.host_id != self._own.host_id
-        )
         own = dataclasses.replace(
-            self._own, revision=self._configuration.revision
+            self._view.own, revision=self._configuration.revision
         )
-        live = own.state is states.HostState.LIVE
+        live = own.state is states.HostState.LIVE and not self._view.replaced
+        others = self._view.others(states.HostState.LIVE)
         return ((own,) if live else ()) + tuple(others)
 
     def addresses(
         self, failure_domain: ids.FailureDomain | None
     ) -> interface.AddressAnswer:
         """See `interface.SharedState`."""
-        hosts = list(self.live_hosts())
-        self._rng.shuffle(hosts)
-        hosts.sort(key=lambda host: host.failure_domain != failure_domain)
-        return interface.AddressAnswer(
-            tuple(hosts[: self._settings.peers.answer_size]),
+        return addresses.choose(
+            self.live_hosts(),
+            failure_domain,
+            self._settings.peers.answer_size,
             self._settings.peers.answer_ttl_s,
+            self._rng,
         )
 
     async def leave(self) -> float:
         """See `interface.SharedState`."""
-        self._own = dataclasses.replace(
-            self._own, state=states.HostState.LEAVING
-        )
-        self._note_change()
-        return self._settings.peers.answer_ttl_s
+        self._detector.leave()
+        return self._settings.peers.answer_ttl_s + LEAVE_SPREAD_S
 
     async def claim(
         self,
@@ -166,6 +221,83 @@
         """See `interface.SharedState`."""
         await self._claims.release(claimed)
 
+    def configuration_revision(self) -> ids.Revision:
+        """See `knowledge.Knowledge`."""
+        return self._configuration.revision
+
+    def platform_revision(self) -> ids.Revision:
+        """See `knowledge.Knowledge`."""
+        return self._platform.revision
+
+    def verified_age(self) -> float:
+        """See `knowledge.Knowledge`."""
+        return self._evidence.verified_age()
+
+    def heard(
+        self, source: messages.Address, message: messages.Datagram
+    ) -> None:
+        """See `knowledge.Knowledge`."""
+        self._configuration_puller.hint(source, message.configuration)
+        self._platform_puller.hint(source, message.platform)
+
+    def confirmed(self, asked_at: float, message: messages.Datagram) -> None:
+        """See `knowledge.Knowledge`."""
+        if message.configuration > self._configuration.revision:
+            return
+        self._evidence.confirm(asked_at)
+        if message.configuration == self._configuration.revision:
+            self._evidence.verify_through_peer(asked_at, message.verified_age)
+
+    def members_changed(self) -> None:
+        """See `knowledge.Knowledge`."""
+        self._alone = False
+        self._note_change()
+
+    def backend_leaving(self, engine_id: ids.EngineId, age: float) -> bool:
+        """See `knowledge.Knowledge`."""
+        news = self._backends.note_leaving(engine_id, age)
+        if news:
+            self._note_change()
+        return news
+
+    async def _find_seeds(self) -> None:
+        """Read the platform's list of hosts once, for the first contact."""
+        pause = SEED_PAUSE_S
+        while True:
+            found = await self._kv.get_prefix(platform_lists.HOST_PREFIX)
+            if isinstance(found, kv_interface.Found):
+                break
+            await trio.sleep(self._rng.uniform(0.5, 1.0) * pause)
+            pause = min(SEED_LONGEST_PAUSE_S, pause * 2)
+        for item in found.items:
+            self._add_listed_host(
+                mirror.Entry(item.key, item.value, item.mod_revision)
+            )
+
+    def _answer_fetch(self, fetch: messages.Fetch) -> messages.Fetched:
+        match fetch.kind:
+            case messages.FetchKind.VIEW:
+                return messages.Fetched(members=self._view.everyone())
+            case messages.FetchKind.CONFIGURATION:
+                return messages.Fetched(
+                    self._configuration.since(fetch.revision)
+                )
+            case messages.FetchKind.PLATFORM:
+                return messages.Fetched(self._platform.since(fetch.revision))
+        typing.assert_never(fetch.kind)
+
+    def _may_run(
+        self, host_id: ids.HostId, incarnation: ids.Incarnation
+    ) -> bool:
+        """Return whether a host may still run a call that it claimed."""
+        own = self._view.own
+        host = own if host_id == own.host_id else self._view.get(host_id)
+        return (
+            host is not None
+            and host.state is not states.HostState.DEAD
+            and incarnations.same_start(host.incarnation, incarnation)
+        )
+
     def _claim_interval(self) -> float:
         budget = self._settings.configuration.claim_writes_per_second
         return max(1, len(self.live_hosts())) / budget
@@ -174,6 +306,7 @@
         self, entries: collections.abc.Sequence[mirror.Entry]
     ) -> None:
         self._catalogs.apply(self._configuration.revision, entries)
+        self._detector.spread()
         self._note_change()
 
     def _apply_platform(
@@ -181,28 +314,19 @@
     ) -> None:
         for entry in entries:
             if entry.key.startswith(platform_lists.HOST_PREFIX):
-                self._apply_host(entry)
+                self._add_listed_host(entry)
             elif entry.key.startswith(platform_lists.BACKEND_PREFIX):
-                self._apply_backend(entry)
+                self._backends.apply(entry)
+        self._detector.spread()
         self._note_change()
 
-    def _apply_host(self, entry: mirror.Entry) -> None:
-        host_id = entry.key.removeprefix(platform_lists.HOST_PREFIX)
-        if entry.value is None:
-            self._hosts.pop(host_id, None)
-            return
-        host = platform_lists.listed_host(entry)
-        if host:
-            self._hosts[host_id] = host
-
-    def _apply_backend(self, entry: mirror.Entry) -> None:
-        engine_id = entry.key.removeprefix(platform_lists.BACKEND_PREFIX)
-        if entry.value is None:
-            self._backends.pop(engine_id, None)
-            return
-        backend = platform_lists.listed_backend(entry)
-        if backend:
-            self._backends[engine_id] = backend
+    def _add_listed_host(self, entry: mirror.Entry) -> None:
+        host = platform_lists.listed_host(entry) if entry.value else None
+        if host and host.host_id != self._view.own.host_id:
+            self._alone = False
+            self._detector.add_seeds(
+                messages.Address(host.address, host.peer_port)
+            )
 
     def _note_change(self) -> None:
         self._changes += 1
@@ -228,11 +352,31 @@
     kv : KeyValueClient
         The platform's key-value service.
     host : Host
-        This host, with the port that callers use.
+        This host, with the port that callers use; the port for peers is
+        bound here, from the section ``peers``. An incarnation of 0 is
+        replaced by one that names this start.
     task_status : TaskStatus
         Receives the `interface.SharedState`.
     """
-    state = HostSharedState(settings, kv, host, random.Random())  # noqa: S311
+    ring = keys.KeyRing(
+        [(key.key_id, key.secret.encode()) for key in settings.peers.keys]
+    )
+    peers = await transport.open_transport(
+        host.address, settings.peers.port, codec.Codec(ring)
+    )
+    own = dataclasses.replace(
+        host,
+        incarnation=host.incarnation or incarnations.new_incarnation(),
+        peer_port=peers.address.port,
+    )
+    state = HostSharedState(
+        settings, kv, own, peers, random.Random()  # noqa: S311
+    )
     task_status.started(state)
     await state.run()
     raise RuntimeError('the shared state of the host ended')
+
+
+def _parse_address(text: str) -> messages.Address:
+    ip, _, port = text.rpartition(':')
+    return messages.Address(ip, int(port))
--- a/tests/lib/fake_kv.py
+++ b/tests/lib/fake_kv.py
@@ -141,8 +141,9 @@
             for c in compares
         )
         if holds:
-            self.store.write(operations)
-            await self._notify()
+            if operations:
+                self.store.write(operations)
+                await self._notify()
             result = kv.Written(ids.Revision(self.store.revision))
         else:
             present = (items[c.key] for c in compares if c.key in items)
--- a/tests/unit/shared/test_state_thin.py
+++ b/tests/unit/shared/test_state_thin.py
@@ -33,7 +33,7 @@
     return client.transact([], [kv.Put(key, orjson.dumps(value))])
 
 
-async def test_follows_configuration_and_lists(client, shared):
+async def test_follows_configuration_and_lists(client, shared, autojump_clock):
     assert not shared.configuration_fresh()
     workspace = catalog.Workspace('w1', (layout.hash_key('k'),), ('desk',))
     template = catalog.ServiceTemplate(
@@ -74,7 +74,9 @@
             await trio.sleep(0.1)
 
 
-async def test_claim_runs_once_and_answers_again(client, shared):
+async def test_claim_runs_once_and_answers_again(
+    client, shared, autojump_clock
+):
     first = await shared.claim('w', 's', 'k', 'hash')
     assert isinstance(first, interface.Claimed)
     again = await shared.claim('w', 's', 'k', 'hash')
