--- /dev/null
+++ b/src/corianderloft/_internal/kv/watches.py
@@ -0,0 +1,132 @@
+"""One watch: a streamed reply with one JSON object a line."""
+
+import collections
+import collections.abc
+
+import httpcore
+import trio
+
+from corianderloft._internal.kv import codec
+from corianderloft._internal.kv import interface
+from corianderloft._internal.models import ids
+
+HTTP_OK = 200
+
+Start = collections.abc.Callable[
+    [codec.Json],
+    collections.abc.Awaitable[httpcore.Response | interface.Unavailable],
+]
+
+
+class Watch:
+    """Iterator over the changes below a prefix; ends after `WatchEnded`.
+
+    Parameters
+    ----------
+    start : callable
+        Sends the request of the watch.
+    prefix : str
+        Prefix of the keys.
+    after : Revision
+        Only later changes are delivered.
+    silence : float
+        Time without a message after which the watch ends, in seconds.
+
+    Attributes
+    ----------
+    heard : bool
+        Whether the service answered.
+    """
+
+    def __init__(
+        self,
+        start: Start,
+        prefix: str,
+        after: ids.Revision,
+        silence: float,
+    ) -> None:
+        self.heard = False
+        self._start_request = start
+        self._prefix = prefix
+        self._revision = after
+        self._silence = silence
+        self._chunks: collections.abc.AsyncIterator[bytes] | None = None
+        self._partial = b''
+        self._items: collections.deque[interface.WatchItem] = (
+            collections.deque()
+        )
+        self._ended = False
+
+    def __aiter__(self) -> 'Watch':
+        return self
+
+    async def __anext__(self) -> interface.WatchItem:
+        while not self._items:
+            if self._ended:
+                raise StopAsyncIteration
+            await self._receive()
+        return self._items.popleft()
+
+    async def _receive(self) -> None:
+        """Wait for the next bytes, or end the watch."""
+        try:
+            if self._chunks is None:
+                self._chunks = await self._start()
+                return
+            with trio.fail_after(self._silence):
+                self._feed(await anext(self._chunks))
+        except trio.TooSlowError:
+            self._end('the service went silent')
+        except StopAsyncIteration:
+            self._end('closed by the service')
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as exc:
+            self._end(repr(exc))
+
+    async def _start(
+        self,
+    ) -> collections.abc.AsyncIterator[bytes] | None:
+        create = codec.prefix_range(self._prefix) | {
+            'start_revision': str(self._revision + 1),
+            'progress_notify': True,
+        }
+        response = await self._start_request({'create_request': create})
+        if isinstance(response, interface.Unavailable):
+            self._end(response.detail)
+            return None
+        if response.status != HTTP_OK:
+            self._end(f'refused with status {response.status}')
+            return None
+        return response.aiter_stream()
+
+    def _feed(self, chunk: bytes) -> None:
+        *lines, self._partial = (self._partial + chunk).split(b'\n')
+        for line in filter(None, lines):
+            if not self._ended:
+                self._take_line(line)
+
+    def _take_line(self, line: bytes) -> None:
+        message = codec.decode(line)
+        if message is None or 'result' not in message:
+            self._end(f'malformed message {line[:80]!r}')
+            return
+        result = message['result']
+        self.heard = True
+        if result.get('canceled'):
+            compacted = result.get('compact_revision', '0')
+            self._end(f'cancelled; history begins at {compacted}')
+            return
+        self._items.extend(map(codec.watch_event, result.get('events', ())))
+        if not result.get('created'):
+            self._revision = codec.revision(result)
+
+    def _end(self, detail: str) -> None:
+        self._ended = True
+        self._items.append(
+            interface.WatchEnded(
+                f'watch of {self._prefix!r}: {detail}', self._revision
+            )
+        )
--- a/src/corianderloft/_internal/settings/root.py
+++ b/src/corianderloft/_internal/settings/root.py
@@ -1,5 +1,6 @@
 """All sections together."""
 
+from corianderloft._internal.settings import backends as _backends
 from corianderloft._internal.settings import base
 from corianderloft._internal.settings import callers as _callers
 from corianderloft._internal.settings import configuration as _configuration
@@ -17,6 +18,7 @@
     host: _host.HostSettings
     callers: _callers.CallerSettings = _callers.CallerSettings()
     operators: _operators.OperatorSettings = _operators.OperatorSettings()
+    backends: _backends.BackendSettings = _backends.BackendSettings()
     kv: _kv.KvSettings = _kv.KvSettings()
     peers: _peers.PeerSettings = _peers.PeerSettings()
     configuration: _configuration.ConfigurationSettings = (
