--- a/tests/lib/system.py
+++ b/tests/lib/system.py
@@ -5,6 +5,7 @@
 import dataclasses
 import hashlib
 import pathlib
+import shutil
 import tempfile
 import typing
 
@@ -12,9 +13,9 @@
 import orjson
 import yaml
 
+from corianderloft._internal.cli import exit_codes
 from corianderloft._internal.kv import etcd
 from corianderloft._internal.kv import interface as kv_interface
-from corianderloft._internal.models import ids
 from corianderloft._internal.settings import kv as kv_settings
 from tests.lib import calls
 from tests.lib import processes
@@ -28,6 +29,24 @@
 PLAIN_SERVICE = 'yard-counter'
 
 
+def chat_body(content: str, stream: bool) -> dict[str, typing.Any]:
+    """Return the body of a chat completion."""
+    return {
+        'model': 'rug-8b-v3',
+        'messages': [{'role': 'user', 'content': content}],
+        'stream': stream,
+        'seed': 7,
+    }
+
+
+@dataclasses.dataclass(frozen=True)
+class Applied:
+    """How ``apply`` ended, and what it printed."""
+
+    code: exit_codes.ExitCode
+    printed: dict[str, typing.Any]
+
+
 @dataclasses.dataclass
 class System:
     """Processes of one system, and calls on them.
@@ -40,6 +59,8 @@
         Holds settings.
     kv : Process
         The key-value service.
+    revision : int
+        Revision of the first configuration.
     hosts, backends : dict
         Processes by host id and by engine id.
     """
@@ -47,6 +68,7 @@
     started: processes.Processes
     directory: pathlib.Path
     kv: processes.Process
+    revision: int = 0
     hosts: dict[str, processes.Process] = dataclasses.field(
         default_factory=dict
     )
@@ -150,19 +172,57 @@
         return host
 
     async def apply(
-        self, directory: pathlib.Path = EXAMPLES / 'qureshi'
-    ) -> ids.Revision:
+        self,
+        directory: pathlib.Path = EXAMPLES / 'qureshi',
+        *flags: str,
+    ) -> Applied:
         """Put a directory of declarations in force by the command line."""
-        process = await self.started.start(
+        process = await self.started.run(
             '-m',
             'corianderloft',
             'apply',
             str(directory),
             f'--kv={self.kv_url}',
             '--format=json',
+            *flags,
+        )
+        return Applied(
+            exit_codes.ExitCode(process.returncode or 0),
+            orjson.loads(process.output() or '{}'),
+        )
+
+    def edited(
+        self, replacements: dict[str, str], name: str = 'edited'
+    ) -> pathlib.Path:
+        """Return a copy of Qureshi's declarations with texts replaced."""
+        target = self.directory / name
+        shutil.copytree(EXAMPLES / 'qureshi', target, dirs_exist_ok=True)
+        path = target / 'services.yaml'
+        text = path.read_text()
+        for old, new in replacements.items():
+            assert old in text, old
+            text = text.replace(old, new)
+        path.write_text(text)
+        return target
+
+    async def book(
+        self, host_id: str, booking: str, key: str
+    ) -> httpcore.Response:
+        """Make a booking, which must run at most once."""
+        return await self.call(
+            host_id,
+            'POST',
+            f'/v1/services/{PLAIN_SERVICE}/bookings',
+            {'booking': booking},
+            X_Class='booking',
+            Idempotency_Key=key,
         )
-        assert await process.wait_ended() == 0, process.output()
-        return ids.Revision(int(process.announced['revision']))
+
+    async def runs(self, booking: str) -> int:
+        """Return how often a booking ran."""
+        port = self.backends['counter-1'].port
+        ran = await calls.get(port, '/bookings')
+        return int(ran['bookings'].get(booking, 0))
 
     async def call(
         self,
@@ -195,12 +255,7 @@
         **headers: str,
     ) -> httpcore.Response:
         """Send one chat completion."""
-        body = {
-            'model': 'rug-8b-v3',
-            'messages': [{'role': 'user', 'content': content}],
-            'stream': stream,
-            'seed': 7,
-        }
+        body = chat_body(content, stream)
         return await self.call(
             host_id,
             'POST',
@@ -246,7 +301,9 @@
         async with processes.running() as started:
             kv = await started.standin('kv')
             system = System(started, pathlib.Path(directory), kv)
-            await system.apply()
+            applied = await system.apply()
+            assert applied.code is exit_codes.ExitCode.OK, applied
+            system.revision = int(applied.printed['revision'])
             for number in range(1, engines + 1):
                 await system.add_engine(f'engine-{number}')
             await system.add_service()
