Send orders to engines under a lease with a fencing number

Cause: a lease can run out while its holder is paused, and some engines take orders with old fencing numbers. Ruled out: leaders elected by messages (no agreement under cuts without a consensus group); candidates on all hosts (calls would grow with the fleet). Change: leases checked against the monotonic clock before each order, fencing numbers from the revision, waiting out where fencing is ignored, desired ends that are read back and repaired; setting configuration.send_orders. A host's incarnation is rounded so that refutations cannot reach the next start.

--- a/src/corianderloft/_internal/settings/configuration.py
+++ b/src/corianderloft/_internal/settings/configuration.py
@@ -22,3 +22,6 @@
         's',
         gt=0.0,
     )
+    send_orders: bool = base.setting(
+        True, 'Whether this host may become the sender of orders to engines.'
+    )
--- a/src/corianderloft/_internal/shared/configuration/watching.py
+++ b/src/corianderloft/_internal/shared/configuration/watching.py
@@ -28,16 +28,20 @@
 START_PATIENCE_S = 4.0
 
 
-def is_watcher(members: view.View) -> bool:
-    """Return whether this host is one of those that watch its domain."""
+def rank(members: view.View) -> int:
+    """Return the place of this host among the live of its domain, from 0."""
     own = members.own
-    rivals = [
-        host.host_id
+    own_place = _place(own.host_id)
+    return sum(
+        _place(host.host_id) < own_place
         for host in members.others(states.HostState.LIVE)
         if host.failure_domain == own.failure_domain
-    ]
-    own_place = _place(own.host_id)
-    return sum(_place(rival) < own_place for rival in rivals) < WATCHERS
+    )
+
+
+def is_watcher(members: view.View) -> bool:
+    """Return whether this host is one of those that watch its domain."""
+    return rank(members) < WATCHERS
 
 
 class Watching:
--- /dev/null
+++ b/src/corianderloft/_internal/shared/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases with fencing numbers, held in the key-value service."""
--- /dev/null
+++ b/src/corianderloft/_internal/shared/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines: one sender a service, desired ends, read back."""
--- a/src/corianderloft/_internal/shared/state.py
+++ b/src/corianderloft/_internal/shared/state.py
@@ -28,6 +28,8 @@
 from corianderloft._internal.shared.membership import incarnations
 from corianderloft._internal.shared.membership import view
 from corianderloft._internal.shared import mirror
+from corianderloft._internal.shared.orders import engine_http
+from corianderloft._internal.shared.orders import services
 from corianderloft._internal.shared.peers import codec
 from corianderloft._internal.shared.peers import keys
 from corianderloft._internal.shared.peers import messages
@@ -91,6 +93,15 @@
             self._may_run,
             rng,
         )
+        self._orders = services.ServiceOrders(
+            kv,
+            host.host_id,
+            engine_http.HttpEngineOrders(),
+            self._fresh_catalog,
+            self.current_backends,
+            lambda: watching.rank(self._view) == 0,
+            rng,
+        )
 
     def _follow(self, kv: kv_interface.KeyValueClient) -> None:
         rng = self._rng
@@ -141,6 +152,8 @@
             nursery.start_soon(self._configuration_puller.run)
             nursery.start_soon(self._platform_puller.run)
             nursery.start_soon(self._claims.run)
+            if self._settings.configuration.send_orders:
+                nursery.start_soon(self._orders.run)
 
     def current_catalog(self) -> catalog.Catalog:
         """See `interface.SharedState`."""
@@ -286,6 +299,9 @@
                 return messages.Fetched(self._platform.since(fetch.revision))
         typing.assert_never(fetch.kind)
 
+    def _fresh_catalog(self) -> catalog.Catalog | None:
+        return self.current_catalog() if self.configuration_fresh() else None
+
     def _may_run(
         self, host_id: ids.HostId, incarnation: ids.Incarnation
     ) -> bool:
@@ -322,7 +338,9 @@
 
     def _add_listed_host(self, entry: mirror.Entry) -> None:
         host = platform_lists.listed_host(entry) if entry.value else None
-        if host and host.host_id != self._view.own.host_id:
+        if host is None or not host.peer_port:
+            return
+        if host.host_id != self._view.own.host_id:
             self._alone = False
             self._detector.add_seeds(
                 messages.Address(host.address, host.peer_port)
@@ -353,8 +371,8 @@
         The platform's key-value service.
     host : Host
         This host, with the port that callers use; the port for peers is
-        bound here, from the section ``peers``. An incarnation of 0 is
-        replaced by one that names this start.
+        bound here, from the section ``peers``. Its incarnation
+        names this start.
     task_status : TaskStatus
         Receives the `interface.SharedState`.
     """
@@ -366,7 +384,7 @@
     )
     own = dataclasses.replace(
         host,
-        incarnation=host.incarnation or incarnations.new_incarnation(),
+        incarnation=incarnations.begin(host.incarnation),
         peer_port=peers.address.port,
     )
     state = HostSharedState(
