Show the whole path in one process, and write README and architecture

Cause: a newcomer needs one command that shows the product, and a page that says where to look. Ruled out: a load generator of the demo's own (load/ counts latencies from the scheduled time and checks whole answers); a second way of starting stand-ins and hosts in the tests (tests/lib/guide.py uses demo.stage). Change: demo/ with its declarations, platform lists and workload; commands demo, load and report; README; docs/ARCHITECTURE.md, whose modules and packages a test compares with the tree; platform_file moves to standin/.

--- a/src/corianderloft/_internal/commands/serve.py
+++ b/src/corianderloft/_internal/commands/serve.py
@@ -57,7 +57,5 @@
 
 async def _serve(settings: root.Settings) -> None:
     async with trio.open_nursery() as nursery:
-        bound: daemon.Started = await nursery.start(
-            daemon.run, settings
-        )
+        bound: daemon.Started = await nursery.start(daemon.run, settings)
         print(output.to_json(bound), flush=True)
--- /dev/null
+++ b/src/corianderloft/_internal/demo/stage.py
@@ -0,0 +1,165 @@
+"""Stand-ins and entry hosts in one process, with real sockets."""
+
+import collections.abc
+import dataclasses
+import functools
+import typing
+
+import trio
+
+from corianderloft._internal.standin import platform_file
+from corianderloft._internal.entry import daemon
+from corianderloft._internal.kv import etcd
+from corianderloft._internal.kv import interface as kv_interface
+from corianderloft._internal.models import states
+from corianderloft._internal.settings import kv as kv_settings
+from corianderloft._internal.settings import root
+from corianderloft._internal import standin
+from corianderloft._internal.utils import tasks
+
+LOOPBACK = '127.0.0.1'
+
+Kinds = collections.abc.Mapping[str, states.ServiceKind]
+EngineOptions = collections.abc.Mapping[str, typing.Any]
+
+
+@dataclasses.dataclass
+class Stage:
+    """What runs, and where.
+
+    Attributes
+    ----------
+    kv_url : str
+        URL of the key-value service.
+    client : KeyValueClient
+        Client of it.
+    backends : dict of str to int
+        Port of each backend server.
+    hosts : dict of str to Started
+        Bound ports of each entry host.
+    ended : dict of str to Event
+        Set for a host once it has drained.
+    """
+
+    kv_url: str
+    client: kv_interface.KeyValueClient
+    backends: dict[str, int] = dataclasses.field(default_factory=dict)
+    hosts: dict[str, daemon.Started] = dataclasses.field(default_factory=dict)
+    ended: dict[str, trio.Event] = dataclasses.field(default_factory=dict)
+
+
+async def start(
+    nursery: trio.Nursery,
+    lists: platform_file.PlatformFile,
+    hosts: collections.abc.Sequence[root.Settings],
+    kinds: Kinds,
+    engine_options: EngineOptions | None = None,
+) -> Stage:
+    """Start a key-value service, backend servers and entry hosts.
+
+    The kernel chooses all ports; the platform's lists get them.
+
+    Parameters
+    ----------
+    nursery : Nursery
+        Runs them all.
+    lists : PlatformFile
+        Backend servers to start, with the ports they would have.
+    hosts : sequence of Settings
+        Entry hosts to start.
+    kinds : mapping of str to ServiceKind
+        What stands behind each service.
+    engine_options : mapping, optional
+        Settings of all stand-in engines.
+    """
+    port = await nursery.start(standin.serve_kv, standin.KvSettings())
+    url = f'http://{LOOPBACK}:{port}'
+    client = etcd.EtcdClient(kv_settings.KvSettings(endpoint=url))
+    stage = Stage(url, client)
+    for engine_id, listed in lists.backends.items():
+        stage.backends[engine_id] = await _start_backend(
+            nursery, engine_id, listed, kinds, engine_options or {}
+        )
+    for settings in hosts:
+        await _start_host(nursery, stage, settings)
+    await _list_all(stage, lists)
+    return stage
+
+
+async def _start_backend(
+    nursery: trio.Nursery,
+    engine_id: str,
+    listed: platform_file.ListedBackend,
+    kinds: Kinds,
+    options: EngineOptions,
+) -> int:
+    if kinds[listed.service] is states.ServiceKind.PLAIN:
+        service: int = await nursery.start(
+            standin.serve_service, standin.ServiceSettings()
+        )
+        return service
+    settings = standin.EngineSettings(
+        engine_id=engine_id,
+        model=listed.model,
+        slots=listed.slots,
+        **options,
+    )
+    engine: int = await nursery.start(standin.serve_engine, settings)
+    return engine
+
+
+async def _start_host(
+    nursery: trio.Nursery, stage: Stage, settings: root.Settings
+) -> None:
+    host_id = settings.host.host_id
+    ended = stage.ended[host_id] = trio.Event()
+    movable = _movable(settings, stage.kv_url)
+    stage.hosts[host_id] = await nursery.start(
+        functools.partial(_run_host, movable, ended)
+    )
+
+
+async def _run_host(
+    settings: root.Settings,
+    ended: trio.Event,
+    task_status: tasks.TaskStatus[daemon.Started] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    await daemon.run(settings, handle_signals=False, task_status=task_status)
+    ended.set()
+
+
+def _movable(settings: root.Settings, kv_url: str) -> root.Settings:
+    """Return settings whose ports the kernel chooses."""
+    data = settings.model_dump()
+    for section in ('callers', 'operators', 'peers'):
+        data[section]['port'] = 0
+    data['kv']['endpoint'] = kv_url
+    return root.Settings.model_validate(data)
+
+
+async def _list_all(stage: Stage, lists: platform_file.PlatformFile) -> None:
+    """Write the platform's lists with the bound ports.
+
+    Raises
+    ------
+    RuntimeError
+        If the key-value service of this process refuses them.
+    """
+    servers = {
+        engine_id: listed.model_copy(
+            update={'port': stage.backends[engine_id]}
+        )
+        for engine_id, listed in lists.backends.items()
+    }
+    hosts = {
+        host_id: host.model_copy(
+            update={'caller_port': stage.hosts[host_id].caller_port}
+        )
+        for host_id, host in lists.hosts.items()
+    }
+    bound = platform_file.PlatformFile(hosts=hosts, backends=servers)
+    written = await platform_file.write_entries(
+        stage.client, platform_file.entries(bound)
+    )
+    if not isinstance(written, kv_interface.Written):
+        raise RuntimeError(f'the platform lists were not written: {written}')
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -17,6 +17,7 @@
 PAGES = sorted([*ROOT.glob('*.md'), *ROOT.glob('docs/**/*.md')])
 OPERATORS = ROOT / 'docs' / 'operators'
 
+COMMANDS = set(commands.COMMANDS.names())
 METRIC = re.compile(r'`(corianderloft_[a-z_]+)')
 
 
@@ -71,3 +72,24 @@
     ]
     assert names == []
     assert codes == []
+
+
+def test_modules_on_the_architecture_page_exist() -> None:
+    text = (ROOT / 'docs' / 'ARCHITECTURE.md').read_text(encoding='utf-8')
+    package = ROOT / 'src' / 'corianderloft' / '_internal'
+    named = set(re.findall(r'`([a-z_]+(?:\.[a-z_]+)*)`', text)) - COMMANDS
+    missing = [
+        name
+        for name in named
+        if not (package / name.replace('.', '/')).is_dir()
+        and not (package / f'{name.replace(".", "/")}.py').is_file()
+    ]
+    assert sorted(missing) == []
+
+
+def test_every_package_is_on_the_architecture_page() -> None:
+    text = (ROOT / 'docs' / 'ARCHITECTURE.md').read_text(encoding='utf-8')
+    package = ROOT / 'src' / 'corianderloft' / '_internal'
+    packages = {p.parent.name for p in package.glob('*/__init__.py')}
+    missing = [p for p in packages - {'utils'} if f'`{p}`' not in text]
+    assert sorted(missing) == []
