Give the stand-in engine's whole answers their first token

Cause: the answering task read the number of its first token when it began to run; the engine could have generated a token by then, which the answer then lacked. Change: the first token generated says where the answer begins. Conclusion: a fault of the stand-in, found by the load tool's comparison.

--- a/src/corianderloft/_internal/standin/engine/server.py
+++ b/src/corianderloft/_internal/standin/engine/server.py
@@ -171,8 +171,9 @@
     async def _whole(
         self, call: http.Call, req: chat.ChatRequest, job: engine_batch.Job
     ) -> None:
-        first = job.position + 1
+        # The engine may have generated before this task began to run.
         generated = [n async for n in job.receive]
+        first = generated[0] if generated else job.position + 1
         if job.state is engine_batch.JobState.CRASHED:
             await call.cut()
             return
