--- a/src/corianderloft/_internal/commands/demo.py
+++ b/src/corianderloft/_internal/commands/demo.py
@@ -37,9 +37,9 @@
     if isinstance(checked, output.Failure):
         return checked
     logs.configure(logs_settings.LogSettings(form='human', level='ERROR'))
-    report = trio.run(functools.partial(
-            demos.run_demo, progress.say, progress.show, checked
-        ))
+    report = trio.run(
+        functools.partial(demos.run_demo, progress.say, progress.show, checked)
+    )
     if isinstance(report, demos.DemoProblem):
         return output.Failure(exit_codes.ExitCode.FAILED, report.detail)
     if isinstance(report.measured, load.LoadProblem):
--- a/src/corianderloft/_internal/commands/standin_platform.py
+++ b/src/corianderloft/_internal/commands/standin_platform.py
@@ -4,9 +4,9 @@
 from corianderloft._internal.cli import exit_codes
 from corianderloft._internal.cli import options
 from corianderloft._internal.cli import output
-from corianderloft._internal.standin import platform_file
 from corianderloft._internal.commands import registry
 from corianderloft._internal.kv import interface as kv_interface
+from corianderloft._internal.standin import platform_file
 
 
 @registry.COMMANDS.register('standin platform')
--- a/src/corianderloft/_internal/demo/show.py
+++ b/src/corianderloft/_internal/demo/show.py
@@ -147,9 +147,7 @@
     )
 
 
-def _settings(
-    host_id: str, listed: platform_file.ListedHost
-) -> root.Settings:
+def _settings(host_id: str, listed: platform_file.ListedHost) -> root.Settings:
     return root.Settings.model_validate(
         {
             'host': {
@@ -271,4 +269,3 @@
     """Return what was added, without what stayed the same."""
     added = {name: count - before[name] for name, count in after.items()}
     return {name: count for name, count in added.items() if count}
-
--- a/src/corianderloft/_internal/demo/stage.py
+++ b/src/corianderloft/_internal/demo/stage.py
@@ -7,7 +7,6 @@
 
 import trio
 
-from corianderloft._internal.standin import platform_file
 from corianderloft._internal.entry import daemon
 from corianderloft._internal.kv import etcd
 from corianderloft._internal.kv import interface as kv_interface
@@ -15,6 +14,7 @@
 from corianderloft._internal.settings import kv as kv_settings
 from corianderloft._internal.settings import root
 from corianderloft._internal import standin
+from corianderloft._internal.standin import platform_file
 from corianderloft._internal.utils import tasks
 
 LOOPBACK = '127.0.0.1'
