Serve each workspace by its own parameters

Cause: declarations with parameters became overrides in the catalog, which the host did not read: every workspace got the template's defaults. Ruled out: a copy of the template for each workspace (36,000 of them). Change: entry.checks applies the workspace's overrides to its service. Measured: tests/unit/entry/test_parameters.py fails without the change and passes with it. Conclusion: classes are honoured; routes that a workspace's parameters change are not yet honoured by the decisions.

--- a/src/corianderloft/_internal/entry/checks.py
+++ b/src/corianderloft/_internal/entry/checks.py
@@ -147,7 +147,7 @@
             f'workspace {workspace.workspace_id!r} has no {kind.value} '
             f'service {name[:64]!r}',
         )
-    return service
+    return workspace.apply(service)
 
 
 def _class(
