--- a/tests/functional/test_engine_faults.py
+++ b/tests/functional/test_engine_faults.py
@@ -19,10 +19,7 @@
     """Bring about ``fault`` on one of two engines that both stream."""
     async with whole.running(1, 2, backends=QUICK_SILENCE) as system:
         contents = [f'question {n} [tokens:{TOKENS}]' for n in range(STREAMS)]
-        wanted = [
-            await streams.expected(system, 'engine-2', content)
-            for content in contents
-        ]
+        wanted = await streams.expected_all(system, 'engine-2', contents)
 
         async def strike() -> None:
             port = system.backends['engine-1'].port
@@ -72,7 +69,9 @@
             await trio.sleep(3)
             before = await calls.get(port, '/control/counts')
             for host_id in system.hosts:
-                await streams.stream_all(system, host_id, ['new'] * 12)
+                await streams.stream_all(
+                    system, host_id, ['new [tokens:3]'] * 12
+                )
         after = await calls.get(port, '/control/counts')
     assert after['requests'] == before['requests']
     assert all(answer.done for answer in answers)
--- a/tests/lib/streams.py
+++ b/tests/lib/streams.py
@@ -72,6 +72,21 @@
     return read_stream(reply.status, reply.content).text
 
 
+async def expected_all(
+    system: whole.System, engine_id: str, contents: list[str]
+) -> list[str]:
+    """Return the whole answers to all ``contents``, in their order."""
+    answers: dict[int, str] = {}
+
+    async def one(number: int, content: str) -> None:
+        answers[number] = await expected(system, engine_id, content)
+
+    async with trio.open_nursery() as nursery:
+        for number, content in enumerate(contents):
+            nursery.start_soon(one, number, content)
+    return [answers[number] for number in sorted(answers)]
+
+
 async def stream_all(
     system: whole.System, host_id: str, contents: list[str]
 ) -> list[Streamed]:
