--- a/src/corianderloft/_internal/decisions/dispatcher.py
+++ b/src/corianderloft/_internal/decisions/dispatcher.py
@@ -6,6 +6,7 @@
 import trio
 
 from corianderloft._internal.decisions import interface
+from corianderloft._internal.decisions import limits
 from corianderloft._internal.decisions import plugins
 from corianderloft._internal.decisions import pool
 from corianderloft._internal.decisions import refusals
@@ -16,8 +17,6 @@
 from corianderloft._internal.models import reasons
 from corianderloft._internal.models import requests
 
-_Reason = reasons.RefusalReason
-
 
 class LocalDispatcher:
     """Dispatcher of one host; shares the engines with other hosts.
@@ -28,6 +27,11 @@
         Section ``decisions`` of the settings.
     rng : Random or None
         Source of random numbers; None for one of its own.
+
+    Attributes
+    ----------
+    limits : Limits
+        Limits of workspaces; hosts may tell it what their peers see.
     """
 
     def __init__(
@@ -38,7 +42,9 @@
         self._pools: dict[ids.ServiceName, pool.ServicePool] = {}
         self._backends: tuple[backends.Backend, ...] = ()
         self._weights: dict[ids.WorkspaceId, int] = {}
-        self._host_count = 1
+        self.limits = limits.Limits()
+        self._own = ids.HostId('')
+        self._hosts: tuple[ids.HostId, ...] = ()
 
     async def acquire(
         self,
@@ -47,51 +53,37 @@
     ) -> interface.Grant | requests.Refused:
         """Queue a request until it may run on a backend server."""
         service = self._pools.get(ticket.service)
-        if service is None or not service.has_live_engine():
+        if service is None or not service.engine_set.live:
             return refusals.no_backend(ticket.service)
-        waiter = self._waiter(ticket, exclude)
-        service.enqueue(waiter)
-        service.pump(trio.current_time())
-        return await self._decision(service, waiter)
-
-    async def _decision(
-        self, service: pool.ServicePool, waiter: waiting.Waiter
-    ) -> interface.Grant | requests.Refused:
+        now = trio.current_time()
+        weight = self._weights.get(ticket.workspace, 1)
+        waiter = service.waiter(ticket, exclude, weight)
+        refusal = self._over_limit(service, waiter, now)
+        if refusal is not None:
+            return refusal
+        service.enqueue(waiter, now)
+        service.pump(now)
         try:
-            with trio.move_on_at(waiter.ticket.start_by):
-                await waiter.decided.wait()
+            await service.keeper.wait(service, waiter)
         except trio.Cancelled:
-            self._abandon(service, waiter)
+            _abandon(service, waiter)
             raise
         if waiter.outcome is not None:
             return waiter.outcome
-        service.queue.discard(waiter)
-        return refusals.not_run(
-            _Reason.DEADLINE,
-            f'request {waiter.ticket.request_id} did not start in time',
-        )
-
-    def _abandon(
-        self, service: pool.ServicePool, waiter: waiting.Waiter
-    ) -> None:
-        if waiter.outcome is None:
-            service.queue.discard(waiter)
-        elif not isinstance(waiter.outcome, requests.Refused):
-            waiter.outcome.close(interface.AttemptEnd.CANCELLED)
-
-    def _waiter(
-        self,
-        ticket: requests.Ticket,
-        exclude: collections.abc.Set[ids.EngineId],
-    ) -> waiting.Waiter:
-        return waiting.Waiter(
-            ticket=ticket,
-            lane=waiting.Lane(ticket.tier),
-            cost=float(ticket.prompt_tokens + ticket.max_tokens),
-            weight=self._weights.get(ticket.workspace, 1),
-            start_target=ticket.start_by,
-            exclude=exclude,
-        )
+        service.discard(waiter, trio.current_time())
+        return refusals.deadline(ticket.request_id)
+
+    def _over_limit(
+        self, service: pool.ServicePool, waiter: waiting.Waiter, now: float
+    ) -> requests.Refused | None:
+        """Charge the workspace for a first attempt."""
+        if waiter.exclude or service.seen.is_hedge(waiter):
+            return None
+        workspace = waiter.ticket.workspace
+        wait = self.limits.wait(workspace, waiter.cost, now)
+        if wait <= 0:
+            return None
+        return refusals.workspace_limit(workspace, wait)
 
     def retry(
         self,
@@ -107,7 +99,7 @@
             return interface.GiveUp(
                 reasons.RetryRefusalReason.NO_OTHER_BACKEND
             )
-        return service.retry_rule.decide(
+        return service.plugins.retry_rule.decide(
             ticket,
             end,
             attempts,
@@ -121,25 +113,28 @@
         service = self._pools.get(ticket.service)
         if service is None or not ticket.idempotent:
             return None
-        return service.hedge_rule.delay(ticket, float(ticket.max_tokens))
+        return service.plugins.hedge_rule.delay(
+            ticket, service.seen.lengths.cost(ticket)
+        )
 
     def use_catalog(self, current: catalog.Catalog) -> None:
         """Put a new configuration in force."""
         self._weights = {
             w.workspace_id: w.limits.weight for w in current.workspaces
         }
+        self.limits.use_catalog(current)
         known = {service.name for service in current.services}
         for template in current.services:
             self._use_template(template)
         for name in set(self._pools) - known:
-            self._pools.pop(name).close()
+            self._pools.pop(name).close(trio.current_time())
         self.use_backends(self._backends)
 
     def _use_template(self, template: catalog.ServiceTemplate) -> None:
         service = self._pools.get(template.name)
         if service is None:
             service = pool.ServicePool(template, self._cfg, self._rng)
-            service.use_host_count(self._host_count)
+            service.engine_set.use_hosts(self._own, self._hosts)
             self._pools[template.name] = service
         service.use_template(template)
 
@@ -149,24 +144,26 @@
         """Replace the list of backend servers, leaving ones included."""
         self._backends = tuple(current)
         for name, service in self._pools.items():
-            service.use_backends(b for b in current if b.service == name)
+            service.engine_set.use_backends(
+                b for b in current if b.service == name
+            )
             service.pump(trio.current_time())
 
     def use_hosts(
         self, own: ids.HostId, live: collections.abc.Sequence[ids.HostId]
     ) -> None:
         """Replace the list of live entry hosts, this one included."""
-        self._host_count = max(1, len(live))
+        self._own = own
+        self._hosts = tuple(live)
+        self.limits.use_hosts(own, live)
         for service in self._pools.values():
-            service.use_host_count(self._host_count)
+            service.engine_set.use_hosts(own, self._hosts)
             service.pump(trio.current_time())
 
     def report_load(self, report: backends.LoadReport) -> None:
         """Take in an engine's own, late report of its load."""
         for service in self._pools.values():
-            engine = service.engines.get(report.engine_id)
-            if engine is not None:
-                engine.report = report
+            service.engine_set.report_load(report)
 
     def cached_prefixes(
         self,
@@ -175,3 +172,15 @@
         removed: collections.abc.Sequence[int],
     ) -> None:
         """Take in late cache events of an engine; gaps are possible."""
+        for service in self._pools.values():
+            if engine_id in service.engine_set.engines:
+                service.scene.prefixes.add(engine_id, added)
+                service.scene.prefixes.remove(engine_id, removed)
+
+
+def _abandon(service: pool.ServicePool, waiter: waiting.Waiter) -> None:
+    """Leave the queue, or give back a slot that nobody will use."""
+    if waiter.outcome is None:
+        service.discard(waiter, trio.current_time())
+    elif not isinstance(waiter.outcome, requests.Refused):
+        waiter.outcome.close(interface.AttemptEnd.CANCELLED)
--- a/src/corianderloft/_internal/decisions/pool.py
+++ b/src/corianderloft/_internal/decisions/pool.py
@@ -1,71 +1,39 @@
-"""One service on one host: its queue, its engines and its plug-ins."""
+"""One service on one host: its queue, and who is granted a slot."""
 
 import collections.abc
 import random
-import typing
 
-from corianderloft._internal.decisions import balancers
+from corianderloft._internal.decisions import chosen
+from corianderloft._internal.decisions import engine_set
 from corianderloft._internal.decisions import engines
 from corianderloft._internal.decisions import grants
-from corianderloft._internal.decisions import hedges
-from corianderloft._internal.decisions import interface
-from corianderloft._internal.decisions import limiters
+from corianderloft._internal.decisions import guarantee
+from corianderloft._internal.decisions import health
+from corianderloft._internal.decisions import keeper
+from corianderloft._internal.decisions import observations
 from corianderloft._internal.decisions import plugins
-from corianderloft._internal.decisions import queues
+from corianderloft._internal.decisions import prefixes
 from corianderloft._internal.decisions import refusals
-from corianderloft._internal.decisions import retries
 from corianderloft._internal.decisions import waiting
-from corianderloft._internal.kernel import registry
-from corianderloft._internal.models import backends
 from corianderloft._internal.models import catalog
 from corianderloft._internal.models import ids
-from corianderloft._internal.models import reasons
-
-__all__ = [
-    'ServicePool',
-    'balancers',
-    'hedges',
-    'limiters',
-    'queues',
-    'retries',
-]
-
-T = typing.TypeVar('T')
-
-_DEFAULT = 'default'
-
-_FAILED_ENDS = frozenset(
-    {
-        interface.AttemptEnd.CONNECT_FAILED,
-        interface.AttemptEnd.CONNECTION_LOST,
-        interface.AttemptEnd.SILENT,
-        interface.AttemptEnd.BACKEND_REFUSED,
-        interface.AttemptEnd.BACKEND_ERROR,
-    }
-)
-
-
-def _plugin(
-    plugin_registry: registry.Registry[T], name: str, fallback: str
-) -> T:
-    """Return the plug-in that a template or else the settings name."""
-    found = plugin_registry.find(fallback if name == _DEFAULT else name)
-    if isinstance(found, registry.UnknownPlugin):
-        raise LookupError(str(found))
-    return found
-
-
-def _plugin_names(template: catalog.ServiceTemplate) -> tuple[str, ...]:
-    return (
-        template.balancer,
-        template.queue_policy,
-        template.limiter,
-        template.retry_rule,
-    )
+from corianderloft._internal.models import requests
 
 
 class ServicePool:
-    """Grants the requests of one service to its engines."""
+    """Grants the requests of one service to its engines.
+
+    Attributes
+    ----------
+    template : ServiceTemplate
+        The service as declared.
+    plugins : Chosen
+        The plug-ins in force.
+    engine_set : EngineSet
+        The engines.
+    keeper : Keeper
+        How requests wait.
+    """
 
     def __init__(
         self,
@@ -73,153 +41,187 @@
         cfg: plugins.Settings,
         rng: random.Random,
     ) -> None:
-        self.engines: dict[ids.EngineId, engines.EngineView] = {}
         self._cfg = cfg
         self._rng = rng
         self._sequence = 0
-        self._host_count = 1
-        self._load_plugins(template)
-
-    def _load_plugins(self, template: catalog.ServiceTemplate) -> None:
-        cfg = self._cfg
-        rng = self._rng
         self.template = template
-        self.balancer = _plugin(
-            plugins.BALANCERS, template.balancer, cfg.balancer
-        )(cfg, rng)
-        self.queue = _plugin(
-            plugins.QUEUE_POLICIES, template.queue_policy, cfg.queue_policy
-        )(cfg)
-        self.limiter = _plugin(
-            plugins.LIMITERS, template.limiter, cfg.limiter
-        )(cfg)
-        self.retry_rule = _plugin(
-            plugins.RETRY_RULES, template.retry_rule, cfg.retry_rule
-        )(cfg, rng)
-        self.hedge_rule = _plugin(
-            plugins.HEDGE_RULES, _DEFAULT, cfg.hedge_rule
-        )(cfg)
-        self.limiter.use_host_count(self._host_count)
+        self.keeper = keeper.Keeper()
+        self.plugins = chosen.choose(template, cfg, rng)
+        self.engine_set = engine_set.EngineSet(self.plugins.limiter, cfg)
+        self.health = health.Health(cfg, rng)
+        self.guarantee = guarantee.Guarantee(cfg)
+        self.scene = plugins.Scene(prefixes.Prefixes())
+        self.seen = observations.Observations(
+            cfg, self.engine_set, self.health, self.scene, self.pump
+        )
+        self._use_plugins()
+        self.engine_set.use_routes(template.routes)
+
+    def _use_plugins(self) -> None:
+        self.seen.limiter = self.plugins.limiter
+        self.seen.hedge_rule = self.plugins.hedge_rule
+        self.engine_set.use_limiter(self.plugins.limiter)
 
     def use_template(self, template: catalog.ServiceTemplate) -> None:
         """Put a changed template in force; waiting requests stay."""
-        if _plugin_names(template) == _plugin_names(self.template):
-            self.template = template
+        previous = self.template
+        self.template = template
+        if template.routes != previous.routes:
+            self.engine_set.use_routes(template.routes)
+        if chosen.plugin_names(template) == chosen.plugin_names(previous):
             return
-        previous = self.queue
-        self._load_plugins(template)
-        for waiter in previous.waiters():
-            self.queue.push(waiter)
+        queue = self.plugins.queue
+        self.plugins = chosen.choose(template, self._cfg, self._rng)
+        self._use_plugins()
+        for waiter in queue.waiters():
+            self.plugins.queue.push(waiter)
 
-    def use_host_count(self, count: int) -> None:
-        """Note how many live hosts share the engines."""
-        self._host_count = count
-        self.limiter.use_host_count(count)
-
-    def close(self) -> None:
+    def close(self, now: float) -> None:
         """Refuse all that waits: the service is no longer declared."""
-        for waiter in self.queue.waiters():
-            self.queue.discard(waiter)
+        for waiter in self.plugins.queue.waiters():
+            self.discard(waiter, now)
             waiter.decide(refusals.no_backend(self.template.name))
 
-    def use_backends(
-        self, current: collections.abc.Iterable[backends.Backend]
-    ) -> None:
-        """Replace the engines and keep what is known of those that stay."""
-        previous = self.engines
-        self.engines = {}
-        for backend in current:
-            view = previous.get(backend.engine_id)
-            if view is None:
-                view = engines.EngineView(backend)
-            view.backend = backend
-            self.engines[backend.engine_id] = view
-
-    def has_live_engine(self) -> bool:
-        """Whether any engine may be given new work."""
-        return any(e.takes_new_work for e in self.engines.values())
-
-    def enqueue(self, waiter: waiting.Waiter) -> None:
-        """Queue a request; the newest of the lowest tier makes room."""
+    def waiter(
+        self,
+        ticket: requests.Ticket,
+        exclude: collections.abc.Set[ids.EngineId],
+        weight: int,
+    ) -> waiting.Waiter:
+        """Return a request with its estimates, not queued yet."""
+        cost = self.seen.lengths.cost(ticket)
+        return waiting.Waiter(
+            ticket=ticket,
+            lane=waiting.Lane(ticket.tier, cost > self._cfg.long_cost),
+            cost=cost,
+            weight=weight,
+            start_target=ticket.arrived + self._target(ticket),
+            exclude=exclude,
+        )
+
+    def _target(self, ticket: requests.Ticket) -> float:
+        declared = self.template.request_class(ticket.class_name)
+        if declared is None:
+            return ticket.start_by - ticket.arrived
+        return declared.first_token_target
+
+    def enqueue(self, waiter: waiting.Waiter, now: float) -> None:
+        """Queue a request, or refuse one that has no chance."""
+        refusal = self._refusal(waiter, now)
+        if refusal is not None:
+            waiter.decide(refusal)
+            return
         self._sequence += 1
         waiter.sequence = self._sequence
-        self.queue.push(waiter)
-        if len(self.queue) > self._cfg.queue_limit:
-            self._shed(waiter)
-
-    def _shed(self, arrived: waiting.Waiter) -> None:
-        victim = self.queue.newest_of_lowest_tier()
+        self.plugins.queue.push(waiter)
+        self.seen.demand.queued(waiter, now)
+        if len(self.plugins.queue) > self._cfg.queue_limit:
+            self._shed(waiter, now)
+
+    def _refusal(
+        self, waiter: waiting.Waiter, now: float
+    ) -> requests.Refused | None:
+        request_id = waiter.ticket.request_id
+        if self.seen.is_hedge(waiter):
+            if self.plugins.hedge_rule.spend(waiter.cost):
+                return None
+            return refusals.hedge_budget(request_id)
+        rate = self.seen.demand.start_rate(now)
+        backlog = self.seen.demand.backlog_before(waiter.lane)
+        left = max(0.0, waiter.ticket.start_by - now)
+        if rate > 0 and backlog / rate > left * self._cfg.early_refusal:
+            return refusals.deadline(request_id, backlog / rate)
+        return None
+
+    def discard(self, waiter: waiting.Waiter, now: float) -> None:
+        """Remove a request that waits no longer."""
+        self.plugins.queue.discard(waiter)
+        self.seen.demand.left_queue(waiter, now)
+
+    def any_waiter(self) -> waiting.Waiter | None:
+        """Return a request that waits, or None."""
+        return self.plugins.queue.newest_of_lowest_tier()
+
+    def _shed(self, arrived: waiting.Waiter, now: float) -> None:
+        victim = self.plugins.queue.newest_of_lowest_tier()
         assert victim is not None
-        self.queue.discard(victim)
+        self.discard(victim, now)
         higher = arrived.lane.tier < victim.lane.tier
-        reason = (
-            reasons.RefusalReason.SHED_FOR_HIGHER_TIER
-            if higher
-            else reasons.RefusalReason.QUEUE_FULL
-        )
-        victim.decide(
-            refusals.not_run(
-                reason,
-                f'queue of service {self.template.name!r} is full',
-                retry_after=refusals.RETRY_AFTER_FULL,
-            )
-        )
+        victim.decide(refusals.shed(self.template.name, higher))
 
     def pump(self, now: float) -> None:
         """Grant waiting requests while engines have room."""
+        queue = self.plugins.queue
+        if not len(queue):
+            return
+        self.health.judge(self.engine_set.live, now)
+        self.scene.healthy_gap = self.health.healthy_gap
         blocked = []
         while True:
-            waiter = self.queue.pop(now, self._lane_has_room)
+            waiter, guaranteed = self._next(now)
             if waiter is None:
                 break
-            if not self._grant(waiter, now):
+            if not self._grant(waiter, guaranteed, now):
                 blocked.append(waiter)
                 if not waiter.exclude:
                     break
         for waiter in reversed(blocked):
-            self.queue.put_back(waiter)
+            queue.put_back(waiter)
+
+    def _next(self, now: float) -> tuple[waiting.Waiter | None, bool]:
+        queue = self.plugins.queue
+        owed = self.guarantee.owed(self.seen.demand, now)
+        if owed is not None:
+            waiter = queue.pop(
+                now, lambda lane: lane == owed and self._has_room(lane, now)
+            )
+            if waiter is not None:
+                return waiter, True
+        return queue.pop(now, lambda lane: self._may_start(lane, now)), False
+
+    def _may_start(self, lane: waiting.Lane, now: float) -> bool:
+        if not self.plugins.limiter.may_start(
+            lane, self.seen.demand, self.engine_set.capacity
+        ):
+            return False
+        return self._has_room(lane, now)
 
-    def _grant(self, waiter: waiting.Waiter, now: float) -> bool:
-        engine = self.balancer.choose(waiter, self._candidates(waiter), now)
-        if engine is None:
+    def _has_room(self, lane: waiting.Lane, now: float) -> bool:
+        return any(self._takes(e, lane, now) for e in self.engine_set.live)
+
+    def _takes(
+        self, engine: engines.EngineView, lane: waiting.Lane, now: float
+    ) -> bool:
+        if not self.plugins.limiter.has_room(engine, lane):
             return False
-        engine.in_flight += 1
-        engine.long_in_flight += waiter.lane.long
-        self.retry_rule.granted(now)
-        self.hedge_rule.granted(waiter.cost)
-        waiter.decide(grants.AttemptGrant(waiter, engine, self))
-        return True
+        if not self.plugins.balancer.judges_health:
+            return True
+        return self.health.admits(engine, lane.long, now)
 
-    def _has_room(
-        self, engine: engines.EngineView, lane: waiting.Lane
+    def _grant(
+        self, waiter: waiting.Waiter, guaranteed: bool, now: float
     ) -> bool:
-        return engine.takes_new_work and (
-            engine.in_flight < self.limiter.limit(engine, lane)
+        self.scene.lane_part = self.seen.demand.part_up_to(waiter.lane)
+        engine = self.plugins.balancer.choose(
+            waiter, self._candidates(waiter, now), now, self.scene
         )
+        if engine is None:
+            return False
+        self.health.granted(engine, now)
+        self.guarantee.started(waiter, self.seen.demand, guaranteed)
+        if not waiter.exclude:
+            self.plugins.retry_rule.granted(now)
+        self.plugins.hedge_rule.granted(waiter.cost)
+        grant = grants.AttemptGrant(waiter, engine, self.seen)
+        self.seen.saw_grant(grant, now)
+        waiter.decide(grant)
+        return True
 
-    def _lane_has_room(self, lane: waiting.Lane) -> bool:
-        return any(self._has_room(e, lane) for e in self.engines.values())
-
-    def _candidates(self, waiter: waiting.Waiter) -> list[engines.EngineView]:
-        live = [e for e in self.engines.values() if e.takes_new_work]
+    def _candidates(
+        self, waiter: waiting.Waiter, now: float
+    ) -> list[engines.EngineView]:
+        live = self.engine_set.live
         others = [e for e in live if e.backend.engine_id not in waiter.exclude]
-        return [e for e in others or live if self._has_room(e, waiter.lane)]
-
-    def saw_first_token(self, grant: grants.AttemptGrant, now: float) -> None:
-        """Take in the first token of an attempt."""
-        wait = now - grant.started
-        self.hedge_rule.first_token(wait)
-        self.limiter.started(grant.engine, wait, wait)
-
-    def saw_close(
-        self,
-        grant: grants.AttemptGrant,
-        end: interface.AttemptEnd,
-        now: float,
-    ) -> None:
-        """Take back the slot of an attempt and give it to the next."""
-        grant.engine.in_flight -= 1
-        grant.engine.long_in_flight -= grant.waiter.lane.long
-        if end in _FAILED_ENDS:
-            self.limiter.failed(grant.engine)
-        self.pump(now)
+        return self.engine_set.routes.prefer(
+            [e for e in others or live if self._takes(e, waiter.lane, now)]
+        )
--- a/src/corianderloft/_internal/entry/daemon.py
+++ b/src/corianderloft/_internal/entry/daemon.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import functools
-import time
 
 import trio
 
@@ -11,6 +10,7 @@
 from corianderloft._internal import kernel
 from corianderloft._internal.kv import etcd as _etcd  # noqa: F401
 from corianderloft._internal.kv import interface as kv_interface
+from corianderloft._internal.metrics import kv_calls
 from corianderloft._internal.models import ids
 from corianderloft._internal.settings import root
 from corianderloft._internal.shared import interface as shared_interface
@@ -30,12 +30,15 @@
         IP number.
     caller_port, operator_port : int
         Bound TCP ports.
+    peer_port : int
+        Bound UDP and TCP port for peers.
     """
 
     host_id: ids.HostId
     address: str
     caller_port: int
     operator_port: int
+    peer_port: int
 
 
 def make_kv(settings: root.Settings) -> kv_interface.KeyValueClient:
@@ -49,7 +52,7 @@
     factory = kv_interface.CLIENTS.find(settings.kv.client)
     if isinstance(factory, kernel.UnknownPlugin):
         raise ValueError(str(factory))
-    return factory(settings.kv)
+    return kv_calls.CountedClient(factory(settings.kv))
 
 
 def describe(
@@ -58,7 +61,7 @@
     """Return this start of the host, as its peers will see it."""
     return shared_interface.Host(
         host_id=ids.HostId(settings.host.host_id),
-        incarnation=ids.Incarnation(time.time_ns()),
+        incarnation=ids.Incarnation(0),
         address=settings.host.address,
         caller_port=sockets.caller_port,
         peer_port=settings.peers.port,
@@ -103,12 +106,24 @@
                     handle_signals=handle_signals,
                 )
             )
-            task_status.started(
-                Started(
-                    own.host_id,
-                    own.address,
-                    sockets.caller_port,
-                    sockets.operator_port,
-                )
-            )
+            task_status.started(_started(own, shared, sockets))
         nursery.cancel_scope.cancel()
+
+
+def _started(
+    own: shared_interface.Host,
+    shared: shared_interface.SharedState,
+    sockets: entry_host.Sockets,
+) -> Started:
+    peer_port = next(
+        host.peer_port
+        for host in shared.live_hosts()
+        if host.host_id == own.host_id
+    )
+    return Started(
+        own.host_id,
+        own.address,
+        sockets.caller_port,
+        sockets.operator_port,
+        peer_port,
+    )
