--- a/src/corianderloft/_internal/entry/attempts.py
+++ b/src/corianderloft/_internal/entry/attempts.py
@@ -85,7 +85,11 @@
             cfg.silent_floor, cfg.silent_gaps * request_class.token_gap_target
         )
         self._outbound = outbound.Outbound(
-            parts.kept, parts.watch, grant.backend, cfg.connect_time
+            parts.kept,
+            parts.watch,
+            grant.backend,
+            f'engine {grant.backend.engine_id!r}',
+            cfg.connect_time,
         )
 
     async def open(self, have: int) -> Opening:
--- a/src/corianderloft/_internal/entry/feeds.py
+++ b/src/corianderloft/_internal/entry/feeds.py
@@ -117,6 +117,7 @@
             self._parts.kept,
             self._parts.watch,
             backend,
+            f'engine {backend.engine_id!r}',
             self._cfg.connect_time,
         )
         try:
--- a/src/corianderloft/_internal/entry/plain.py
+++ b/src/corianderloft/_internal/entry/plain.py
@@ -158,12 +158,13 @@
             self._parts.kept,
             self._parts.watch,
             grant.backend,
+            f'backend server {grant.backend.engine_id!r}',
             cfg.connect_time,
         )
         noted = self._record.begin_try(grant.backend.engine_id)
         noted.end = interface.AttemptEnd.CANCELLED
         try:
-            ended = await self._answer(exchange)
+            ended = await self._answer(exchange, grant.backend.engine_id)
             noted.end = interface.AttemptEnd.COMPLETE
             if isinstance(ended, outbound.Failure):
                 noted.end = ended.end
@@ -178,7 +179,7 @@
             await exchange.close()
 
     async def _answer(
-        self, exchange: outbound.Outbound
+        self, exchange: outbound.Outbound, engine_id: ids.EngineId
     ) -> PlainAnswer | outbound.Failure:
         cfg = self._parts.settings.backends
         target = self._call.origin.request_class.first_token_target
@@ -190,8 +191,8 @@
         if isinstance(body, outbound.Failure):
             return body
         if verdicts.says_leaving(head.status, body):
-            self._parts.shared.note_backend_leaving(exchange.backend.engine_id)
-        verdict = verdicts.of_service(head, exchange.backend.engine_id)
+            self._parts.shared.note_backend_leaving(engine_id)
+        verdict = verdicts.of_service(head, engine_id)
         if verdict is not None:
             return verdict
         headers = [
--- a/src/corianderloft/_internal/network/outbound.py
+++ b/src/corianderloft/_internal/network/outbound.py
@@ -1,4 +1,4 @@
-"""One request to a backend server and the answer to it."""
+"""One request to a peer and the answer to it."""
 
 import collections.abc
 import dataclasses
@@ -8,7 +8,6 @@
 import trio
 
 from corianderloft._internal.decisions import interface
-from corianderloft._internal.models import backends
 from corianderloft._internal.network import connections
 from corianderloft._internal.network import silence
 from corianderloft._internal.network import streams
@@ -70,9 +69,9 @@
     end : AttemptEnd
         What happened.
     may_have_run : bool
-        Whether a byte of the request may have reached the backend server.
+        Whether a byte of the request may have reached the peer.
     detail : str
-        Message that names the backend server.
+        Message that names the peer.
     """
 
     end: interface.AttemptEnd
@@ -88,9 +87,11 @@
     kept : Connections
         Where connections come from and go back to.
     watch : SilenceWatch
-        Notices a backend server gone silent.
-    backend : Backend
+        Notices a peer gone silent.
+    peer : Peer
         Where the request goes.
+    name : str
+        Names the peer in messages.
     connect_time : float
         Time for a new connection to be made, in seconds.
     """
@@ -99,7 +100,8 @@
         self,
         kept: connections.Connections,
         watch: silence.SilenceWatch,
-        backend: backends.Backend,
+        peer: connections.Peer,
+        name: str,
         connect_time: float,
     ) -> None:
         self._kept = kept
@@ -108,7 +110,8 @@
         self._connection: connections.Connection | None = None
         self._response: httpcore.Response | None = None
         self._chunks: collections.abc.AsyncIterator[bytes] | None = None
-        self.backend = backend
+        self._peer = peer
+        self._name = name
 
     async def send(self, message: Message, bound: float) -> Head | Failure:
         """Send a request and wait for the head of the answer.
@@ -118,9 +121,9 @@
         message : Message
             The request.
         bound : float
-            Longest silence of the backend server in seconds.
+            Longest silence of the peer in seconds.
         """
-        connection = await self._kept.take(self.backend, message.idempotent)
+        connection = await self._kept.take(self._peer, message.idempotent)
         self._connection = connection
         with self._watch.guard(bound) as guard:
             guard.wait_begins()
@@ -161,7 +164,7 @@
         limit : int
             Longest body in bytes.
         bound : float
-            Longest silence of the backend server in seconds.
+            Longest silence of the peer in seconds.
         """
         parts: list[bytes] = []
         size = 0
@@ -189,7 +192,7 @@
             self._connection.hook(hook)
 
     def gone_silent(self, bound: float) -> Failure:
-        """Return the failure of a backend server that sent nothing."""
+        """Return the failure of a peer that sent nothing."""
         return self._failure(
             interface.AttemptEnd.SILENT, f'nothing for {bound:g} s', True
         )
@@ -203,10 +206,10 @@
         with trio.CancelScope(deadline=until, shield=True):
             if self._response is not None:
                 await self._response.aclose()
-            await self._kept.give_back(self.backend, connection)
+            await self._kept.give_back(self._peer, connection)
 
     def _request(self, message: Message) -> httpcore.Request:
-        host = f'{self.backend.address}:{self.backend.port}'
+        host = f'{self._peer.address}:{self._peer.port}'
         headers = [
             (b'host', host.encode('ascii')),
             *message.headers,
@@ -214,9 +217,9 @@
         if message.body or message.method not in ('GET', 'HEAD', 'DELETE'):
             headers.append((b'content-length', b'%d' % len(message.body)))
         url = httpcore.URL(
-            scheme=b'http',
-            host=self.backend.address.encode('ascii'),
-            port=self.backend.port,
+            scheme=self._kept.scheme,
+            host=self._peer.address.encode('ascii'),
+            port=self._peer.port,
             target=message.target,
         )
         extensions: dict[str, typing.Any] = {
@@ -236,5 +239,5 @@
         cause: object,
         may_have_run: bool,
     ) -> Failure:
-        detail = f'backend server {self.backend.engine_id!r}: {cause}'
+        detail = f'{self._name}: {cause}'
         return Failure(end, may_have_run, detail)
--- a/src/corianderloft/_internal/network/streams.py
+++ b/src/corianderloft/_internal/network/streams.py
@@ -10,6 +10,8 @@
 import trio
 
 SocketOption = typing.Any
+_BROKEN = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
+
 Hook = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 
 
@@ -28,6 +30,7 @@
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
+        self._tls: trio.SSLStream | None = None
         self._fileno = stream.socket.fileno()
         self.before_read: Hook | None = None
 
@@ -44,13 +47,15 @@
         if self.before_read is not None:
             await self.before_read()
         try:
+            if self._tls is not None:
+                return bytes(await self._tls.receive_some(max_bytes))
             # Asking first whether there is something to read costs a call
             # and an exception for each token.
             await trio.lowlevel.wait_readable(self._fileno)
             if self._stream.socket.fileno() != self._fileno:
                 raise httpcore.ReadError('closed while it was read')
             return os.read(self._fileno, max_bytes)
-        except (OSError, trio.ClosedResourceError) as exc:
+        except _BROKEN as exc:
             raise httpcore.ReadError(str(exc)) from exc
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
@@ -62,13 +67,13 @@
             If the connection is broken.
         """
         try:
-            await self._stream.send_all(buffer)
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            await (self._tls or self._stream).send_all(buffer)
+        except _BROKEN as exc:
             raise httpcore.WriteError(str(exc)) from exc
 
     async def aclose(self) -> None:
         """Close the connection."""
-        await self._stream.aclose()
+        await (self._tls or self._stream).aclose()
 
     async def start_tls(
         self,
@@ -76,8 +81,27 @@
         server_hostname: str | None = None,
         timeout: float | None = None,
     ) -> httpcore.AsyncNetworkStream:
-        """Refuse: backend servers are spoken to in plain HTTP."""
-        raise httpcore.UnsupportedProtocol('TLS to a backend server')
+        """Speak TLS from now on.
+
+        Raises
+        ------
+        httpcore.ConnectError
+            If the other end does not prove who it is.
+        """
+        self._tls = trio.SSLStream(
+            self._stream,
+            ssl_context,
+            server_hostname=server_hostname,
+            https_compatible=True,
+        )
+        within = float('inf') if timeout is None else timeout
+        try:
+            with trio.fail_after(within):
+                await self._tls.do_handshake()
+        except (*_BROKEN, trio.TooSlowError) as exc:
+            await trio.aclose_forcefully(self._stream)
+            raise httpcore.ConnectError(f'TLS: {exc!r}') from exc
+        return self
 
     def get_extra_info(self, info: str) -> typing.Any:
         """Return what httpcore asks about the socket, or None."""
@@ -85,6 +109,8 @@
             return self._stream.socket.is_readable()
         if info == 'socket':
             return self._stream.socket
+        if info == 'ssl_object' and self._tls is not None:
+            return self._tls
         return None
 
 
--- a/tests/lib/entry.py
+++ b/tests/lib/entry.py
@@ -90,6 +90,7 @@
         self.catalog = catalog_of()
         self.backends = listed
         self.fresh = True
+        self.asked = 0
         self.claim_valid_until = math.inf
         self.leaving: list[ids.EngineId] = []
         self.left = False
@@ -125,6 +126,7 @@
     def addresses(
         self, failure_domain: ids.FailureDomain | None
     ) -> shared_state.AddressAnswer:
+        self.asked += 1
         return shared_state.AddressAnswer(self.live_hosts(), 5.0)
 
     async def leave(self) -> float:
--- /dev/null
+++ b/tests/unit/caller/test_client.py
@@ -0,0 +1,199 @@
+"""Tests of the callers' library against hosts, engines and bad networks."""
+
+import contextlib
+import typing
+
+import trio
+
+import corianderloft
+from tests.lib import engines
+from tests.lib import entry
+from tests.lib import relay
+
+KEY = entry.KEYS['stables']
+TEXT = ''.join(f't{n} \\nid: 99' for n in range(1, engines.TOKENS + 1))
+CHAT = {'messages': [{'role': 'user', 'content': 'rug 7?'}]}
+SLOW = {'silent_floor': 60.0}
+
+
+class Paused:
+    """Script that streams six tokens, and the rest when it may."""
+
+    def __init__(self) -> None:
+        self.go_on = trio.Event()
+
+    async def script(self, wire: engines.Wire, seen: engines.Seen) -> None:
+        await wire.head()
+        await wire.tokens(seen.have + 1, 6)
+        await self.go_on.wait()
+        await wire.tokens(max(6, seen.have) + 1, engines.TOKENS)
+        await wire.done()
+
+
+def seeds(*ports: int) -> list[corianderloft.Address]:
+    return [corianderloft.Address('127.0.0.1', port) for port in ports]
+
+
+def client(*ports: int, **cfg: typing.Any) -> corianderloft.Client:
+    settings = corianderloft.ClientSettings(**cfg)
+    return corianderloft.Client(seeds(*ports), KEY, settings)
+
+
+@contextlib.asynccontextmanager
+async def relayed(
+    fixture: entry.Fixture, nursery: trio.Nursery
+) -> typing.AsyncIterator[relay.TcpRelay]:
+    """Put a relay before a host; callers know the relay only."""
+    fixture.shared.own = None
+    passing = relay.TcpRelay(fixture.sockets.caller_port)
+    await nursery.start(passing.run)
+    yield passing
+
+
+async def test_answer_is_whole_text(nursery: trio.Nursery) -> None:
+    _, one = await engines.start(nursery, 'e1', engines.serves)
+    async with entry.running_host(one) as fixture:
+        async with client(1, fixture.sockets.caller_port) as caller:
+            answer = await caller.chat('desk', 'quick', CHAT)
+    assert isinstance(answer, corianderloft.ChatAnswer)
+    assert (answer.text, answer.tokens) == (TEXT, engines.TOKENS)
+
+
+async def test_address_answer_is_kept_and_followed(
+    nursery: trio.Nursery,
+) -> None:
+    _, one = await engines.start(nursery, 'e1', engines.serves)
+    async with entry.running_host(one) as first:
+        async with entry.running_host(one) as second:
+            first.shared.own = second.shared.own
+            async with client(first.sockets.caller_port) as caller:
+                for _ in range(3):
+                    await caller.chat('desk', 'quick', CHAT)
+    assert not first.dispatcher.grants
+    assert len(second.dispatcher.grants) == 3
+    assert first.shared.asked == 1
+
+
+async def test_leaving_host_is_left_for_another(
+    nursery: trio.Nursery,
+) -> None:
+    _, one = await engines.start(nursery, 'e1', engines.serves)
+    async with entry.running_host(one) as first:
+        async with entry.running_host(one) as second:
+            first.shared.own = second.shared.own = None
+            ports = (first.sockets.caller_port, second.sockets.caller_port)
+            async with client(*ports) as caller:
+                first.stop.set()
+                for _ in range(3):
+                    answer = await caller.chat('desk', 'quick', CHAT)
+                    assert isinstance(answer, corianderloft.ChatAnswer)
+
+
+async def test_silent_connection_is_replaced(nursery: trio.Nursery) -> None:
+    paused = Paused()
+    engine, one = await engines.start(nursery, 'e1', paused.script)
+    async with entry.running_host(one, backends=SLOW) as fixture:
+        async with relayed(fixture, nursery) as passing:
+            numbers = []
+            async with client(passing.port, silence=0.3) as caller:
+                async with caller.stream('desk', 'quick', CHAT) as items:
+                    async for item in items:
+                        assert isinstance(item, corianderloft.Event)
+                        numbers.append(item.number)
+                        if item.number == 6:
+                            passing.silence_open()
+                            paused.go_on.set()
+    assert numbers == list(range(1, engines.TOKENS + 1))
+    # The rest came from the answer that was running all the time.
+    assert len(engine.seen) == 1
+
+
+async def test_stream_of_a_killed_host_goes_on_at_another(
+    nursery: trio.Nursery,
+) -> None:
+    paused = Paused()
+    _, one = await engines.start(nursery, 'e1', paused.script)
+    async with (
+        entry.running_host(one, backends=SLOW) as first,
+        entry.running_host(one, backends=SLOW) as second,
+        relayed(first, nursery) as passing,
+    ):
+        second.shared.own = None
+        ports = (passing.port, second.sockets.caller_port)
+        numbers = []
+        async with client(*ports) as caller:
+            async with caller.stream('desk', 'quick', CHAT) as items:
+                async for item in items:
+                    assert isinstance(item, corianderloft.Event), item
+                    numbers.append(item.number)
+                    if item.number == 6:
+                        passing.cut()
+                        paused.go_on.set()
+        assert numbers == list(range(1, engines.TOKENS + 1))
+        assert len(second.dispatcher.grants) == 1
+
+
+async def test_lost_answer_of_a_booking_is_asked_for_elsewhere(
+    nursery: trio.Nursery,
+) -> None:
+    ran = trio.Event()
+
+    async def books(wire: engines.Wire, seen: engines.Seen) -> None:
+        ran.set()
+        await wire.json(201, {'booked': True})
+
+    till, one = await engines.start(nursery, 't1', books, 'till')
+    async with (
+        entry.running_host(one) as first,
+        entry.running_host(one) as second,
+        relayed(first, nursery) as passing,
+    ):
+        second.shared.own = None
+        second.shared.claims = first.shared.claims
+        passing.to_client.silence()
+        ports = (passing.port, second.sockets.caller_port)
+        async with client(*ports, first_silence=0.3) as caller:
+            # The seeds are asked for addresses first; the relay is mute.
+            caller._book._fresh_until = float('inf')
+            answer = await caller.call(
+                'till', 'booking', 'POST', '/bookings', b'{}'
+            )
+    assert isinstance(answer, corianderloft.PlainAnswer)
+    assert answer.status == 201
+    assert ran.is_set()
+    assert len(till.seen) == 1
+
+
+async def test_refusal_is_an_outcome(nursery: trio.Nursery) -> None:
+    async with entry.running_host() as fixture:
+        async with client(fixture.sockets.caller_port) as caller:
+            refused = await caller.chat('desk', 'quick', CHAT)
+            assert isinstance(refused, corianderloft.Refused)
+            assert (refused.reason, refused.run) == ('no_backend', 'not_run')
+            assert refused.retry_after == 1.5
+            missing = await caller.call('x', 'quick', 'GET', '/')
+            assert isinstance(missing, corianderloft.Refused)
+            assert missing.reason == 'unknown_service'
+
+
+async def test_no_host_is_an_outcome() -> None:
+    async with client(1) as caller:
+        answer = await caller.chat('desk', 'quick', CHAT)
+        called = await caller.call('till', 'booking', 'POST', '/')
+    for outcome in (answer, called):
+        assert isinstance(outcome, corianderloft.Unreachable)
+        assert outcome.run == 'not_run'
+
+
+async def test_answer_that_may_have_run_is_not_generated_again(
+    nursery: trio.Nursery,
+) -> None:
+    engine, one = await engines.start(nursery, 'e1', engines.silent_after(0))
+    async with entry.running_host(one, backends=SLOW) as fixture:
+        fixture.shared.own = None
+        port = fixture.sockets.caller_port
+        async with client(port, first_silence=0.3) as caller:
+            answer = await caller.chat('desk', 'quick', CHAT, idempotent=False)
+    assert isinstance(answer, corianderloft.Unreachable)
+    assert answer.run == 'unknown'
+    assert len(engine.seen) == 1
