--- a/src/corianderloft/_internal/decisions/engines.py
+++ b/src/corianderloft/_internal/decisions/engines.py
@@ -6,7 +6,6 @@
 
 from corianderloft._internal.decisions import waiting
 from corianderloft._internal.models import backends
-from corianderloft._internal.models import ids
 from corianderloft._internal.models import states
 
 _WEIGHT = 0.25
@@ -18,6 +17,9 @@
 _SLOW_MEMORY = 60.0
 """Time constant at which an engine's slowness is forgotten, in seconds."""
 
+_KNOWN_FOR = 15.0
+"""Time constant at which an engine unheard of becomes unknown, in seconds."""
+
 _RAMP = 4.0
 """Slots a second that an engine is given after it came back."""
 
@@ -57,8 +59,6 @@
         Attempts between their first token and their end.
     last_progress : float
         When tokens last arrived, on trio's clock, in seconds.
-    awaiting : dict of RequestId to float
-        When each attempt without a first token was granted.
     excess_wait : float
         Mean wait for a first token beyond what is usual, in seconds.
     failures : int
@@ -88,9 +88,6 @@
     tokens_per_event: float = 1.0
     streams: int = 0
     last_progress: float = -math.inf
-    awaiting: dict[ids.RequestId, float] = dataclasses.field(
-        default_factory=dict
-    )
     excess_wait: float = 0.0
     excess_at: float = -math.inf
     failures: int = 0
@@ -160,6 +157,10 @@
         ratio = max(1.0, gap / healthy_gap)
         return 1.0 + (ratio - 1.0) * math.exp(-silence / _SLOW_MEMORY)
 
+    def doubt(self, now: float) -> float:
+        """Return how little its speed is known, from 0 to 1."""
+        return 1.0 - math.exp((self.last_progress - now) / _KNOWN_FOR)
+
     def others(self, mean_others: float, now: float) -> float:
         """Return what other hosts have in it, as far as can be known.
 
--- a/src/corianderloft/_internal/settings/decisions.py
+++ b/src/corianderloft/_internal/settings/decisions.py
@@ -29,7 +29,7 @@
         0.0, 'Times their mean that higher tiers are kept room for.', ge=0
     )
     overcommit: float = base.setting(
-        1.5, 'Times its share that work above the lowest may use.', ge=1
+        2.0, 'Times its share that work above the lowest may use.', ge=1
     )
     guaranteed_part: float = base.setting(
         0.05,
@@ -63,12 +63,21 @@
     most_ejected: float = base.setting(
         0.4, 'Largest part of engines that is ejected.', ge=0, lt=1
     )
+    subset_above: int = base.setting(
+        64, 'Engines of a service up to which a host uses all.', 'engines'
+    )
+    subset_hosts_per_engine: int = base.setting(
+        4, 'Hosts that use one engine beyond that.', 'hosts', ge=1
+    )
     away_cost: float = base.setting(
         1.0, 'Cost of an engine away from home, in loads of a full one.', ge=0
     )
     total_load_cost: float = base.setting(
         0.25, 'Weight of the load that a request may go before.', ge=0
     )
+    doubt_cost: float = base.setting(
+        1.0, 'Slowness added for short work on an engine not heard of.', ge=0
+    )
     prefix_affinity: float = base.setting(
         0.2, 'Weight of a second of prompt reading that a cache saves.', ge=0
     )
