Show under load that no caller notices the swap of a supplier

Cause: swapping a supplier is the promise of the product and nothing showed it. Change: two hosts, an engine of each supplier with another model version, 10 requests a second for 6 s, the template's route changed after 2 s: every answer is whole, the old engine gets nothing new once the new one serves. Conclusion: kept as a functional test.

--- a/src/corianderloft/_internal/demo/stage.py
+++ b/src/corianderloft/_internal/demo/stage.py
@@ -153,7 +153,10 @@
     }
     hosts = {
         host_id: host.model_copy(
-            update={'caller_port': stage.hosts[host_id].caller_port}
+            update={
+                'caller_port': stage.hosts[host_id].caller_port,
+                'peer_port': stage.hosts[host_id].peer_port,
+            }
         )
         for host_id, host in lists.hosts.items()
     }
--- /dev/null
+++ b/tests/functional/test_supplier_swap.py
@@ -0,0 +1,189 @@
+"""Swaps the supplier of a service under load, without a caller noticing."""
+
+import collections.abc
+import pathlib
+
+import orjson
+import trio
+
+from corianderloft._internal import declarations
+from corianderloft._internal.demo import stage as stages
+from corianderloft._internal import load
+from corianderloft._internal.models import ids
+from corianderloft._internal.models import states
+from corianderloft._internal import security
+from corianderloft._internal.settings import root
+from corianderloft._internal.shared import changes
+from corianderloft._internal.shared.configuration import edit
+from corianderloft._internal.standin import platform_file
+from tests.lib import calls
+from tests.lib import processes
+
+KEY = 'clk_swap'
+OPERATOR_KEY = 'clk_swap_operator'
+SERVICE = 'lace-model'
+OLD, NEW = 'delta-gpu', 'fayoum-cloud'
+DURATION = 6.0  # s
+SWAP_AT = 2.0  # s
+REQUESTS_SEEN = 5
+
+DECLARED = f"""
+services:
+  {SERVICE}:
+    kind: model
+    classes:
+      quote: {{tier: 0, deadline_s: 20, max_tokens: 400}}
+    routes:
+      - {{supplier: SUPPLIER, model: MODEL}}
+workspaces:
+  cairo:
+    key_hashes: [{security.hash_key(KEY)}]
+    services: {{{SERVICE}: }}
+"""
+MODELS = {OLD: 'lace-7b-v1', NEW: 'lace-9b-v1'}
+
+
+def _declared(
+    directory: pathlib.Path, supplier: str
+) -> declarations.Declarations:
+    text = DECLARED.replace('SUPPLIER', supplier)
+    path = directory / 'all.yaml'
+    path.write_text(text.replace('MODEL', MODELS[supplier]))
+    loaded = declarations.load_directory(directory)
+    assert isinstance(loaded, declarations.Declarations), str(loaded)
+    return loaded
+
+
+async def _apply(
+    stage: stages.Stage, declared: declarations.Declarations, change_id: str
+) -> ids.Revision:
+    stored = await edit.read_configuration(stage.client)
+    assert isinstance(stored, edit.StoredConfiguration)
+    diff = declarations.compare(stored.catalog, declared)
+    accepted = await edit.submit_change(
+        stage.client,
+        diff.change,
+        stored.revision,
+        ids.ChangeId(change_id),
+        'amina',
+    )
+    assert isinstance(accepted, changes.Accepted)
+    await processes.wait_for(
+        lambda: _in_force(stage, accepted.revision), 'change in force'
+    )
+    return accepted.revision
+
+
+async def _in_force(stage: stages.Stage, revision: int) -> bool:
+    seen = [
+        await calls.call(
+            'GET',
+            host.operator_port,
+            '/v1/status',
+            authorization=f'Bearer {OPERATOR_KEY}',
+        )
+        for host in stage.hosts.values()
+    ]
+    statuses = [orjson.loads(reply.content) for reply in seen]
+    return all(
+        status['revision'] >= revision
+        and len(status['backends']) == len(stage.backends)
+        for status in statuses
+    )
+
+
+async def _requests(stage: stages.Stage) -> dict[str, int]:
+    """Return how many requests each supplier's engine has taken."""
+    return {
+        name: (await calls.get(port, '/control/counts'))['requests']
+        for name, port in stage.backends.items()
+    }
+
+
+async def test_no_caller_notices_the_swap_of_a_supplier(
+    tmp_path: pathlib.Path, nursery: trio.Nursery
+) -> None:
+    stage = await _start(nursery)
+    await _apply(stage, _declared(tmp_path, OLD), 'old')
+    after_swap: dict[str, int] = {}
+
+    async def swap() -> None:
+        await trio.sleep(SWAP_AT)
+        await _apply(stage, _declared(tmp_path, NEW), 'new')
+        first = (await _requests(stage))[NEW]
+
+        async def new_one_serves() -> bool:
+            after_swap.update(await _requests(stage))
+            return after_swap[NEW] >= first + REQUESTS_SEEN
+
+        await processes.wait_for(new_one_serves, 'new supplier serves')
+
+    nursery.start_soon(swap)
+    report = await load.run_load(_workload(), _addresses(stage))
+    assert isinstance(report, load.LoadReport)
+    (measured,) = report.classes
+    assert measured['outcomes'] == {'complete': measured['scheduled']}
+    at_end = await _requests(stage)
+    assert after_swap[OLD] > 0
+    assert at_end[OLD] == after_swap[OLD]
+    assert at_end[NEW] > after_swap[NEW]
+
+
+def _addresses(stage: stages.Stage) -> collections.abc.Sequence[str]:
+    hosts = stage.hosts.values()
+    return [f'{host.address}:{host.caller_port}' for host in hosts]
+
+
+def _workload() -> load.Workload:
+    return load.Workload.model_validate(
+        {
+            'seed': 3,
+            'duration': DURATION,
+            'classes': [
+                {
+                    'name': 'quote',
+                    'service': SERVICE,
+                    'key': KEY,
+                    'rate': 10,
+                    'answer': {'median': 40, 'most': 200},
+                    'timeout': 60,
+                }
+            ],
+        }
+    )
+
+
+async def _start(nursery: trio.Nursery) -> stages.Stage:
+    servers = {
+        supplier: platform_file.ListedBackend(
+            service=SERVICE,
+            supplier=supplier,
+            model=model,
+            port=0,
+            failure_domain='cairo-1',
+            slots=16,
+        )
+        for supplier, model in MODELS.items()
+    }
+    hosts = [_settings('host-1'), _settings('host-2')]
+    return await stages.start(
+        nursery,
+        platform_file.PlatformFile(backends=servers),
+        hosts,
+        {SERVICE: states.ServiceKind.MODEL},
+        {'check_model': True},
+    )
+
+
+def _settings(host_id: str) -> root.Settings:
+    credential = {
+        'name': 'amina',
+        'role': 'viewer',
+        'token_sha256': security.hash_key(OPERATOR_KEY),
+    }
+    return root.Settings.model_validate(
+        {
+            'host': {'host_id': host_id},
+            'operators': {'credentials': [credential]},
+        }
+    )
--- a/tests/lib/guide.py
+++ b/tests/lib/guide.py
@@ -105,6 +105,7 @@
         bound = started.hosts[settings.host.host_id]
         guide.ports[settings.callers.port] = bound.caller_port
         guide.ports[settings.operators.port] = bound.operator_port
+        guide.ports[settings.peers.port] = bound.peer_port
 
 
 def _settings(path: pathlib.Path) -> root.Settings:
