Find workspaces by one index of keys, whose keys may move

Cause: the decoded configuration kept an index of its own; a key that moved to another workspace was lost when the new owner was read first, and its callers were refused as unknown_key.

--- a/src/corianderloft/_internal/commands/load.py
+++ b/src/corianderloft/_internal/commands/load.py
@@ -65,6 +65,7 @@
     path: pathlib.Path, measured: load_tool.LoadReport
 ) -> output.Outcome:
     try:
+        path.parent.mkdir(parents=True, exist_ok=True)
         path.write_text(output.to_json(measured.payload), encoding='utf-8')
     except OSError as exc:
         return output.Failure(
--- a/src/corianderloft/_internal/shared/configuration/catalogs.py
+++ b/src/corianderloft/_internal/shared/configuration/catalogs.py
@@ -8,6 +8,7 @@
 from corianderloft._internal.metrics import registry
 from corianderloft._internal.models import catalog
 from corianderloft._internal.models import ids
+from corianderloft._internal.security import keys
 from corianderloft._internal.shared.configuration import layout
 from corianderloft._internal.shared import mirror
 
@@ -26,7 +27,7 @@
         self.current = catalog.Catalog(ids.Revision(0))
         self._services: dict[str, catalog.ServiceTemplate] = {}
         self._shards: dict[str, tuple[catalog.Workspace, ...]] = {}
-        self._by_hash: dict[str, catalog.Workspace] = {}
+        self._keys = keys.KeyIndex()
 
     def apply(
         self,
@@ -56,7 +57,7 @@
 
     def workspace_by_key(self, key: str) -> catalog.Workspace | None:
         """Return the workspace that lists the hash of ``key``."""
-        return self._by_hash.get(layout.hash_key(key))
+        return self._keys.find(key)
 
     def _apply_entry(self, entry: mirror.Entry) -> None:
         if entry.key.startswith(layout.SERVICE_PREFIX):
@@ -77,10 +78,8 @@
             layout.SHARD.validate_json(entry.value) if entry.value else ()
         )
         for old in self._shards.pop(entry.key, ()):
-            for key_hash in old.key_hashes:
-                self._by_hash.pop(key_hash, None)
+            self._keys.remove(old.workspace_id)
         for new in members:
-            for key_hash in new.key_hashes:
-                self._by_hash[key_hash] = new
+            self._keys.put(new)
         if members:
             self._shards[entry.key] = members
--- a/src/corianderloft/_internal/shared/configuration/layout.py
+++ b/src/corianderloft/_internal/shared/configuration/layout.py
@@ -9,7 +9,6 @@
 import collections
 import collections.abc
 import dataclasses
-import hashlib
 import itertools
 
 import pydantic
@@ -64,11 +63,6 @@
 SHARD = pydantic.TypeAdapter(tuple[catalog.Workspace, ...])
 
 
-def hash_key(key: str) -> str:
-    """Return the hash under which a workspace lists a caller's key."""
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
 def service_key(name: str) -> str:
     """Return the key that holds a service template."""
     return SERVICE_PREFIX + name
--- a/tests/unit/shared/test_state_thin.py
+++ b/tests/unit/shared/test_state_thin.py
@@ -7,10 +7,10 @@
 from corianderloft._internal.kv import interface as kv
 from corianderloft._internal.models import catalog
 from corianderloft._internal.models import states
+from corianderloft._internal import security
 from corianderloft._internal.settings import root
 from corianderloft._internal.shared import changes
 from corianderloft._internal.shared.configuration import edit
-from corianderloft._internal.shared.configuration import layout
 from corianderloft._internal.shared import interface
 from corianderloft._internal.shared import state
 from tests.lib import fake_kv
@@ -35,7 +35,7 @@
 
 async def test_follows_configuration_and_lists(client, shared, autojump_clock):
     assert not shared.configuration_fresh()
-    workspace = catalog.Workspace('w1', (layout.hash_key('k'),), ('desk',))
+    workspace = catalog.Workspace('w1', (security.hash_key('k'),), ('desk',))
     template = catalog.ServiceTemplate(
         'desk', states.ServiceKind.MODEL, (), ()
     )
