Give up a silent backend server early enough for a second attempt

Ruled out: the retry budget (20 saved up, 8 used) and the exclusion of the only engine (the dispatcher already falls back on it). Change: entry/bounds.py: for an idempotent class the silence before the answer is at most half its deadline.

--- a/src/corianderloft/_internal/entry/attempts.py
+++ b/src/corianderloft/_internal/entry/attempts.py
@@ -6,6 +6,7 @@
 import orjson
 
 from corianderloft._internal.decisions import interface
+from corianderloft._internal.entry import bounds
 from corianderloft._internal.entry import calls
 from corianderloft._internal.entry import inflight
 from corianderloft._internal.entry import parts as entry_parts
@@ -77,10 +78,7 @@
         self._running = running
         self._closed = False
         self._cutter = sse.EventCutter()
-        self._first_bound = max(
-            cfg.silent_floor,
-            cfg.silent_first_tokens * request_class.first_token_target,
-        )
+        self._first_bound = bounds.first_silence(cfg, request_class)
         self._gap_bound = max(
             cfg.silent_floor, cfg.silent_gaps * request_class.token_gap_target
         )
--- a/src/corianderloft/_internal/entry/plain.py
+++ b/src/corianderloft/_internal/entry/plain.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from corianderloft._internal.decisions import interface
+from corianderloft._internal.entry import bounds
 from corianderloft._internal.entry import calls
 from corianderloft._internal.entry import chat
 from corianderloft._internal.entry import parts as entry_parts
@@ -181,8 +182,7 @@
         self, exchange: outbound.Outbound
     ) -> PlainAnswer | outbound.Failure:
         cfg = self._parts.settings.backends
-        target = self._call.origin.request_class.first_token_target
-        bound = max(cfg.silent_floor, cfg.silent_first_tokens * target)
+        bound = bounds.first_silence(cfg, self._call.origin.request_class)
         head = await exchange.send(self._message(), bound)
         if isinstance(head, outbound.Failure):
             return head
--- a/src/corianderloft/_internal/settings/backends.py
+++ b/src/corianderloft/_internal/settings/backends.py
@@ -31,7 +31,8 @@
     silent_first_tokens: float = base.setting(
         8.0,
         'Silence of a backend server before its first token or answer after '
-        'which it is given up, in multiples of the first-token target.',
+        'which it is given up, in multiples of the first-token target; at '
+        'most half the deadline of an idempotent class.',
         gt=1,
     )
     silent_floor: float = base.setting(
--- a/tests/lib/streams.py
+++ b/tests/lib/streams.py
@@ -26,12 +26,15 @@
         All content.
     done : bool
         Whether the end of the answer arrived.
+    error : str
+        Data of the error event, if there is one.
     """
 
     status: int
     counts: tuple[int, ...]
     text: str
     done: bool
+    error: str = ''
 
 
 def read_stream(status: int, content: bytes) -> Streamed:
@@ -47,9 +50,15 @@
         ),
         ''.join(contents),
         bool(fields) and fields[-1].get(b'data') == b'[DONE]',
+        _error(fields),
     )
 
 
+def _error(events: list[dict[bytes, bytes]]) -> str:
+    errors = [e[b'data'] for e in events if e.get(b'event') == b'error']
+    return b''.join(errors).decode()
+
+
 def _chunk(fields: dict[bytes, bytes]) -> typing.Any:
     data = fields.get(b'data', b'[DONE]')
     return {} if data == b'[DONE]' else orjson.loads(data)
