Do not cancel a stand-in's answer while its end is being sent

Cause: hypercorn tells the application of a disconnect also after its own last chunk; the handler then cancelled the sending task in the middle of hypercorn's preparation of the connection for the next request. Change: Call.disconnected() returns only before the answer's end.

--- a/src/corianderloft/_internal/standin/http.py
+++ b/src/corianderloft/_internal/standin/http.py
@@ -49,6 +49,7 @@
     body: bytes
     _receive: Receive
     _send: Send
+    _ended: bool = False
 
     def json(self) -> dict[str, typing.Any] | None:
         """Return the JSON object of the body, or None."""
@@ -68,6 +69,7 @@
         raw = orjson.dumps(body)
         extra = {'content-length': str(len(raw))} | dict(headers or {})
         await self.start(JSON_TYPE, status, extra)
+        self._ended = True
         await self._send({'type': 'http.response.body', 'body': raw})
 
     async def start(
@@ -94,6 +96,7 @@
 
     async def finish(self) -> None:
         """End a streamed answer."""
+        self._ended = True
         await self._send({'type': 'http.response.body', 'body': b''})
 
     async def cut(self) -> None:
@@ -104,10 +107,10 @@
         await self.start(JSON_TYPE, headers={'content-length': '1'})
 
     async def disconnected(self) -> None:
-        """Return when the peer has closed its connection."""
+        """Return when the peer has left before the answer's end."""
         while True:
             message = await self._receive()
-            if message['type'] == 'http.disconnect':
+            if message['type'] == 'http.disconnect' and not self._ended:
                 return
 
 
