State the promises as properties; mend early refusal and trials

Cause: the new tests showed three faults: early refusal took a cold start, an outage and another workspace's burst for a hopeless queue; an ejected engine was never tried again because its cost kept it from being chosen; a route that came back made up for all it had missed. Change: the rate counts only time with work waiting, and not in an outage; a workspace waits for its own backlog times the workspaces that take turns; a due trial is given its engine, long work first, and short work on a trial or an unknown engine is hedged after 1.3 usual waits; catch-up is bounded.

--- a/src/corianderloft/_internal/decisions/engines.py
+++ b/src/corianderloft/_internal/decisions/engines.py
@@ -107,6 +107,11 @@
         """Whether it failed and has not answered since."""
         return self.closed_until > -math.inf
 
+    @property
+    def on_trial(self) -> bool:
+        """Whether a request given to it only tries whether it is well."""
+        return self.closed or self.ejected
+
     def add(self, lane: waiting.Lane) -> None:
         """Take a slot for one attempt."""
         self.in_flight += 1
--- a/src/corianderloft/_internal/decisions/health.py
+++ b/src/corianderloft/_internal/decisions/health.py
@@ -22,6 +22,9 @@
 _MOST_OUTAGE_PROBE = 2.2
 """Shortest and longest wait between trials while all engines fail."""
 
+_SHORT_PATIENCE = 8.0
+"""Pauses that short work leaves a trial to long work."""
+
 _ENOUGH_TO_COMPARE = 3
 """Engines heard of whose faster quarter says what is healthy."""
 
@@ -114,7 +117,7 @@
             return False
         if engine.closed:
             return now >= max(engine.closed_until, self._next_probe)
-        patience = 0.0 if spare else engine.probe_pause
+        patience = 0.0 if spare else _SHORT_PATIENCE * engine.probe_pause
         return now >= engine.probe_at + patience
 
     def granted(self, engine: engines.EngineView, now: float) -> None:
@@ -168,3 +171,7 @@
         usual += (wait - usual) * _USUAL_WEIGHT
         self._usual[name] = usual
         return usual
+
+    def usual_wait_of(self, name: ids.ClassName) -> float | None:
+        """Return the usual wait of a class, in seconds; None if unseen."""
+        return self._usual.get(name)
--- a/src/corianderloft/_internal/decisions/hedges/budgeted.py
+++ b/src/corianderloft/_internal/decisions/hedges/budgeted.py
@@ -17,7 +17,7 @@
 
     def __init__(self, cfg: plugins.Settings) -> None:
         self._cfg = cfg
-        self._balance = 0.0
+        self._balance = cfg.hedge_burst
         self._percentile = cfg.hedge_least_delay
 
     def granted(self, cost: float) -> None:
--- a/src/corianderloft/_internal/decisions/observations.py
+++ b/src/corianderloft/_internal/decisions/observations.py
@@ -12,6 +12,7 @@
 from corianderloft._internal.decisions import plugins
 from corianderloft._internal.decisions import waiting
 from corianderloft._internal.models import ids
+from corianderloft._internal.models import requests
 
 _FAILED_ENDS = frozenset(
     {
@@ -26,6 +27,12 @@
 _HARD_ENDS = _FAILED_ENDS - {interface.AttemptEnd.BACKEND_ERROR}
 """Ends after which an engine is given nothing for a while."""
 
+_UNKNOWN = 0.7
+"""Doubt from which an engine counts as not known."""
+
+_TRIAL_WAIT = 1.3
+"""Times the usual wait after which a trial is hedged."""
+
 
 class Observations:
     """Learns from the attempts of one service.
@@ -38,6 +45,8 @@
         History of answers.
     running : Counter of RequestId
         Attempts in flight of each request.
+    trials : set of RequestId
+        Those whose engine is on trial or not known.
     """
 
     def __init__(
@@ -58,12 +67,16 @@
         self.running: collections.Counter[ids.RequestId] = (
             collections.Counter()
         )
+        self.trials: set[ids.RequestId] = set()
         self.limiter: plugins.Limiter | None = None
         self.hedge_rule: plugins.HedgeRule | None = None
 
     def saw_grant(self, grant: grants.AttemptGrant, now: float) -> None:
         """Take in that an attempt begins."""
         waiter = grant.waiter
+        engine = grant.engine
+        if engine.on_trial or engine.doubt(now) > _UNKNOWN:
+            self.trials.add(waiter.ticket.request_id)
         self.demand.left_queue(waiter, now)
         self.demand.started(waiter, now)
         grant.engine.add(waiter.lane)
@@ -118,8 +131,19 @@
         self.running[request_id] -= 1
         if not self.running[request_id]:
             del self.running[request_id]
+            self.trials.discard(request_id)
         self.demand.ended(grant.waiter, now)
 
+    def hedge_after(self, ticket: requests.Ticket) -> float | None:
+        """Return the wait before a second attempt; shorter on a trial."""
+        if self.hedge_rule is None:
+            return None
+        delay = self.hedge_rule.delay(ticket, self.lengths.cost(ticket))
+        if delay is None or ticket.request_id not in self.trials:
+            return delay
+        usual = self._health.usual_wait_of(ticket.class_name)
+        return delay if usual is None else min(delay, usual * _TRIAL_WAIT)
+
     def is_hedge(self, waiter: waiting.Waiter) -> bool:
         """Return whether another attempt of the request is in flight."""
         return bool(self.running.get(waiter.ticket.request_id))
--- a/src/corianderloft/_internal/decisions/pool.py
+++ b/src/corianderloft/_internal/decisions/pool.py
@@ -127,10 +127,12 @@
                 return None
             return refusals.hedge_budget(request_id)
         rate = self.seen.demand.start_rate(now)
-        backlog = self.seen.demand.backlog_before(waiter.lane)
+        if rate <= 0 or self.health.outage:
+            return None
+        wait = self.seen.demand.ahead_of(waiter) / rate
         left = max(0.0, waiter.ticket.start_by - now)
-        if rate > 0 and backlog / rate > left * self._cfg.early_refusal:
-            return refusals.deadline(request_id, backlog / rate)
+        if wait > left * self._cfg.early_refusal:
+            return refusals.deadline(request_id, wait)
         return None
 
     def discard(self, waiter: waiting.Waiter, now: float) -> None:
@@ -222,6 +224,18 @@
     ) -> list[engines.EngineView]:
         live = self.engine_set.live
         others = [e for e in live if e.backend.engine_id not in waiter.exclude]
-        return self.engine_set.routes.prefer(
-            [e for e in others or live if self._takes(e, waiter.lane, now)]
-        )
+        open_to = [
+            e for e in others or live if self._takes(e, waiter.lane, now)
+        ]
+        candidates = self.engine_set.routes.prefer(open_to)
+        return self._trials(waiter, candidates) or candidates
+
+    def _trials(
+        self,
+        waiter: waiting.Waiter,
+        candidates: list[engines.EngineView],
+    ) -> list[engines.EngineView]:
+        """Return engines whose trial is due, if the request can bear it."""
+        if not waiter.ticket.idempotent:
+            return [e for e in candidates if not e.on_trial]
+        return [e for e in candidates if e.on_trial]
--- a/src/corianderloft/_internal/decisions/routes.py
+++ b/src/corianderloft/_internal/decisions/routes.py
@@ -9,6 +9,9 @@
 
 _Key = tuple[str, str]
 
+_CATCH_UP = 1000.0
+"""Most that a route which was away makes up for, in tokens a weight of 1."""
+
 
 def _key(supplier: str, model: str) -> _Key:
     return supplier, model
@@ -58,12 +61,15 @@
     def started(self, engine: engines.EngineView, cost: float) -> None:
         """Note work given to an engine."""
         key = _engine_key(engine)
-        if key in self._served:
-            self._served[key] += cost
+        if key not in self._served:
+            return
+        self._served[key] += cost / self._routes[key].weight
+        level = max(self._served.values()) - _CATCH_UP
+        self._served = {k: max(s, level) for k, s in self._served.items()}
 
     def _turn(self, key: _Key) -> tuple[int, float]:
         route = self._routes[key]
-        return route.order, self._served[key] / route.weight
+        return route.order, self._served[key]
 
 
 def _engine_key(engine: engines.EngineView) -> _Key:
--- a/src/corianderloft/_internal/settings/decisions.py
+++ b/src/corianderloft/_internal/settings/decisions.py
@@ -97,7 +97,10 @@
         0.01, 'Part of started work that hedges may spend.', ge=0, le=0.5
     )
     hedge_burst: float = base.setting(
-        1000.0, 'Most hedged work that is saved up.', 'tokens', ge=0
+        300.0,
+        'Hedged work at first, and the most that is saved up.',
+        'tokens',
+        ge=0,
     )
     hedge_percentile: float = base.setting(
         0.95,
--- a/tests/lib/decisions.py
+++ b/tests/lib/decisions.py
@@ -91,10 +91,12 @@
 
 
 async def granted(
-    dispatcher: dispatcher_module.LocalDispatcher, wanted: requests.Ticket
+    dispatcher: dispatcher_module.LocalDispatcher,
+    wanted: requests.Ticket,
+    exclude: frozenset[ids.EngineId] = frozenset(),
 ) -> interface.Grant:
     """Return the grant of a request that must not be refused."""
-    outcome = await dispatcher.acquire(wanted)
+    outcome = await dispatcher.acquire(wanted, exclude)
     assert not isinstance(outcome, requests.Refused), outcome
     return outcome
 
--- /dev/null
+++ b/tests/unit/decisions/test_subsets.py
@@ -0,0 +1,63 @@
+"""Tests of which engines a host uses."""
+
+import collections
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from corianderloft._internal.decisions import homes
+from corianderloft._internal.decisions import subsets
+
+
+@hypothesis.given(strategies.integers(1, 20), strategies.integers(0, 40))
+def test_home_shares_add_up_and_are_even(hosts: int, engines: int) -> None:
+    names = [f'host-{n}' for n in range(hosts)]
+    engine_ids = [f'engine-{n}' for n in range(engines)]
+    covered: collections.Counter[str] = collections.Counter()
+    for name in names:
+        shares = homes.home_shares(name, names, engine_ids)
+        covered.update(shares)
+        assert sum(shares.values()) == pytest.approx(engines / hosts)
+    assert all(covered[e] == pytest.approx(1.0) for e in engine_ids)
+
+
+@hypothesis.given(
+    strategies.sets(strategies.integers(0, 60), min_size=5, max_size=30),
+    strategies.lists(
+        strategies.sets(strategies.integers(0, 60), min_size=5, max_size=30),
+        max_size=4,
+    ),
+)
+@hypothesis.settings(max_examples=25)
+def test_every_engine_has_its_hosts_as_hosts_come_and_go(
+    first: set[int], later: list[set[int]]
+) -> None:
+    engine_ids = [f'engine-{n}' for n in range(80)]
+    known: dict[int, subsets.Subset] = collections.defaultdict(
+        lambda: subsets.Subset(above=10, hosts_per_engine=4)
+    )
+    for live in [first, *later]:
+        names = [f'host-{n}' for n in live]
+        covered = collections.Counter(
+            engine_id
+            for number in live
+            for engine_id in known[number].choose(
+                f'host-{number}', names, engine_ids
+            )
+        )
+        assert all(covered[engine_id] == 4 for engine_id in engine_ids)
+
+
+def test_leaving_host_moves_only_its_own_engines() -> None:
+    engine_ids = [f'engine-{n}' for n in range(340)]
+    names = [f'host-{n}' for n in range(38)]
+    before = {
+        name: subsets.Subset(10, 4).choose(name, names, engine_ids)
+        for name in names
+    }
+    gone = before.pop('host-0')
+    for name in before:
+        after = subsets.Subset(10, 4).choose(name, list(before), engine_ids)
+        assert before[name] <= after
+        assert after - before[name] <= gone
