Hedge work that waits in an engine, charged by what it wastes

Cause: middle tiers waited in the queue of one engine while low work ran on others; a hedge was charged its whole cost although the loser generates next to nothing. Change: a hedge is charged prompt reading and 8 tokens; long work above the lowest tier is hedged after 0.12 of its first token target.

--- a/src/corianderloft/_internal/decisions/dispatcher.py
+++ b/src/corianderloft/_internal/decisions/dispatcher.py
@@ -113,7 +113,7 @@
         service = self._pools.get(ticket.service)
         if service is None or not ticket.idempotent:
             return None
-        return service.seen.hedge_after(ticket)
+        return service.hedge_after(ticket)
 
     def use_catalog(self, current: catalog.Catalog) -> None:
         """Put a new configuration in force."""
--- a/src/corianderloft/_internal/decisions/hedges/budgeted.py
+++ b/src/corianderloft/_internal/decisions/hedges/budgeted.py
@@ -1,8 +1,12 @@
-"""Hedge rule ``budgeted``: short work, within a budget of wasted work."""
+"""Hedge rule ``budgeted``: within a budget of wasted work."""
 
+from corianderloft._internal.decisions import lengths
 from corianderloft._internal.decisions import plugins
 from corianderloft._internal.models import requests
 
+_LOSER_TOKENS = 8.0
+"""Tokens that the losing attempt is reckoned to have generated."""
+
 _STEP = 0.02
 """Step by which the estimate of the percentile follows the waits."""
 
@@ -35,16 +39,30 @@
         else:
             self._percentile -= step * (1 - quantile)
 
-    def delay(self, ticket: requests.Ticket, cost: float) -> float | None:
-        """Return the wait before a second attempt of short work, or None."""
-        if not ticket.idempotent or cost > self._cfg.long_cost:
-            return None
-        if self._balance < cost:
+    def delay(
+        self, ticket: requests.Ticket, cost: float, target: float
+    ) -> float | None:
+        """Return the wait before a second attempt, or None."""
+        if not ticket.idempotent or self._balance < self.charge(ticket):
             return None
-        return max(self._cfg.hedge_least_delay, self._percentile)
+        patience = self._cfg.hedge_target_part * target
+        if cost > self._cfg.long_cost:
+            return patience
+        usual = max(self._cfg.hedge_least_delay, self._percentile)
+        return min(usual, patience)
+
+    def charge(self, ticket: requests.Ticket) -> float:
+        """Return what a second attempt wastes, in generated tokens.
+
+        The loser is cancelled at the winner's first token: it has read the
+        prompt and generated next to nothing.
+        """
+        prompt = ticket.prompt_tokens / lengths.PROMPT_TOKENS_PER_TOKEN
+        return prompt + _LOSER_TOKENS
 
-    def spend(self, cost: float) -> bool:
+    def spend(self, ticket: requests.Ticket) -> bool:
         """Charge a second attempt; return False when it may not start."""
+        cost = self.charge(ticket)
         if self._balance < cost:
             return False
         self._balance -= cost
--- a/src/corianderloft/_internal/decisions/hedges/never.py
+++ b/src/corianderloft/_internal/decisions/hedges/never.py
@@ -17,10 +17,12 @@
     def first_token(self, wait: float) -> None:
         """Ignore observations."""
 
-    def delay(self, ticket: requests.Ticket, cost: float) -> float | None:
+    def delay(
+        self, ticket: requests.Ticket, cost: float, target: float
+    ) -> float | None:
         """Return None."""
         return None
 
-    def spend(self, cost: float) -> bool:
+    def spend(self, ticket: requests.Ticket) -> bool:
         """Return False: no second attempt may start."""
         return False
--- a/src/corianderloft/_internal/decisions/observations.py
+++ b/src/corianderloft/_internal/decisions/observations.py
@@ -134,11 +134,21 @@
             self.trials.discard(request_id)
         self.demand.ended(grant.waiter, now)
 
-    def hedge_after(self, ticket: requests.Ticket) -> float | None:
-        """Return the wait before a second attempt; shorter on a trial."""
+    def hedge_after(
+        self, ticket: requests.Ticket, target: float
+    ) -> float | None:
+        """Return the wait before a second attempt; shorter on a trial.
+
+        Work of the lowest tier is not hedged while it is long: it waits
+        for higher tiers wherever it goes.
+        """
         if self.hedge_rule is None:
             return None
-        delay = self.hedge_rule.delay(ticket, self.lengths.cost(ticket))
+        cost = self.lengths.cost(ticket)
+        lane = waiting.Lane(ticket.tier, cost > self._cfg.long_cost)
+        if lane.long and not self.demand.has_below(lane):
+            return None
+        delay = self.hedge_rule.delay(ticket, cost, target)
         if delay is None or ticket.request_id not in self.trials:
             return delay
         usual = self._health.usual_wait_of(ticket.class_name)
--- a/src/corianderloft/_internal/decisions/plugins.py
+++ b/src/corianderloft/_internal/decisions/plugins.py
@@ -135,10 +135,16 @@
     def first_token(self, wait: float) -> None:
         """Note a first token that took ``wait`` seconds."""
 
-    def delay(self, ticket: requests.Ticket, cost: float) -> float | None:
-        """Return the wait in seconds before a second attempt, or None."""
+    def delay(
+        self, ticket: requests.Ticket, cost: float, target: float
+    ) -> float | None:
+        """Return the wait in seconds before a second attempt, or None.
 
-    def spend(self, cost: float) -> bool:
+        ``cost`` is the expected work in tokens, ``target`` that of the
+        class for its first token, in seconds.
+        """
+
+    def spend(self, ticket: requests.Ticket) -> bool:
         """Charge a second attempt; return False when it may not start."""
 
 
--- a/src/corianderloft/_internal/decisions/pool.py
+++ b/src/corianderloft/_internal/decisions/pool.py
@@ -99,6 +99,10 @@
             exclude=exclude,
         )
 
+    def hedge_after(self, ticket: requests.Ticket) -> float | None:
+        """Return the wait before a second attempt, or None."""
+        return self.seen.hedge_after(ticket, self._target(ticket))
+
     def _target(self, ticket: requests.Ticket) -> float:
         declared = self.template.request_class(ticket.class_name)
         if declared is None:
@@ -123,7 +127,7 @@
     ) -> requests.Refused | None:
         request_id = waiter.ticket.request_id
         if self.seen.is_hedge(waiter):
-            if self.plugins.hedge_rule.spend(waiter.cost):
+            if self.plugins.hedge_rule.spend(waiter.ticket):
                 return None
             return refusals.hedge_budget(request_id)
         rate = self.seen.demand.start_rate(now)
--- a/src/corianderloft/_internal/settings/decisions.py
+++ b/src/corianderloft/_internal/settings/decisions.py
@@ -102,6 +102,9 @@
         'tokens',
         ge=0,
     )
+    hedge_target_part: float = base.setting(
+        0.12, 'Part of the first token target after which to hedge.', gt=0
+    )
     hedge_percentile: float = base.setting(
         0.95,
         'Percentile of first token waits that starts a hedge.',
