Undo drains, and hold a drained host

Cause: the operators' port promised undrain and did not serve it; a drained host always ended, so that nothing could be taken out for a while. Ruled out: drain that never ends the process (SIGTERM and the command should mean the same unless asked otherwise).

--- a/src/corianderloft/_internal/entry/drain.py
+++ b/src/corianderloft/_internal/entry/drain.py
@@ -23,6 +23,7 @@
     SERVING = 'serving'
     LEAVING = 'leaving'
     REFUSING = 'refusing'
+    HELD = 'held'
     STOPPED = 'stopped'
 
 
@@ -47,27 +48,49 @@
     def __init__(self, parts: entry_parts.Parts) -> None:
         self._parts = parts
         self._cfg = parts.settings.callers
+        self.state = DrainState.SERVING
+        self._reset()
+
+    def _reset(self) -> None:
         self._asked = trio.Event()
         self._shortened = trio.Event()
-        self.state = DrainState.SERVING
+        self._released = trio.Event()
+        self._undoable: trio.CancelScope | None = None
 
     def takes_work(self) -> bool:
         """Return whether new requests are taken."""
         return self.state in (DrainState.SERVING, DrainState.LEAVING)
 
-    def begin(self) -> None:
-        """Ask the host to leave; asked again, it leaves at once."""
-        if self._asked.is_set():
+    def begin(self, hold: bool = False) -> None:
+        """Ask the host to leave; asked again, it leaves at once.
+
+        Parameters
+        ----------
+        hold : bool
+            Keep the process once nothing is in flight, until it is asked
+            without, or the drain is undone.
+        """
+        held = self._asked.is_set() and not self._released.is_set()
+        if self._asked.is_set() and not held:
             self._shortened.set()
+        if not hold:
+            self._released.set()
         self._asked.set()
 
+    def undo(self) -> bool:
+        """Put the host back into service; False when it is too late."""
+        if self._undoable is None:
+            return False
+        self._undoable.cancel()
+        return True
+
     async def run(self) -> None:
-        """Wait until asked to leave; return when nothing is in flight."""
-        await self._asked.wait()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._shorten, nursery.cancel_scope)
-            await self._gently()
-            nursery.cancel_scope.cancel()
+        """Return once the host was asked to leave and nothing is in flight."""
+        while not await self._left():
+            await self._parts.shared.stay()
+            logger.info('the drain is undone')
+            self.state = DrainState.SERVING
+            self._reset()
         self.state = DrainState.REFUSING
         left = len(self._parts.inflight)
         if left:
@@ -77,6 +100,18 @@
                 await self._parts.inflight.wait_none()
         self.state = DrainState.STOPPED
 
+    async def _left(self) -> bool:
+        """Wait until the host may end; False when the drain is undone."""
+        await self._asked.wait()
+        with trio.CancelScope() as undoable:
+            self._undoable = undoable
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._shorten, nursery.cancel_scope)
+                await self._gently()
+                nursery.cancel_scope.cancel()
+        self._undoable = None
+        return not undoable.cancelled_caught
+
     async def _gently(self) -> None:
         self.state = DrainState.LEAVING
         until = 0.0
@@ -87,6 +122,9 @@
         self.state = DrainState.REFUSING
         with trio.move_on_after(self._cfg.drain_time):
             await self._parts.inflight.wait_none()
+        if not self._released.is_set():
+            self.state = DrainState.HELD
+            await self._released.wait()
 
     async def _shorten(self, gentle: trio.CancelScope) -> None:
         """Replace the long bound by the short one once asked again."""
--- a/src/corianderloft/_internal/entry/operators_app.py
+++ b/src/corianderloft/_internal/entry/operators_app.py
@@ -2,6 +2,7 @@
 
 import logging
 import typing
+import urllib.parse
 
 from corianderloft._internal.entry import drain
 from corianderloft._internal.entry import pages
@@ -84,10 +85,19 @@
             await self._unknown(http)
 
     async def _order(self, http: exchange.Exchange, name: str) -> None:
-        if (http.method, http.path) == ('POST', '/v1/drain'):
-            logger.info('operator %s drains this host', name)
-            self._drain.begin()
-            await http.answer_json(202, {'state': 'leaving'})
+        called = (http.method, http.path)
+        if called == ('POST', '/v1/drain'):
+            hold = _wants_hold(http)
+            logger.info('operator %s drains this host, hold %s', name, hold)
+            self._drain.begin(hold)
+            await http.answer_json(202, {'state': 'leaving', 'hold': hold})
+        elif called == ('POST', '/v1/undrain'):
+            logger.info('operator %s undoes the drain', name)
+            undone = self._drain.undo()
+            await http.answer_json(
+                202 if undone else 409,
+                {'state': self._drain.state.value, 'undone': undone},
+            )
         else:
             await self._unknown(http)
 
@@ -119,3 +129,9 @@
     ) -> None:
         refused = requests.Refused(reason, states.RunState.NOT_RUN, detail)
         await refusals.send(http, refused)
+
+
+def _wants_hold(http: exchange.Exchange) -> bool:
+    """Return whether the process stays once the host has drained."""
+    asked = urllib.parse.parse_qs(http.query.decode('latin-1'))
+    return asked.get('hold') == ['true']
--- a/src/corianderloft/_internal/shared/interface.py
+++ b/src/corianderloft/_internal/shared/interface.py
@@ -132,6 +132,9 @@
             run out.
         """
 
+    async def stay(self) -> None:
+        """Take back that this host leaves."""
+
     async def claim(
         self,
         workspace: ids.WorkspaceId,
--- a/src/corianderloft/_internal/shared/membership/detector.py
+++ b/src/corianderloft/_internal/shared/membership/detector.py
@@ -121,6 +121,11 @@
         self.view.set_own_state(states.HostState.LEAVING)
         self._tell(self.view.own.host_id)
 
+    def stay(self) -> None:
+        """Take back that this host leaves."""
+        self.view.set_own_state(states.HostState.LIVE)
+        self._tell(self.view.own.host_id)
+
     def note_backend_leaving(self, engine_id: ids.EngineId) -> None:
         """Spread that a backend server said that it leaves."""
         self._take_note(messages.BackendNote(engine_id, 0.0))
--- a/src/corianderloft/_internal/shared/state.py
+++ b/src/corianderloft/_internal/shared/state.py
@@ -210,6 +210,10 @@
         self._detector.leave()
         return self._settings.peers.answer_ttl_s + LEAVE_SPREAD_S
 
+    async def stay(self) -> None:
+        """See `interface.SharedState`."""
+        self._detector.stay()
+
     async def claim(
         self,
         workspace: ids.WorkspaceId,
--- a/tests/lib/entry.py
+++ b/tests/lib/entry.py
@@ -131,6 +131,9 @@
         self.left = True
         return self.answer_ttl
 
+    async def stay(self) -> None:
+        self.left = False
+
     async def claim(
         self, workspace: str, service: str, key: str, body_hash: str
     ) -> shared_state.ClaimResult:
--- a/tests/unit/entry/test_drain.py
+++ b/tests/unit/entry/test_drain.py
@@ -109,3 +109,51 @@
             await engine.cancelled.wait()
             await fixture.ended.wait()
     assert b'"reason":"draining","run":"ran"' in body
+
+
+async def _operate(fixture: entry.Fixture, action: str) -> entry.Answer:
+    headers = {'Authorization': f'Bearer {entry.OPERATOR}'}
+    url = f'{fixture.operators_url}/v1/{action}'
+    return await entry.call(url, 'POST', headers=headers)
+
+
+async def test_a_held_host_stays_and_comes_back(
+    nursery: trio.Nursery,
+) -> None:
+    _, one = await engines.start(nursery, 'e1', engines.serves)
+    async with entry.running_host(one) as fixture:
+        assert (await _operate(fixture, 'drain?hold=true')).status == 202
+        await _wait_state(fixture, 'held')
+        assert (await entry.chat(fixture)).refusal() == ('draining', 'not_run')
+        assert (await _operate(fixture, 'undrain')).status == 202
+        await _wait_state(fixture, 'serving')
+        assert not fixture.shared.left
+        assert (await entry.chat(fixture)).body == engines.whole_body()
+        assert (await _operate(fixture, 'undrain')).status == 409
+        fixture.stop.set()
+        with trio.fail_after(10):
+            await fixture.ended.wait()
+
+
+async def test_an_undone_drain_cuts_no_stream(nursery: trio.Nursery) -> None:
+    gate = Gate()
+    _, one = await engines.start(nursery, 'e1', gate.script)
+    async with entry.running_host(one, backends=SLOW) as fixture:
+        async with entry.reading(fixture) as reader:
+            await reader.until(6)
+            await _operate(fixture, 'drain')
+            await _wait_state(fixture, 'refusing')
+            await _operate(fixture, 'undrain')
+            await _wait_state(fixture, 'serving')
+            gate.open.set()
+            assert await reader.rest() == engines.whole_body()
+        assert not fixture.ended.is_set()
+
+
+async def test_a_held_host_ends_when_asked_to(nursery: trio.Nursery) -> None:
+    async with entry.running_host() as fixture:
+        await _operate(fixture, 'drain?hold=true')
+        await _wait_state(fixture, 'held')
+        await _operate(fixture, 'drain')
+        with trio.fail_after(10):
+            await fixture.ended.wait()
--- a/tests/unit/shared/test_fleet.py
+++ b/tests/unit/shared/test_fleet.py
@@ -29,6 +29,19 @@
     assert took <= DEAD_HOST_S
 
 
+async def test_a_host_that_takes_its_leave_back_is_told_of(
+    fleet, autojump_clock
+):
+    shared = fleet.hosts['h4'].shared
+    await shared.leave()
+    others = [h for h in fleet.hosts if h != 'h4']
+    await fleet.until(lambda: all('h4' not in fleet.live(h) for h in others))
+    await shared.stay()
+    await fleet.until(
+        lambda: all(len(fleet.live(h)) == 9 for h in fleet.hosts)
+    )
+
+
 async def test_host_replaced_on_the_same_address(fleet, autojump_clock):
     old = fleet.kill('h4')
     await fleet.start('h99', 'fd-1', ip=old.host.address)
