--- a/src/corianderloft/_internal/entry/chat_handlers.py
+++ b/src/corianderloft/_internal/entry/chat_handlers.py
@@ -9,6 +9,7 @@
 from corianderloft._internal.entry import chat
 from corianderloft._internal.entry import checks
 from corianderloft._internal.entry import inflight
+from corianderloft._internal.entry import origins
 from corianderloft._internal.entry import parts as entry_parts
 from corianderloft._internal.entry import records
 from corianderloft._internal.entry import refusals
@@ -40,7 +41,7 @@
 
     async def begin(self, http: exchange.Exchange) -> None:
         """Answer ``POST /v1/chat/completions``."""
-        origin = checks.origin_of(
+        origin = origins.origin_of(
             http,
             self._parts.shared,
             states.ServiceKind.MODEL,
@@ -95,7 +96,7 @@
         self, http: exchange.Exchange, caller_id: str
     ) -> answers.Answer | requests.Refused:
         """Return the workspace's own answer; others do not exist for it."""
-        workspace = checks.workspace_of(http, self._parts.shared)
+        workspace = origins.workspace_of(http, self._parts.shared)
         if isinstance(workspace, requests.Refused):
             return workspace
         answer = self._parts.answers.find(workspace.workspace_id, caller_id)
--- a/src/corianderloft/_internal/entry/plain_handlers.py
+++ b/src/corianderloft/_internal/entry/plain_handlers.py
@@ -3,6 +3,7 @@
 from corianderloft._internal.entry import calls
 from corianderloft._internal.entry import checks
 from corianderloft._internal.entry import inflight
+from corianderloft._internal.entry import origins
 from corianderloft._internal.entry import parts as entry_parts
 from corianderloft._internal.entry import plain
 from corianderloft._internal.entry import records
@@ -29,7 +30,7 @@
         self, http: exchange.Exchange, service: str, target: bytes
     ) -> None:
         """Check a call, carry it to the service and answer it."""
-        origin = checks.origin_of(
+        origin = origins.origin_of(
             http, self._parts.shared, states.ServiceKind.PLAIN, service
         )
         if isinstance(origin, requests.Refused):
--- a/tests/lib/entry.py
+++ b/tests/lib/entry.py
@@ -194,6 +194,8 @@
         self._turn = itertools.count()
         self.grants: list[FakeGrant] = []
         self.hedge: float | None = None
+        self.reports: list[backends.LoadReport] = []
+        self.cached: list[tuple[typing.Any, ...]] = []
 
     async def acquire(
         self,
@@ -244,11 +246,11 @@
     def use_hosts(self, own: object, live: object) -> None:
         pass
 
-    def report_load(self, report: object) -> None:
-        pass
+    def report_load(self, report: backends.LoadReport) -> None:
+        self.reports.append(report)
 
-    def cached_prefixes(self, *event: object) -> None:
-        pass
+    def cached_prefixes(self, *event: typing.Any) -> None:
+        self.cached.append(event)
 
 
 @dataclasses.dataclass
--- /dev/null
+++ b/tests/unit/entry/test_silent_caller.py
@@ -0,0 +1,36 @@
+"""Tests of callers that neither read nor leave."""
+
+import trio
+
+from tests.lib import engines
+from tests.lib import entry
+
+
+async def floods(wire: engines.Wire, seen: engines.Seen) -> None:
+    """Stream until the other end closes the connection."""
+    await wire.head()
+    number = 0
+    try:
+        while True:
+            number += 1
+            data = engines.event(number) * 1000
+            await wire.send(engines.h11.Data(data=data))
+    except trio.BrokenResourceError:
+        wire.engine.cancelled.set()
+        raise
+
+
+async def test_caller_that_reads_nothing_is_given_up(
+    nursery: trio.Nursery,
+) -> None:
+    engine, one = await engines.start(nursery, 'e1', floods)
+    brief = {'stalled_time': 1.0}
+    slow = {'silent_floor': 60.0}
+    async with entry.running_host(
+        one, callers=brief, backends=slow
+    ) as fixture:
+        async with entry.reading(fixture) as reader:
+            await reader.until(1)
+            with trio.fail_after(60):
+                await engine.cancelled.wait()
+    assert fixture.dispatcher.grants[0].ends[0].value == 'caller_left'
