--- a/src/corianderloft/_internal/decisions/demand.py
+++ b/src/corianderloft/_internal/decisions/demand.py
@@ -186,6 +186,8 @@
         crest : float
             How many times its mean a lane may need at a crest.
         """
+        if crest <= 0:
+            return 0.0
         return sum(
             max(0.0, crest * demand.mean - demand.in_flight)
             for key, demand in self.lanes.items()
--- a/src/corianderloft/_internal/decisions/engines.py
+++ b/src/corianderloft/_internal/decisions/engines.py
@@ -47,6 +47,8 @@
         Part of it that is this host's own, from 0 to 1.
     borrowed : float
         Slots beyond the even share that this host may use.
+    most : float
+        Attempts of this host that it may hold, as the limiter says.
     report : LoadReport or None
         Its latest report of its own load.
     own_at_report : int
@@ -82,6 +84,7 @@
     )
     home_part: float = 1.0
     borrowed: float = 0.0
+    most: float = 1.0
     report: backends.LoadReport | None = None
     own_at_report: int = 0
     gap: float | None = None
@@ -121,9 +124,13 @@
         """Give the slot of one attempt back."""
         self.in_flight -= 1
         self.lanes[lane] -= 1
+        if not self.lanes[lane]:
+            del self.lanes[lane]
 
     def in_flight_up_to(self, lane: waiting.Lane) -> int:
         """Return attempts that lower-priority work cannot delay."""
+        if not self.in_flight:
+            return 0
         return sum(n for key, n in self.lanes.items() if key <= lane)
 
     def saw_tokens(self, tokens: int, since: float, now: float) -> None:
--- a/src/corianderloft/_internal/decisions/guarantee.py
+++ b/src/corianderloft/_internal/decisions/guarantee.py
@@ -44,6 +44,8 @@
 
     def _is_owed(self, lane: demand_module.LaneDemand, now: float) -> bool:
         waited = now - lane.unserved_since
+        if waited < self._cfg.guaranteed_after:
+            return False
         if waited >= self._cfg.guaranteed_within:
             return True
-        return waited >= self._cfg.guaranteed_after and lane.credit > 0
+        return lane.credit > 0
--- a/src/corianderloft/_internal/decisions/health.py
+++ b/src/corianderloft/_internal/decisions/health.py
@@ -36,7 +36,15 @@
 
 
 class Health:
-    """Ejects slowed engines, never too many, and tries them again."""
+    """Ejects slowed engines, never too many, and tries them again.
+
+    Attributes
+    ----------
+    healthy_gap : float
+        Time between tokens of a healthy engine, in seconds; 0 if unknown.
+    outage : bool
+        Whether most engines failed and none has answered since.
+    """
 
     def __init__(self, cfg: plugins.Settings, rng: random.Random) -> None:
         self._cfg = cfg
@@ -49,6 +57,7 @@
         self._usual: dict[ids.ClassName, float] = {}
         self._lowest_gap = math.inf
         self.healthy_gap = 0.0
+        self.outage = False
 
     def judge(
         self, live: collections.abc.Sequence[engines.EngineView], now: float
@@ -132,11 +141,6 @@
             engine.probe_at = now + engine.probe_pause * jitter
             engine.probe_pause = min(_MOST_PROBE, engine.probe_pause * 2)
 
-    @property
-    def outage(self) -> bool:
-        """Whether most engines failed and none has answered since."""
-        return len(self._failed) > max(1, self._live_count // 2)
-
     def failed(
         self, engine: engines.EngineView, hard: bool, now: float
     ) -> None:
@@ -146,6 +150,7 @@
             return
         was_outage = self.outage
         self._failed.add(engine.backend.engine_id)
+        self.outage = len(self._failed) > max(1, self._live_count // 2)
         if self.outage and not was_outage:
             self._next_probe = now + _FIRST_PROBE * self._rng.random()
 
@@ -158,6 +163,7 @@
         """Note a first token; if one came back, try the others at once."""
         was_outage = self.outage
         self._failed.clear()
+        self.outage = False
         self._probe_pause = _FIRST_OUTAGE_PROBE
         if engine.answer(now) or was_outage:
             self._next_probe = now
--- a/src/corianderloft/_internal/decisions/limiters/adaptive.py
+++ b/src/corianderloft/_internal/decisions/limiters/adaptive.py
@@ -33,9 +33,9 @@
 
     def has_room(self, engine: engines.EngineView, lane: waiting.Lane) -> bool:
         """Return whether the lane and those above leave it room."""
-        most = max(1.0, self._own(engine) * self._overcommit)
-        most = min(math.ceil(most), engine.backend.slots)
-        return engine.in_flight_up_to(lane) < most
+        if engine.in_flight < engine.most:
+            return True
+        return engine.in_flight_up_to(lane) < engine.most
 
     def may_start(
         self, lane: waiting.Lane, load: demand.Demand, capacity: float
@@ -54,7 +54,14 @@
         self, live: collections.abc.Iterable[engines.EngineView]
     ) -> float:
         """Return the slots that this host may use now."""
-        return sum(map(self._own, live))
+        return sum(map(self._share, live))
+
+    def _share(self, engine: engines.EngineView) -> float:
+        """Return this host's part of an engine, and note its bound."""
+        own = engine.backend.slots / self._hosts + engine.borrowed
+        most = math.ceil(max(1.0, own * self._overcommit))
+        engine.most = min(most, engine.backend.slots)
+        return own
 
     def reported(self, engine: engines.EngineView) -> None:
         """Borrow what an engine reports as free; give back when full."""
@@ -72,6 +79,3 @@
     def failed(self, engine: engines.EngineView) -> None:
         """Give back what was borrowed."""
         engine.borrowed = 0.0
-
-    def _own(self, engine: engines.EngineView) -> float:
-        return engine.backend.slots / self._hosts + engine.borrowed
