--- a/src/corianderloft/_internal/entry/attempts.py
+++ b/src/corianderloft/_internal/entry/attempts.py
@@ -6,6 +6,7 @@
 import orjson
 
 from corianderloft._internal.decisions import interface
+from corianderloft._internal.entry import bounds
 from corianderloft._internal.entry import calls
 from corianderloft._internal.entry import inflight
 from corianderloft._internal.entry import parts as entry_parts
@@ -77,15 +78,16 @@
         self._running = running
         self._closed = False
         self._cutter = sse.EventCutter()
-        self._first_bound = max(
-            cfg.silent_floor,
-            cfg.silent_first_tokens * request_class.first_token_target,
-        )
+        self._first_bound = bounds.first_silence(cfg, request_class)
         self._gap_bound = max(
             cfg.silent_floor, cfg.silent_gaps * request_class.token_gap_target
         )
         self._outbound = outbound.Outbound(
-            parts.kept, parts.watch, grant.backend, cfg.connect_time
+            parts.kept,
+            parts.watch,
+            grant.backend,
+            f'engine {grant.backend.engine_id!r}',
+            cfg.connect_time,
         )
 
     async def open(self, have: int) -> Opening:
