Work the capacity at the design size out from measured slopes

Ruled out: figures typed into the page (they would drift from the data). Change: bench/capacity: microbenchmarks at three sizes each, rows that name formula, budget, mechanism and status, a page written by make capacity and checked by a test; bench/relay records its table.

--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 docs-check: setup
 	$(PY) -m corianderloft._internal.settings.document --check \
 		docs/settings.md
+	$(PY) -m bench.capacity.page --check
 	$(PY) -m pytest tests/docs
 
 demo: setup
@@ -49,3 +50,12 @@
 
 bench-relay: setup
 	$(PY) -m bench.relay
+
+.PHONY: slopes capacity
+
+slopes: setup
+	$(PY) -m bench.capacity.slopes
+	$(PY) -m bench.relay --record docs/measurements/relay.json
+
+capacity: setup
+	$(PY) -m bench.capacity.page
--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity at the design size, worked out from measured slopes."""
--- /dev/null
+++ b/bench/capacity/design.py
@@ -0,0 +1,60 @@
+"""The size to design for, from the users' first letter."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class DesignSize:
+    """Counts, rates and budgets at the design size.
+
+    Attributes
+    ----------
+    hosts, engines, accelerators, workspaces, models : int
+        Counts.
+    tiers, regions, failure_domains : int
+        Counts.
+    requests_per_second, tokens_per_second : float
+        Load of the fleet at the peak.
+    changes_per_day, failures_per_day, restarts_per_day : float
+        Events a day.
+    in_force_bound : float
+        Time for a change to be in force everywhere, in seconds.
+    control_core_fraction : float
+        Budget of one host for control, as a part of one core.
+    control_memory : float
+        Budget of one host for control, in bytes.
+    control_bytes_per_second : float
+        Budget of one host for control messages, in bytes a second.
+    kv_writes_per_second, kv_reads_per_second : float
+        What the key-value service handles.
+    """
+
+    hosts: int = 380
+    engines: int = 3_400
+    accelerators: int = 6_800
+    workspaces: int = 36_000
+    models: int = 5
+    tiers: int = 6
+    regions: int = 3
+    failure_domains: int = 9
+    requests_per_second: float = 4_400.0
+    tokens_per_second: float = 1_300_000.0
+    changes_per_day: float = 10_000.0
+    failures_per_day: float = 57.0
+    restarts_per_day: float = 340.0
+    in_force_bound: float = 8.0
+    control_core_fraction: float = 0.046
+    control_memory: float = 128e6
+    control_bytes_per_second: float = 3_000.0
+    kv_writes_per_second: float = 300.0
+    kv_reads_per_second: float = 2_000.0
+
+    @property
+    def tokens_per_host(self) -> float:
+        """Tokens that one host relays a second at the peak."""
+        return self.tokens_per_second / self.hosts
+
+    @property
+    def requests_per_host(self) -> float:
+        """Requests that one host takes a second at the peak."""
+        return self.requests_per_second / self.hosts
--- /dev/null
+++ b/bench/capacity/page.py
@@ -0,0 +1,107 @@
+"""The table of docs/CAPACITY.md, written and checked."""
+
+import pathlib
+import sys
+
+import tabulate
+
+from bench.capacity import measurements
+from bench.capacity import rows
+
+PAGE = pathlib.Path('docs/CAPACITY.md')
+BEGIN = '<!-- table: begin (make capacity) -->'
+END = '<!-- table: end -->'
+
+
+def _format(value: float) -> str:
+    if value >= 100:
+        return f'{value:,.0f}'
+    return f'{value:.3g}'
+
+
+def _cells(row: rows.Row) -> tuple[str, ...]:
+    used = '' if row.budget is None else f'{row.value / row.budget:.0%}'
+    budget = '' if row.budget is None else _format(row.budget)
+    return (
+        row.role,
+        row.quantity,
+        row.formula,
+        f'{_format(row.value)} {row.unit}',
+        budget,
+        used,
+        row.mechanism,
+        row.status.value,
+    )
+
+
+def render(recorded: measurements.Recorded) -> str:
+    """Return the table as Markdown, with the source of its figures."""
+    headers = (
+        'role',
+        'what',
+        'worked out as',
+        'at the design size',
+        'budget',
+        'used',
+        'mechanism',
+        'status',
+    )
+    table = tabulate.tabulate(
+        [_cells(row) for row in rows.all_rows(recorded)],
+        headers=headers,
+        tablefmt='github',
+        disable_numparse=True,
+    )
+    slopes = tabulate.tabulate(
+        [
+            (
+                s.name,
+                f'{s.median:.3g} {s.unit}',
+                f'{s.low:.3g} to {s.high:.3g}',
+                ', '.join(
+                    f'{size}: {cost:.3g}'
+                    for size, cost in zip(s.sizes, s.by_size, strict=True)
+                ),
+                s.repetitions,
+            )
+            for s in recorded.slopes
+        ],
+        headers=('slope', 'median', 'range', 'by size', 'repetitions'),
+        tablefmt='github',
+        disable_numparse=True,
+    )
+    source = (
+        f'Measured by `{recorded.command}` on {recorded.date}, '
+        f'{recorded.machine}.'
+    )
+    return f'{BEGIN}\n\n{table}\n\n{source}\n\n{slopes}\n\n{END}'
+
+
+def replace_table(page: str, table: str) -> str:
+    """Return the page with its table replaced."""
+    before, _, rest = page.partition(BEGIN)
+    _, _, after = rest.partition(END)
+    return before + table + after
+
+
+def main(check: bool = False) -> int:
+    """Write the table into the page, or check that it agrees.
+
+    Returns
+    -------
+    int
+        0, or 1 when ``check`` finds that page and data differ.
+    """
+    page = PAGE.read_text()
+    wanted = replace_table(page, render(measurements.load()))
+    if not check:
+        PAGE.write_text(wanted)
+        return 0
+    if page == wanted:
+        return 0
+    sys.stderr.write(f'{PAGE}: differs from its data; run make capacity\n')
+    return 1
+
+
+if __name__ == '__main__':
+    sys.exit(main(check='--check' in sys.argv[1:]))
--- /dev/null
+++ b/bench/capacity/rows.py
@@ -0,0 +1,322 @@
+"""Rows of the table: each role's cost at the design size."""
+
+import collections.abc
+import dataclasses
+import enum
+import itertools
+
+from bench.capacity import design
+from bench.capacity import measurements
+
+SIZE = design.DesignSize()
+DAY = 86_400.0  # s
+MICROSECOND = 1e-6  # s
+PROBES_PER_SECOND = 1.0
+MESSAGES_PER_PROBE = 2.0  # a probe and its answer
+PROBE_NEWS = 3  # hosts of which a probe carries news
+HEADER_BYTES = 28.0  # IP and UDP
+WATCHERS_PER_DOMAIN = 2
+WATCHED_PREFIXES = 2
+WATCH_LIFE = 3.0  # s
+VERIFY_INTERVAL = 2.0  # s
+SHARDS = 4096
+CHANGES_IN_A_MINUTE = 1_000
+CLAIM_WRITES_PER_SECOND = 200.0
+TOKEN_GAP = 0.036  # s
+LEASE_TTL = 15.0  # s
+RENEWALS_PER_TTL = 3.0
+ADDRESS_TTL = 10.0  # s
+CALLER_PROCESSES = 10_000
+
+Slopes = measurements.Recorded
+
+
+class Status(enum.Enum):
+    """How a figure came about."""
+
+    MEASURED = 'measured'
+    EXTRAPOLATED = 'extrapolated'
+    NOT_BUILT = 'not yet built'
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """One quantity of one role.
+
+    Attributes
+    ----------
+    role, quantity, formula : str
+        What it is, and how it is worked out.
+    value : float
+        At the design size, in ``unit``.
+    unit : str
+        Unit of value and budget.
+    budget : float or None
+        What it may be.
+    mechanism : str
+        Module that carries it.
+    status : Status
+        How the figure came about.
+    """
+
+    role: str
+    quantity: str
+    formula: str
+    value: float
+    unit: str
+    budget: float | None
+    mechanism: str
+    status: Status
+
+
+def _core(seconds: float) -> float:
+    """Return a part of a core, in percent."""
+    return 100.0 * seconds
+
+
+CORE_BUDGET = _core(SIZE.control_core_fraction)
+
+
+def all_rows(slopes: Slopes) -> tuple[Row, ...]:
+    """Return all rows, role by role."""
+    roles: tuple[collections.abc.Callable[[Slopes], tuple[Row, ...]], ...] = (
+        _messages,
+        _memory,
+        _configuration,
+        _requests,
+        _service,
+        _callers,
+    )
+    return tuple(itertools.chain.from_iterable(rows(slopes) for rows in roles))
+
+
+def _probe_cost(slopes: Slopes) -> float:
+    """Return the CPU time a second that probing costs a host."""
+    once = (
+        slopes.slope('peer_message_encode').at(PROBE_NEWS)
+        + slopes.slope('peer_message_decode').at(PROBE_NEWS)
+    ) * MICROSECOND
+    # A host sends its probe and answers one, and takes in as many.
+    return PROBES_PER_SECOND * MESSAGES_PER_PROBE * once
+
+
+def _probe_bytes(slopes: Slopes) -> float:
+    size = slopes.slope('peer_message_size').at(PROBE_NEWS) + HEADER_BYTES
+    return 2.0 * PROBES_PER_SECOND * MESSAGES_PER_PROBE * size
+
+
+def _messages(slopes: Slopes) -> tuple[Row, ...]:
+    return (
+        Row(
+            'entry host',
+            'CPU for probes',
+            '2 messages/s each way x (encode + decode)',
+            _core(_probe_cost(slopes)),
+            '% of a core',
+            CORE_BUDGET,
+            'shared/membership/detector.py',
+            Status.EXTRAPOLATED,
+        ),
+        Row(
+            'entry host',
+            'bytes for probes, both ways',
+            '4 messages/s x (size + headers)',
+            _probe_bytes(slopes),
+            'bytes/s',
+            SIZE.control_bytes_per_second,
+            'shared/membership/detector.py',
+            Status.EXTRAPOLATED,
+        ),
+    )
+
+
+def _memory(slopes: Slopes) -> tuple[Row, ...]:
+    return _held(slopes) + _process(slopes)
+
+
+def _process(slopes: Slopes) -> tuple[Row, ...]:
+    streams = SIZE.tokens_per_host * TOKEN_GAP
+    return (
+        Row(
+            'entry host',
+            'memory of an idle process',
+            'idle_process',
+            slopes.slope('idle_process').median,
+            'MB',
+            SIZE.control_memory / 1e6,
+            'the interpreter and the libraries',
+            Status.MEASURED,
+        ),
+        Row(
+            'entry host',
+            'memory for open streams',
+            '3,421 tokens/s x 36 ms x open_stream',
+            streams * slopes.slope('open_stream').median / 1e3,
+            'MB',
+            None,
+            'entry/, network/',
+            Status.EXTRAPOLATED,
+        ),
+    )
+
+
+def _held(slopes: Slopes) -> tuple[Row, ...]:
+    counts = (
+        ('members', SIZE.hosts, 'member_known', 'shared/membership/view.py'),
+        (
+            'backend servers',
+            SIZE.engines,
+            'backend_known',
+            'shared/backend_list.py, decisions/',
+        ),
+        (
+            'workspaces',
+            SIZE.workspaces,
+            'workspace_held',
+            'shared/configuration/catalogs.py',
+        ),
+    )
+    return tuple(
+        Row(
+            'entry host',
+            f'memory for {what}',
+            f'{count:,} x {name}',
+            count * slopes.slope(name).median / 1e6,
+            'MB',
+            SIZE.control_memory / 1e6,
+            mechanism,
+            Status.EXTRAPOLATED,
+        )
+        for what, count, name, mechanism in counts
+    )
+
+
+def _configuration(slopes: Slopes) -> tuple[Row, ...]:
+    once = slopes.slope('change_applied').median * MICROSECOND
+    rate = SIZE.changes_per_day / DAY
+    shard = SIZE.workspaces / SHARDS
+    return (
+        Row(
+            'entry host',
+            'CPU for changes, an ordinary day',
+            '10,000/day x change_applied',
+            _core(rate * once),
+            '% of a core',
+            CORE_BUDGET,
+            'shared/configuration/catalogs.py',
+            Status.EXTRAPOLATED,
+        ),
+        Row(
+            'entry host',
+            'CPU for changes, 1,000 in a minute',
+            '1,000/60 s x change_applied',
+            _core(CHANGES_IN_A_MINUTE / 60.0 * once),
+            '% of a core',
+            CORE_BUDGET,
+            'shared/configuration/catalogs.py',
+            Status.EXTRAPOLATED,
+        ),
+        Row(
+            'entry host',
+            'bytes for changes, an ordinary day',
+            '10,000/day x a shard of 8.8 workspaces, received and passed on',
+            2.0 * rate * shard * slopes.slope('workspace_held').median,
+            'bytes/s',
+            SIZE.control_bytes_per_second,
+            'shared/configuration/exchange.py',
+            Status.EXTRAPOLATED,
+        ),
+    )
+
+
+def _requests(slopes: Slopes) -> tuple[Row, ...]:
+    decision = slopes.slope('decision').median * MICROSECOND
+    relay = slopes.slope('relayed_token').median * MICROSECOND
+    return (
+        Row(
+            'entry host',
+            'CPU for decisions',
+            '11.6 requests/s x decision (subset of 900 engines at most)',
+            _core(SIZE.requests_per_host * decision),
+            '% of a core',
+            None,
+            'decisions/dispatcher.py',
+            Status.EXTRAPOLATED,
+        ),
+        Row(
+            'entry host',
+            'CPU for relayed tokens',
+            '3,421 tokens/s x relayed_token',
+            _core(SIZE.tokens_per_host * relay),
+            '% of a core',
+            50.0,
+            'entry/attempts.py, network/',
+            Status.MEASURED,
+        ),
+    )
+
+
+def _service(slopes: Slopes) -> tuple[Row, ...]:
+    watchers = WATCHERS_PER_DOMAIN * SIZE.failure_domains
+    watches = watchers * WATCHED_PREFIXES
+    reads = watches / WATCH_LIFE + watchers / VERIFY_INTERVAL
+    renewals = SIZE.models * RENEWALS_PER_TTL / LEASE_TTL
+    return (
+        Row(
+            'key-value service',
+            'watches opened and heads compared',
+            '18 watchers x (2 watches/3 s + 1 compare/2 s)',
+            reads,
+            'calls/s',
+            SIZE.kv_reads_per_second,
+            'shared/configuration/watching.py',
+            Status.EXTRAPOLATED,
+        ),
+        Row(
+            'key-value service',
+            'waiting watches',
+            '18 watchers x 2 prefixes',
+            float(watches),
+            'calls',
+            None,
+            'shared/configuration/watching.py',
+            Status.EXTRAPOLATED,
+        ),
+        Row(
+            'home of a claim',
+            'writes for claims',
+            'bound of the settings, shared by the live hosts in batches',
+            CLAIM_WRITES_PER_SECOND,
+            'calls/s',
+            SIZE.kv_writes_per_second,
+            'shared/claims/batch.py',
+            Status.EXTRAPOLATED,
+        ),
+        Row(
+            "holder of a service's lease",
+            'renewals',
+            '5 services x 3 renewals/15 s',
+            renewals,
+            'calls/s',
+            SIZE.kv_writes_per_second,
+            'shared/leases/lease.py',
+            Status.EXTRAPOLATED,
+        ),
+    )
+
+
+def _callers(slopes: Slopes) -> tuple[Row, ...]:
+    look_ups = CALLER_PROCESSES / ADDRESS_TTL / SIZE.hosts
+    cost = slopes.slope('address_answer').median * MICROSECOND
+    return (
+        Row(
+            'caller',
+            'CPU of a host for address answers',
+            '10,000 caller processes / 10 s / 380 hosts x address_answer',
+            _core(look_ups * cost),
+            '% of a core',
+            CORE_BUDGET,
+            'shared/membership/addresses.py',
+            Status.EXTRAPOLATED,
+        ),
+    )
--- a/bench/relay/__main__.py
+++ b/bench/relay/__main__.py
@@ -21,6 +21,7 @@
 import tabulate
 import trio
 
+from bench.capacity import measurements
 from tests.lib import calls
 from tests.lib import processes
 from tests.lib import system as whole
@@ -35,6 +36,7 @@
 PACED_TOKENS = 300
 FLOOD_WINDOW = (1.0, 6.0)
 FLOOD_TOKENS = 60000
+HEADERS = ('figure', 'direct', 'host', 'target')
 CLOCK_TICKS = os.sysconf('SC_CLK_TCK')
 SERVICE = 'relay-desk'
 DECLARATIONS = pathlib.Path(__file__).parent / 'declarations'
@@ -65,24 +67,31 @@
             await calls.post(engine.port, '/control/faults', faults)
 
 
-def main(profile: float = 0.0) -> None:
+def main(profile: float = 0.0, record: str = '') -> None:
     """Run the bench.
 
     Parameters
     ----------
+    record : str
+        File that the table is written to as JSON, besides.
     profile : float
         Instead, load the host that many seconds under a profiler and print
         where its time goes.
     """
-    trio.run(_profiled if profile else _measure, profile)
+    if profile:
+        trio.run(_profiled, profile)
+    else:
+        trio.run(_measure, record)
 
 
-async def _measure(_: float) -> None:
+async def _measure(record: str) -> None:
     async with _running() as bench:
         rows = await _idle(bench)
         rows += await _paced(bench)
         rows += await _flood(bench)
-    print(tabulate.tabulate(rows, ('figure', 'direct', 'host', 'target')))
+    print(tabulate.tabulate(rows, HEADERS))
+    if record:
+        measurements.save_table(HEADERS, rows, pathlib.Path(record))
 
 
 async def _profiled(seconds: float) -> None:
