--- a/src/corianderloft/_internal/standin/engine/faults.py
+++ b/src/corianderloft/_internal/standin/engine/faults.py
@@ -20,6 +20,9 @@
         New requests are refused as not run; running ones go on.
     overloaded : bool
         New requests are refused as not run.
+    order_delay : float
+        Wait before an order arrives, in seconds; it arrives also when its
+        sender has left.
     """
 
     slow_factor: float = pydantic.Field(default=1.0, gt=0)
@@ -27,6 +30,7 @@
     crashed: bool = False
     leaving: bool = False
     overloaded: bool = False
+    order_delay: float = pydantic.Field(default=0.0, ge=0)
 
     def refusal(self) -> str | None:
         """Return the code with which new requests are refused."""
--- a/src/corianderloft/_internal/standin/engine/server.py
+++ b/src/corianderloft/_internal/standin/engine/server.py
@@ -240,6 +240,7 @@
         except pydantic.ValidationError as exc:
             await call.reply(_error('bad_request', str(exc)), 400)
             return
+        await trio.sleep(self.batch.faults.order_delay)
         accepted = self.state.accept(order, self._settings.check_fencing)
         if not accepted:
             detail = f'{order.fencing} is below {self.state.fencing}'
--- a/tests/unit/standin/test_engine.py
+++ b/tests/unit/standin/test_engine.py
@@ -141,6 +141,22 @@
     assert state['adapters'] == ['a'] and state['fencing'] == 2
 
 
+async def test_a_delayed_order_arrives_after_its_sender_left() -> None:
+    order = {'order_id': 'o', 'kind': 'set_role', 'target': 'r', 'fencing': 1}
+    async with engine(check_fencing=False) as port:
+        await calls.set_faults(port, order_delay=0.3)
+        with trio.move_on_after(0.1):
+            await calls.post(port, '/v1/orders', order)
+        newer = order | {'fencing': 2, 'target': 'newer'}
+        await calls.set_faults(port, order_delay=0)
+        await calls.post(port, '/v1/orders', newer)
+
+        async def overwritten() -> bool:
+            return bool((await calls.get(port, '/v1/state'))['role'] == 'r')
+
+        await processes.wait_for(overwritten, 'the old order arrives')
+
+
 async def test_a_cached_prefix_needs_no_prefill_until_it_is_dropped() -> None:
     async with engine(cache_blocks=4, cache_event_lag=0) as port:
         prompt = chat(1, text='x' * 4096)
