Bound kept answers by bytes; let a waiting call end with its caller

Cause: 2,000 kept answers of 64 KB are 128 MB, all that a node has for control. A plain call whose caller had left still ran. Change: callers.answers_kept_bytes (32 MB) replaces max_answers_kept; a call that was not sent yet, or is idempotent, ends with its caller and gives its claim back.

--- a/src/corianderloft/_internal/entry/answers.py
+++ b/src/corianderloft/_internal/entry/answers.py
@@ -70,6 +70,11 @@
         self._bytes = 0
         self._delivered = 0
 
+    @property
+    def size(self) -> int:
+        """Bytes of events that are kept."""
+        return self._bytes
+
     def take(self, events: bytes) -> int:
         """Keep new events.
 
@@ -177,13 +182,13 @@
     ----------
     kept_time : float
         Time that an answer is kept once nobody works on it, in seconds.
-    limit : int
-        Answers kept at the same time.
+    kept_bytes : int
+        Bound on all answers that nobody works on, in bytes.
     """
 
-    def __init__(self, kept_time: float, limit: int) -> None:
+    def __init__(self, kept_time: float, kept_bytes: int) -> None:
         self._kept_time = kept_time
-        self._limit = limit
+        self._kept_bytes = kept_bytes
         self._answers: dict[ids.RequestId, Answer] = {}
 
     def __len__(self) -> int:
@@ -197,7 +202,6 @@
             return False
         self._answers.pop(request_id, None)
         self._answers[request_id] = answer
-        self._drop_oldest()
         return True
 
     def find(
@@ -213,20 +217,12 @@
             del self._answers[request_id]
 
     def drop_old(self) -> None:
-        """Forget answers that nobody came back for."""
+        """Forget what nobody came back for, and what is too much."""
         oldest = trio.current_time() - self._kept_time
-        old = [
-            answer
-            for answer in self._answers.values()
-            if answer.running is None and answer.idle_since < oldest
-        ]
-        for answer in old:
-            self.forget(answer)
-
-    def _drop_oldest(self) -> None:
-        surplus = len(self._answers) - self._limit
-        if surplus <= 0:
-            return
         idle = [a for a in self._answers.values() if a.running is None]
-        for answer in idle[:surplus]:
-            self.forget(answer)
+        idle.sort(key=lambda answer: answer.idle_since, reverse=True)
+        kept = 0
+        for answer in idle:
+            kept += answer.size
+            if answer.idle_since < oldest or kept > self._kept_bytes:
+                self.forget(answer)
--- a/src/corianderloft/_internal/entry/parts.py
+++ b/src/corianderloft/_internal/entry/parts.py
@@ -63,7 +63,7 @@
         kept=connections.Connections(settings.backends),
         watch=silence.SilenceWatch(),
         answers=answers.Answers(
-            callers.answer_kept_time, callers.max_answers_kept
+            callers.answer_kept_time, callers.answers_kept_bytes
         ),
         records=records.Records(settings.operators.explained_requests),
         inflight=inflight.InFlight(),
--- a/src/corianderloft/_internal/entry/plain_handlers.py
+++ b/src/corianderloft/_internal/entry/plain_handlers.py
@@ -1,5 +1,7 @@
 """Handler of calls of plain services on the callers' port."""
 
+import trio
+
 from corianderloft._internal.entry import calls
 from corianderloft._internal.entry import checks
 from corianderloft._internal.entry import inflight
@@ -13,6 +15,8 @@
 from corianderloft._internal.models import states
 from corianderloft._internal.network import exchange
 
+_LEFT = inflight.StopReason.CALLER_LEFT
+
 
 class PlainHandlers:
     """Answers ``ANY /v1/services/<service>/<path>``.
@@ -54,15 +58,12 @@
     ) -> None:
         record = self._parts.records.begin(call.origin)
         caller_id = call.origin.caller_id
-        ended: plain.Ended | None = None
         with self._parts.inflight.track() as running:
-            with running.scope:
-                # A call goes on without its caller: the answer is kept
-                # under its key, and stopping it would not undo it.
-                relay = plain.PlainRelay(self._parts, call, record)
-                ended = await relay.run()
+            ended = await self._work(http, call, record, running)
+            if ended is None and running.reason is _LEFT:
+                self._parts.records.end(record, _LEFT.value, None)
+                return
             if ended is None:
-                assert running.reason is inflight.StopReason.DRAINING
                 ended = requests.Refused(
                     reasons.RefusalReason.DRAINING,
                     record.run_state(),
@@ -75,6 +76,32 @@
             self._parts.records.end(record, records.ANSWERED, None)
             await _answer(http, ended, caller_id)
 
+    async def _work(
+        self,
+        http: exchange.Exchange,
+        call: calls.PlainCall,
+        record: records.Record,
+        running: inflight.Running,
+    ) -> plain.Ended | None:
+        """Return how the call ended; None when it was stopped."""
+
+        async def watch_caller() -> None:
+            await http.wait_left()
+            # A call that may have run goes on without its caller: stopping
+            # it would not undo it, and its answer is kept under its key.
+            sent = record.run_state() is not states.RunState.NOT_RUN
+            if call.ticket.idempotent or not sent:
+                running.stop(_LEFT)
+
+        ended: plain.Ended | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch_caller)
+            with running.scope:
+                relay = plain.PlainRelay(self._parts, call, record)
+                ended = await relay.run()
+            nursery.cancel_scope.cancel()
+        return ended
+
 
 async def _answer(
     http: exchange.Exchange, ended: plain.PlainAnswer, caller_id: str
--- a/src/corianderloft/_internal/settings/callers.py
+++ b/src/corianderloft/_internal/settings/callers.py
@@ -63,6 +63,6 @@
     answer_kept_bytes: int = base.setting(
         65536, 'End of each answer kept for a lost caller.', 'bytes', ge=0
     )
-    max_answers_kept: int = base.setting(
-        2000, 'Answers kept for lost callers.', gt=0
+    answers_kept_bytes: int = base.setting(
+        33554432, 'All answers kept that nobody works on.', 'bytes', ge=0
     )
--- a/tests/lib/entry.py
+++ b/tests/lib/entry.py
@@ -74,12 +74,12 @@
     )
 
 
-def origin() -> calls.Origin:
+def origin(caller_id: str = 'r1') -> calls.Origin:
     """Return the origin of a request of ``stables`` to ``desk``."""
     current = catalog_of()
     service = current.services[0]
     return calls.Origin(
-        current.workspaces[0], service, service.classes[0], 'r1'
+        current.workspaces[0], service, service.classes[0], caller_id
     )
 
 
@@ -194,6 +194,9 @@
         self._turn = itertools.count()
         self.grants: list[FakeGrant] = []
         self.hedge: float | None = None
+        self.asked = trio.Event()
+        self.gate = trio.Event()
+        self.gate.set()
         self.reports: list[backends.LoadReport] = []
         self.cached: list[tuple[typing.Any, ...]] = []
 
@@ -202,7 +205,8 @@
         ticket: requests.Ticket,
         exclude: typing.AbstractSet[ids.EngineId] = frozenset(),
     ) -> FakeGrant | requests.Refused:
-        await trio.lowlevel.checkpoint()
+        self.asked.set()
+        await self.gate.wait()
         usable = [
             backend
             for backend in self._shared.backends
--- a/tests/unit/entry/test_plain.py
+++ b/tests/unit/entry/test_plain.py
@@ -149,6 +149,30 @@
     assert len(engine.seen) == 1
 
 
+async def test_call_that_waits_ends_with_its_caller(
+    nursery: trio.Nursery,
+) -> None:
+    engine, one = await engines.start(nursery, 't1', charges, 'till')
+    async with entry.running_host(one) as fixture:
+        fixture.dispatcher.gate = trio.Event()
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as callers:
+
+                async def leave_once_queued() -> None:
+                    await fixture.dispatcher.asked.wait()
+                    scope.cancel()
+
+                callers.start_soon(leave_once_queued)
+                await call(fixture, Idempotency_Key='k1')
+        with trio.fail_after(10):
+            while not fixture.shared.released:
+                await trio.sleep(0.01)
+        fixture.dispatcher.gate.set()
+        answer = await call(fixture, Idempotency_Key='k1')
+    assert answer.status == 201
+    assert len(engine.seen) == 1
+
+
 async def test_old_connection_carries_no_call_that_is_not_idempotent(
     nursery: trio.Nursery,
 ) -> None:
