Test claims with a state machine under failures; settle clean-up by compare

Ruled out: reading twice. Change: the clean-up asks by compare; a machine of Hypothesis whose steps run in virtual time, with kills, outages, lost and late writes, old reads and callers that give up; make fuzz.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 JOBS ?= 4
 
 .PHONY: setup test format lint types unit docs docs-check demo
-.PHONY: bench-policy
+.PHONY: bench-policy bench-control fuzz
 
 setup: $(STAMP)
 
@@ -46,3 +46,14 @@
 
 bench-policy: setup
 	$(PY) -m bench.policy --seeds $(SEEDS) --workload $(WORKLOAD)
+
+FUZZ_SEED ?= $(shell date +%s)
+
+fuzz: setup
+	$(PY) -m pytest -n $(JOBS) --timeout 3000 --hypothesis-profile=fuzz \
+		--hypothesis-seed=$(FUZZ_SEED) tests/unit/shared -k machine
+
+HOSTS ?= 8,16,32,64
+
+bench-control: setup
+	$(PY) -m bench.control --hosts $(HOSTS)
--- a/src/corianderloft/_internal/shared/claims/claims.py
+++ b/src/corianderloft/_internal/shared/claims/claims.py
@@ -323,10 +323,18 @@
                 held.stored.set()
 
     async def _remove_if_own(self, held: _Held) -> bool:
-        found = await self._kv.get(held.key)
-        if isinstance(found, kv_interface.Unavailable):
+        """Remove a claim of this host; False when that is not settled yet.
+
+        Whether it stands is asked by a compare: a read may be old.
+        """
+        standing = await self._kv.transact(
+            [kv_interface.Compare(held.key, ids.Revision(0))], []
+        )
+        if isinstance(standing, kv_interface.Written):
+            return True
+        if not isinstance(standing, kv_interface.Conflict):
             return False
-        for item in found.items:
+        for item in standing.items:
             record = records.RECORD.validate_json(item.value)
             if record.token != held.record.token:
                 return True
@@ -336,7 +344,7 @@
             )
             await pending.done.wait()
             return isinstance(pending.outcome, kv_interface.Written)
-        return found.revision >= (held.revision or 0)
+        return False
 
 
 def _claimed(held: _Held) -> interface.Claimed:
--- a/tests/lib/fake_kv.py
+++ b/tests/lib/fake_kv.py
@@ -83,6 +83,8 @@
         Writes that take effect but answer `Unknown`.
     lose_requests : int
         Writes that do not take effect but answer `Unknown`.
+    late_writes : int
+        Writes that answer `Unknown` and are tried ``late_by`` s later.
     stale_reads : int
         Reads answered from ``stale_by`` writes ago.
     silent : bool
@@ -95,6 +97,8 @@
         self.down = False
         self.lose_replies = 0
         self.lose_requests = 0
+        self.late_writes = 0
+        self.late_by = 5.0
         self.stale_reads = 0
         self.stale_by = 1
         self.silent = False
@@ -134,6 +138,24 @@
         if self.lose_requests:
             self.lose_requests -= 1
             return kv.Unknown('the request was lost')
+        if self.late_writes:
+            self.late_writes -= 1
+            trio.lowlevel.spawn_system_task(
+                self._apply_late, compares, operations
+            )
+            return kv.Unknown('the request is late')
+        result = await self._apply(compares, operations)
+        if self.lose_replies:
+            self.lose_replies -= 1
+            return kv.Unknown('the reply was lost')
+        return result
+
+    async def _apply_late(self, compares, operations):
+        await trio.sleep(self.late_by)
+        self.store.expire()
+        await self._apply(compares, operations)
+
+    async def _apply(self, compares, operations):
         items = self.store.items
         holds = all(
             (items[c.key].mod_revision if c.key in items else 0)
@@ -144,14 +166,9 @@
             if operations:
                 self.store.write(operations)
                 await self._notify()
-            result = kv.Written(ids.Revision(self.store.revision))
-        else:
-            present = (items[c.key] for c in compares if c.key in items)
-            result = kv.Conflict(self.store.revision, tuple(present))
-        if self.lose_replies:
-            self.lose_replies -= 1
-            return kv.Unknown('the reply was lost')
-        return result
+            return kv.Written(ids.Revision(self.store.revision))
+        present = (items[c.key] for c in compares if c.key in items)
+        return kv.Conflict(self.store.revision, tuple(present))
 
     async def _notify(self):
         with trio.CancelScope(shield=True):
--- /dev/null
+++ b/tests/lib/machines.py
@@ -0,0 +1,45 @@
+"""State machines of Hypothesis whose steps run in virtual time."""
+
+import hypothesis
+from hypothesis import stateful
+import trio
+import trio.testing
+
+
+def sized(ci_examples, fuzz_examples):
+    """Return settings of the profile in force, with its examples."""
+    fuzz = hypothesis.settings.get_current_profile_name() == 'fuzz'
+    return hypothesis.settings(
+        max_examples=fuzz_examples if fuzz else ci_examples,
+        stateful_step_count=40 if fuzz else 20,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+
+
+class VirtualTimeMachine(stateful.RuleBasedStateMachine):
+    """Rules note steps; all are run, in order, when the machine ends.
+
+    A subclass appends coroutine functions to ``steps`` and defines
+    ``execute``, which runs them and checks what must hold.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.steps = []
+
+    def step(self, function, *args):
+        self.steps.append((function, args))
+
+    async def execute(self):
+        raise NotImplementedError
+
+    async def run_steps(self):
+        for function, args in self.steps:
+            await function(*args)
+
+    def teardown(self):
+        if self.steps:
+            trio.run(
+                self.execute,
+                clock=trio.testing.MockClock(autojump_threshold=0),
+            )
