--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 JOBS ?= 4
 
 .PHONY: setup test format lint types unit docs docs-check demo
-.PHONY: bench-policy bench-relay
+.PHONY: bench-policy bench-relay bench-control fuzz slopes capacity
 
 setup: $(STAMP)
 
@@ -51,11 +51,20 @@
 bench-relay: setup
 	$(PY) -m bench.relay
 
-.PHONY: slopes capacity
-
 slopes: setup
 	$(PY) -m bench.capacity.slopes
 	$(PY) -m bench.relay --record docs/measurements/relay.json
 
 capacity: setup
 	$(PY) -m bench.capacity.page
+
+FUZZ_SEED ?= $(shell date +%s)
+
+fuzz: setup
+	$(PY) -m pytest -n $(JOBS) --timeout 3000 --hypothesis-profile=fuzz \
+		--hypothesis-seed=$(FUZZ_SEED) tests/unit/shared -k machine
+
+HOSTS ?= 8,16,32,64
+
+bench-control: setup
+	$(PY) -m bench.control --hosts $(HOSTS)
