Count the bytes and the processor time of control

Cause: control has a budget a host, and nothing filled its metrics. Ruled out: a trio instrument that charges each step of a task (it would run on every step of the relay).

--- a/src/corianderloft/_internal/kv/connections.py
+++ b/src/corianderloft/_internal/kv/connections.py
@@ -7,6 +7,8 @@
 import httpcore
 import trio
 
+from corianderloft._internal.metrics import control
+
 
 @dataclasses.dataclass(frozen=True)
 class Reply:
@@ -86,7 +88,8 @@
     def request(
         self, path: str, content: bytes, trace: SendTrace
     ) -> httpcore.Request:
-        """Return a POST of ``content`` to ``path``."""
+        """Return a POST of ``content`` to ``path``, counted as sent."""
+        control.count_bytes(control.Direction.SENT, len(path) + len(content))
         url = httpcore.URL(
             scheme=self._url.scheme,
             host=self._url.host,
@@ -147,6 +150,7 @@
             httpcore.TimeoutException,
         ) as exc:
             return _failed(trace, f'{req.url.target.decode()}: {exc!r}')
+        control.count_bytes(control.Direction.RECEIVED, len(body))
         return Reply(response.status, body)
 
     async def _take(self) -> httpcore.AsyncHTTPConnection:
--- a/src/corianderloft/_internal/kv/watches.py
+++ b/src/corianderloft/_internal/kv/watches.py
@@ -8,6 +8,7 @@
 
 from corianderloft._internal.kv import codec
 from corianderloft._internal.kv import interface
+from corianderloft._internal.metrics import control
 from corianderloft._internal.models import ids
 
 HTTP_OK = 200
@@ -103,6 +104,7 @@
         return response.aiter_stream()
 
     def _feed(self, chunk: bytes) -> None:
+        control.count_bytes(control.Direction.RECEIVED, len(chunk))
         *lines, self._partial = (self._partial + chunk).split(b'\n')
         for line in filter(None, lines):
             if not self._ended:
--- a/src/corianderloft/_internal/metrics/control.py
+++ b/src/corianderloft/_internal/metrics/control.py
@@ -14,10 +14,14 @@
 from corianderloft._internal.metrics import registry
 
 _BYTES = registry.counter(
-    'control_bytes_total', 'Bytes of control messages, by direction.'
+    'control_bytes_total',
+    'Bytes of messages between hosts and of calls on the key-value service,'
+    ' by direction.',
 )
 _CPU = registry.counter(
-    'control_cpu_seconds_total', 'Processor time spent on control, by part.'
+    'control_cpu_seconds_total',
+    'Processor time of encoding, decoding and applying what hosts tell one'
+    ' another and the key-value service tells them, by part.',
 )
 _PROCESS_CPU = registry.counter(
     'process_cpu_seconds_total', 'Processor time of the process.'
@@ -45,6 +49,11 @@
     _bytes[direction] += size
 
 
+def total_bytes() -> int:
+    """Return the bytes sent and received since the process started."""
+    return sum(_bytes.values())
+
+
 @contextlib.contextmanager
 def cpu_of(part: str) -> collections.abc.Iterator[None]:
     """Add the processor time of a block that does not wait to ``part``."""
--- a/src/corianderloft/_internal/shared/configuration/catalogs.py
+++ b/src/corianderloft/_internal/shared/configuration/catalogs.py
@@ -5,6 +5,7 @@
 
 import pydantic
 
+from corianderloft._internal.metrics import control
 from corianderloft._internal.metrics import registry
 from corianderloft._internal.models import catalog
 from corianderloft._internal.models import ids
@@ -39,6 +40,14 @@
         An entry that cannot be decoded leaves its key as it was; it is
         counted and logged.
         """
+        with control.cpu_of('configuration'):
+            self._apply_all(revision, entries)
+
+    def _apply_all(
+        self,
+        revision: ids.Revision,
+        entries: collections.abc.Iterable[mirror.Entry],
+    ) -> None:
         for entry in entries:
             try:
                 self._apply_entry(entry)
--- a/src/corianderloft/_internal/shared/peers/transport.py
+++ b/src/corianderloft/_internal/shared/peers/transport.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from corianderloft._internal.metrics import control
 from corianderloft._internal.metrics import registry
 from corianderloft._internal.shared import mirror
 from corianderloft._internal.shared.peers import codec
@@ -80,8 +81,11 @@
         self, to: messages.Address, message: messages.Datagram
     ) -> None:
         """Send a datagram; errors of the network count as loss."""
-        raw = self._wire.encode_datagram(message)
-        BYTES_SENT.add({'kind': 'datagram'}, len(raw) + UDP_HEADER_BYTES)
+        with control.cpu_of('peers'):
+            raw = self._wire.encode_datagram(message)
+        size = len(raw) + UDP_HEADER_BYTES
+        BYTES_SENT.add({'kind': 'datagram'}, size)
+        control.count_bytes(control.Direction.SENT, size)
         try:
             await self._udp.sendto(raw, to)
         except OSError as exc:
@@ -95,7 +99,10 @@
             except OSError as exc:
                 logger.debug('no datagram was received: %s', exc)
                 continue
-            message = self._wire.decode_datagram(raw)
+            size = len(raw) + UDP_HEADER_BYTES
+            control.count_bytes(control.Direction.RECEIVED, size)
+            with control.cpu_of('peers'):
+                message = self._wire.decode_datagram(raw)
             if isinstance(message, messages.Datagram):
                 return messages.Address(*source[:2]), message
 
@@ -136,8 +143,10 @@
         if isinstance(fetch, messages.Undecodable):
             return
         for page in pages(fetch.nonce, answer(fetch)):
-            raw = self._wire.encode_page(page)
+            with control.cpu_of('peers'):
+                raw = self._wire.encode_page(page)
             BYTES_SENT.add({'kind': 'fetch'}, len(raw))
+            control.count_bytes(control.Direction.SENT, len(raw))
             await _send_frame(stream, raw)
 
     async def _read_pages(
@@ -148,7 +157,9 @@
             frame = await _receive_frame(stream)
             if frame is None:
                 return messages.FetchFailed('the answer was cut')
-            page = self._wire.decode_page(frame)
+            control.count_bytes(control.Direction.RECEIVED, len(frame))
+            with control.cpu_of('peers'):
+                page = self._wire.decode_page(frame)
             if isinstance(page, messages.Undecodable):
                 return messages.FetchFailed(page.fault.value)
             if page.nonce != fetch.nonce:
--- a/tests/unit/metrics/test_exposition.py
+++ b/tests/unit/metrics/test_exposition.py
@@ -6,6 +6,7 @@
 import pytest
 
 from corianderloft._internal.metrics import classes
+from corianderloft._internal.metrics import control
 from corianderloft._internal.metrics import exposition
 from corianderloft._internal.metrics import queues
 from corianderloft._internal.metrics import reasons as reason_counters
@@ -83,3 +84,16 @@
     await exposition.app({'headers': []}, None, send)
     assert sent[0]['status'] == 200
     assert b'corianderloft_refusals_total' in sent[1]['body']
+
+
+def test_control_cost_is_added_up() -> None:
+    before = control.total_bytes()
+    control.count_bytes(control.Direction.SENT, 100)
+    control.count_bytes(control.Direction.RECEIVED, 11)
+    assert control.total_bytes() - before == 111
+    with control.cpu_of('test'):
+        sum(range(1000))
+    exposed = _exposed()
+    assert 'corianderloft_control_cpu_seconds_total{part="test"}' in exposed
+    assert 'corianderloft_control_bytes_total{direction="sent"}' in exposed
+    assert 'corianderloft_process_resident_bytes ' in exposed
