Show queues by service and tier, in the metrics and in status

Cause: queue ages are an alert, and nothing filled them; status showed neither queues nor services. Change: Dispatcher.queue_states (additive) is asked when somebody reads; a queue that empties shows 0.

--- a/src/corianderloft/_internal/decisions/dispatcher.py
+++ b/src/corianderloft/_internal/decisions/dispatcher.py
@@ -1,5 +1,6 @@
 """The decisions on the requests of one entry host."""
 
+import collections
 import collections.abc
 import random
 
@@ -11,6 +12,7 @@
 from corianderloft._internal.decisions import pool
 from corianderloft._internal.decisions import refusals
 from corianderloft._internal.decisions import waiting
+from corianderloft._internal.metrics import queues
 from corianderloft._internal.models import backends
 from corianderloft._internal.models import catalog
 from corianderloft._internal.models import ids
@@ -115,6 +117,15 @@
             return None
         return service.hedge_after(ticket)
 
+    def queue_states(self) -> tuple[queues.QueueState, ...]:
+        """Return the queues in which requests wait, by service and tier."""
+        now = trio.current_time()
+        return tuple(
+            state
+            for name, service in self._pools.items()
+            for state in _queue_states(name, service, now)
+        )
+
     def use_catalog(self, current: catalog.Catalog) -> None:
         """Put a new configuration in force."""
         self._weights = {
@@ -176,6 +187,19 @@
                 service.scene.prefixes.remove(engine_id, removed)
 
 
+def _queue_states(
+    name: ids.ServiceName, service: pool.ServicePool, now: float
+) -> collections.abc.Iterator[queues.QueueState]:
+    """Yield the queue of each tier of one service."""
+    ages: collections.defaultdict[ids.Tier, list[float]] = (
+        collections.defaultdict(list)
+    )
+    for waiter in service.plugins.queue.waiters():
+        ages[waiter.ticket.tier].append(now - waiter.ticket.arrived)
+    for tier, waits in sorted(ages.items()):
+        yield queues.QueueState(name, tier, len(waits), max(waits))
+
+
 def _abandon(service: pool.ServicePool, waiter: waiting.Waiter) -> None:
     """Leave the queue, or give back a slot that nobody will use."""
     if waiter.outcome is None:
--- a/src/corianderloft/_internal/decisions/interface.py
+++ b/src/corianderloft/_internal/decisions/interface.py
@@ -5,6 +5,7 @@
 import enum
 import typing
 
+from corianderloft._internal.metrics import queues
 from corianderloft._internal.models import backends
 from corianderloft._internal.models import catalog
 from corianderloft._internal.models import ids
@@ -119,6 +120,9 @@
     def hedge_after(self, ticket: requests.Ticket) -> float | None:
         """Return the wait in seconds before a second attempt, or None."""
 
+    def queue_states(self) -> tuple[queues.QueueState, ...]:
+        """Return the queues in which requests wait, by service and tier."""
+
     def use_catalog(self, current: catalog.Catalog) -> None:
         """Put a new configuration in force."""
 
--- a/src/corianderloft/_internal/entry/host.py
+++ b/src/corianderloft/_internal/entry/host.py
@@ -15,6 +15,7 @@
 from corianderloft._internal.entry import feeds
 from corianderloft._internal.entry import operators_app
 from corianderloft._internal.entry import parts as entry_parts
+from corianderloft._internal.metrics import queues
 from corianderloft._internal.network import serving
 from corianderloft._internal.network import tls
 from corianderloft._internal.settings import callers
@@ -95,6 +96,7 @@
     """
     sockets = sockets or bind(settings)
     parts = entry_parts.assemble(settings, shared, dispatcher)
+    queues.watch(dispatcher.queue_states)
     draining = drain.Drain(parts)
     stopped = trio.Event()
     async with trio.open_nursery() as nursery:
--- a/src/corianderloft/_internal/entry/pages.py
+++ b/src/corianderloft/_internal/entry/pages.py
@@ -38,6 +38,24 @@
             }
             for host in shared.live_hosts()
         ],
+        'services': [
+            {
+                'service': template.name,
+                'kind': template.kind.value,
+                'classes': [str(c.name) for c in template.classes],
+                'suppliers': [str(r.supplier) for r in template.routes],
+            }
+            for template in shared.current_catalog().services
+        ],
+        'queues': [
+            {
+                'service': queue.service,
+                'tier': queue.tier,
+                'waiting': queue.waiting,
+                'oldest_s': queue.oldest,
+            }
+            for queue in parts.dispatcher.queue_states()
+        ],
         'backends': [
             {
                 'engine_id': backend.engine_id,
--- a/src/corianderloft/_internal/metrics/queues.py
+++ b/src/corianderloft/_internal/metrics/queues.py
@@ -6,18 +6,23 @@
 from corianderloft._internal.metrics import registry
 from corianderloft._internal.models import ids
 
-_LENGTH = registry.gauge('queue_requests', 'Requests that wait, by tier.')
+_LENGTH = registry.gauge(
+    'queue_requests', 'Requests that wait, by service and tier.'
+)
 _AGE = registry.gauge(
-    'queue_oldest_seconds', 'Age of the oldest request that waits, by tier.'
+    'queue_oldest_seconds',
+    'Age of the oldest request that waits, by service and tier.',
 )
 
 
 @dataclasses.dataclass(frozen=True)
 class QueueState:
-    """Queue of one tier.
+    """Queue of one tier of one service.
 
     Attributes
     ----------
+    service : ServiceName
+        The service.
     tier : Tier
         The tier.
     waiting : int
@@ -26,6 +31,7 @@
         Age of the oldest of them, in seconds.
     """
 
+    service: ids.ServiceName
     tier: ids.Tier
     waiting: int
     oldest: float
@@ -36,11 +42,15 @@
 
 def watch(source: Source) -> None:
     """Ask ``source`` for all queues at each exposition."""
+    seen: set[tuple[str, ids.Tier]] = set()
 
     def collect() -> None:
-        for state in source():
-            labels = {'tier': str(state.tier)}
-            _LENGTH.set(labels, state.waiting)
-            _AGE.set(labels, state.oldest)
+        states = {(s.service, s.tier): s for s in source()}
+        seen.update(states)
+        for service, tier in seen:
+            state = states.get((ids.ServiceName(service), tier))
+            labels = {'service': service, 'tier': str(tier)}
+            _LENGTH.set(labels, state.waiting if state else 0)
+            _AGE.set(labels, state.oldest if state else 0.0)
 
     registry.on_collect(collect)
--- a/tests/lib/entry.py
+++ b/tests/lib/entry.py
@@ -235,6 +235,9 @@
     def hedge_after(self, ticket: requests.Ticket) -> float | None:
         return self.hedge
 
+    def queue_states(self) -> tuple[()]:
+        return ()
+
     def use_catalog(self, current: object) -> None:
         pass
 
--- a/tests/unit/decisions/test_dispatcher.py
+++ b/tests/unit/decisions/test_dispatcher.py
@@ -56,3 +56,18 @@
     refused = await lib.dispatcher(engines=0).acquire(lib.ticket())
     assert isinstance(refused, requests.Refused)
     assert refused.reason is reasons.RefusalReason.NO_BACKEND
+
+
+async def test_queues_show_who_waits_and_how_long(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    dispatcher = lib.dispatcher(engines=1, slots=1, limiter='slot_share')
+    held = await lib.granted(dispatcher, lib.ticket())
+    assert dispatcher.queue_states() == ()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(lib.granted, dispatcher, lib.ticket())
+        await trio.sleep(3)
+        (state,) = dispatcher.queue_states()
+        assert (state.waiting, round(state.oldest)) == (1, 3)
+        held.close(interface.AttemptEnd.COMPLETE)
+    assert dispatcher.queue_states() == ()
--- a/tests/unit/metrics/test_exposition.py
+++ b/tests/unit/metrics/test_exposition.py
@@ -61,10 +61,14 @@
 
 
 def test_queues_are_asked_at_each_exposition() -> None:
-    ages = iter((1.5, 2.5))
-    queues.watch(lambda: [queues.QueueState(ids.Tier(7), 3, next(ages, 0.0))])
-    assert 'queue_oldest_seconds{tier="7"} 1.5' in _exposed()
-    assert 'queue_oldest_seconds{tier="7"} 2.5' in _exposed()
+    desk, tier = ids.ServiceName('desk'), ids.Tier(7)
+    states = [[queues.QueueState(desk, tier, 3, 1.5)], []]
+    queues.watch(lambda: states.pop(0) if states else [])
+    labels = '{service="desk",tier="7"}'
+    exposed = _exposed()
+    assert f'queue_oldest_seconds{labels} 1.5' in exposed
+    assert f'queue_requests{labels} 3' in exposed
+    assert f'queue_requests{labels} 0' in _exposed()
 
 
 def test_two_modules_share_a_metric_of_one_name() -> None:
