--- a/src/corianderloft/_internal/cli/http_client.py
+++ b/src/corianderloft/_internal/cli/http_client.py
@@ -4,7 +4,6 @@
 import os
 import ssl
 import typing
-import urllib.parse
 
 import httpcore
 import orjson
@@ -12,6 +11,7 @@
 
 from corianderloft._internal.cli import exit_codes
 from corianderloft._internal.cli import output
+from corianderloft._internal.utils import urls
 
 CALL_TIMEOUT = 10.0  # s
 OPERATOR_KEY_VARIABLE = 'CORIANDERLOFT_OPERATOR_KEY'
@@ -45,12 +45,11 @@
     body : object, optional
         Sent as JSON.
     """
-    url = base_url if '://' in base_url else f'http://{base_url}'
-    if _port_of(url) is None:
+    url = urls.with_scheme(base_url).rstrip('/')
+    if not urls.is_origin(url):
         return output.Failure(
             exit_codes.ExitCode.USAGE,
-            f'{base_url!r} is no address; allowed: IP:PORT, http://IP:PORT'
-            ' or https://IP:PORT',
+            f'{base_url!r} is no address; allowed: {urls.ALLOWED}',
         )
     return trio.run(_call, method, url, path, body)
 
@@ -70,16 +69,6 @@
     return output.Failure(exit_codes.ExitCode.REFUSED, message)
 
 
-def _port_of(url: str) -> int | None:
-    parts = urllib.parse.urlsplit(url)
-    if parts.scheme not in ('http', 'https') or not parts.hostname:
-        return None
-    try:
-        return parts.port
-    except ValueError:
-        return None
-
-
 async def _call(
     method: str, url: str, path: str, body: typing.Any
 ) -> Answer | output.Failure:
--- a/src/corianderloft/_internal/cli/options.py
+++ b/src/corianderloft/_internal/cli/options.py
@@ -11,6 +11,7 @@
 from corianderloft._internal.settings import load
 from corianderloft._internal.settings import root
 from corianderloft._internal.utils import checking
+from corianderloft._internal.utils import urls
 
 DEFAULT_KV = 'http://127.0.0.1:2379'
 """Address of the key-value service unless another is named."""
@@ -41,13 +42,18 @@
 def kv_url(option: str) -> str:
     """Return the URL of the key-value service that ``--kv`` names."""
     named = str(option) or os.environ.get(KV_VARIABLE) or DEFAULT_KV
-    return named if '://' in named else f'http://{named}'
+    return urls.with_scheme(named)
 
 
 def open_kv(
     url: str, client: str = 'etcd'
 ) -> kv_interface.KeyValueClient | output.Failure:
     """Return a client of the key-value service at a URL."""
+    if not urls.is_origin(url):
+        return output.Failure(
+            exit_codes.ExitCode.USAGE,
+            f'{url!r} is no key-value service; allowed: {urls.ALLOWED}',
+        )
     factory = kv_interface.CLIENTS.find(client)
     if isinstance(factory, registry.UnknownPlugin):
         return output.Failure(exit_codes.ExitCode.USAGE, str(factory))
--- a/src/corianderloft/_internal/settings/kv.py
+++ b/src/corianderloft/_internal/settings/kv.py
@@ -1,6 +1,9 @@
 """Section ``kv``: the platform's key-value service."""
 
+import pydantic
+
 from corianderloft._internal.settings import base
+from corianderloft._internal.utils import urls
 
 
 class KvSettings(base.Section):
@@ -50,3 +53,10 @@
     reconnect_limit: float = base.setting(
         5.0, 'Longest wait before a reconnect of a watch.', 's', gt=0
     )
+
+    @pydantic.field_validator('endpoint')
+    @classmethod
+    def _is_url(cls, value: str) -> str:
+        if '://' not in value or not urls.is_origin(value):
+            raise ValueError(f'{value!r} is no http://IP:PORT')
+        return value
--- a/tests/unit/cli/test_parser.py
+++ b/tests/unit/cli/test_parser.py
@@ -2,11 +2,16 @@
 
 import json
 import pathlib
+import socket
 
 import pytest
 
 from corianderloft._internal.cli import exit_codes
 from corianderloft._internal.cli import parser
+from corianderloft._internal import commands
+
+ROOT = pathlib.Path(__file__).parents[3]
+NO_KV = '--kv=127.0.0.1:1'
 
 CASES = [
     ([], exit_codes.ExitCode.USAGE),
@@ -23,15 +28,55 @@
     (['apply', 'absent'], exit_codes.ExitCode.INVALID_INPUT),
     (['plan', 'absent'], exit_codes.ExitCode.INVALID_INPUT),
     (['standin'], exit_codes.ExitCode.USAGE),
+    (['standin', 'engine', '--slosts=1'], exit_codes.ExitCode.USAGE),
+    (['standin', 'kv', '--port=x'], exit_codes.ExitCode.USAGE),
+    (['standin', 'service', '--port=-1'], exit_codes.ExitCode.USAGE),
+    (['standin', 'platform', 'absent'], exit_codes.ExitCode.INVALID_INPUT),
+    (['check'], exit_codes.ExitCode.USAGE),
+    (['check', 'absent.yaml'], exit_codes.ExitCode.INVALID_INPUT),
+    (['plan', 'examples/qureshi', NO_KV], exit_codes.ExitCode.UNAVAILABLE),
+    (['apply', 'examples/qureshi', NO_KV], exit_codes.ExitCode.UNAVAILABLE),
+    (
+        ['apply', 'examples/qureshi', NO_KV, '--expect=x'],
+        exit_codes.ExitCode.USAGE,
+    ),
+    (['get', NO_KV], exit_codes.ExitCode.UNAVAILABLE),
+    (['get', '--kv=http://[::1'], exit_codes.ExitCode.USAGE),
+    (['get', '--kv=nonsense'], exit_codes.ExitCode.USAGE),
+    (['history', NO_KV], exit_codes.ExitCode.UNAVAILABLE),
+    (['history', '--limit=-1'], exit_codes.ExitCode.USAGE),
+    (['status', '127.0.0.1:1'], exit_codes.ExitCode.UNAVAILABLE),
+    (['status', '127.0.0.1:x'], exit_codes.ExitCode.USAGE),
+    (['drain', '127.0.0.1:1'], exit_codes.ExitCode.UNAVAILABLE),
+    (['undrain', '127.0.0.1:1'], exit_codes.ExitCode.UNAVAILABLE),
+    (['explain', 'r-1', '127.0.0.1:1'], exit_codes.ExitCode.UNAVAILABLE),
+    (['explain', 'r-1'], exit_codes.ExitCode.USAGE),
+    (['key'], exit_codes.ExitCode.USAGE),
+    (['load', 'absent.yaml'], exit_codes.ExitCode.INVALID_INPUT),
+    (
+        ['load', 'examples/workloads/short.yaml', '10.0.0.1:1'],
+        exit_codes.ExitCode.USAGE,
+    ),
+    (['report'], exit_codes.ExitCode.INVALID_INPUT),
+    (['report', 'absent.json'], exit_codes.ExitCode.INVALID_INPUT),
+    (['demo', '--seed=x'], exit_codes.ExitCode.USAGE),
 ]
 
 
+def test_every_command_is_tried_with_a_mistake() -> None:
+    tried = {' '.join(argv[:2]) for argv, _ in CASES if argv}
+    tried |= {argv[0] for argv, _ in CASES if argv}
+    assert set(commands.COMMANDS.names()) - tried == {'key new'}
+
+
 @pytest.mark.parametrize(('argv', 'code'), CASES)
 def test_a_mistake_has_its_exit_code_and_no_traceback(
     argv: list[str],
     code: exit_codes.ExitCode,
     capsys: pytest.CaptureFixture[str],
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
+    monkeypatch.chdir(ROOT)
     assert parser.main(argv) == code
     printed = capsys.readouterr()
     assert 'Traceback' not in printed.out + printed.err
@@ -52,3 +97,18 @@
     parser.main(['address', '127.0.0.1:1', '--format=json'])
     error = json.loads(capsys.readouterr().err)['error']
     assert error['code'] == 'unavailable'
+
+
+def test_a_taken_port_is_a_failure_without_traceback(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / 'settings.yaml'
+    with socket.socket() as taken:
+        taken.bind(('127.0.0.1', 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        path.write_text(f'host: {{host_id: h}}\ncallers: {{port: {port}}}')
+        code = parser.main(['serve', str(path)])
+    printed = capsys.readouterr().err
+    assert code == exit_codes.ExitCode.FAILED
+    assert 'h cannot serve' in printed and 'Traceback' not in printed
--- a/tests/unit/logs/test_setup.py
+++ b/tests/unit/logs/test_setup.py
@@ -1,15 +1,12 @@
 """Tests of the log's forms."""
 
-import collections.abc
 import io
 import json
 import logging
 
-import pytest
 import trio
 
 from corianderloft._internal import logs
-from corianderloft._internal.logs import setup
 from corianderloft._internal.models import ids
 from corianderloft._internal.settings import logs as logs_settings
 
@@ -30,14 +27,6 @@
 )
 
 
-@pytest.fixture
-def restored_logger() -> collections.abc.Iterator[None]:
-    root = logging.getLogger(setup.ROOT_LOGGER)
-    kept = (root.handlers, root.level, root.propagate)
-    yield
-    root.handlers, root.level, root.propagate = kept
-
-
 def _logged(form: logs_settings.Form) -> str:
     stream = io.StringIO()
     settings = logs_settings.LogSettings(form=form)
@@ -46,7 +35,7 @@
     return stream.getvalue()
 
 
-def test_json_lines_hold_every_field(restored_logger: None) -> None:
+def test_json_lines_hold_every_field() -> None:
     entry = json.loads(_logged('json'))
     assert entry['request_id'] == 'r-1'
     assert entry['level'] == 'INFO'
@@ -54,16 +43,14 @@
     assert entry['attempts'] == 2
 
 
-def test_human_lines_hold_every_field(restored_logger: None) -> None:
+def test_human_lines_hold_every_field() -> None:
     line = _logged('human')
     assert ' r-1 ' in line
     assert 'engine=e-1' in line
     assert line.count('\n') == 1
 
 
-async def test_child_tasks_log_the_id_of_their_request(
-    restored_logger: None,
-) -> None:
+async def test_child_tasks_log_the_id_of_their_request() -> None:
     stream = io.StringIO()
     logs.configure(logs_settings.LogSettings(), stream)
     logger = logging.getLogger('corianderloft.test')
--- a/tests/unit/settings/test_load.py
+++ b/tests/unit/settings/test_load.py
@@ -4,6 +4,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from corianderloft._internal.settings import load
 from corianderloft._internal.settings import root
@@ -48,6 +49,21 @@
     assert 'host: field required' in found
 
 
+@pytest.mark.parametrize(
+    'text',
+    [
+        'kv: {endpoint: "http://[::1"}',
+        'kv: {endpoint: "127.0.0.1:2379"}',
+        'kv: {endpoint: "http://127.0.0.1"}',
+        'host: {host_id: h, address: entry.example}',
+        'host: {host_id: ""}',
+    ],
+)
+def test_addresses_are_checked(tmp_path: pathlib.Path, text: str) -> None:
+    key = text.partition(':')[0]
+    assert f'settings.yaml: {key}' in _mistakes(tmp_path, text)
+
+
 def test_missing_file_is_a_mistake_not_an_exception(
     tmp_path: pathlib.Path,
 ) -> None:
