Count calls of plain services as short; learn only from answers

Cause: a plain call has no tokens, so that its class was estimated from max_tokens and took the lane of long work; an engine's refusal of a malformed request counted as an answer of no tokens. Change: plain calls cost 1; answers without tokens teach nothing.

--- a/src/corianderloft/_internal/decisions/observations.py
+++ b/src/corianderloft/_internal/decisions/observations.py
@@ -116,7 +116,8 @@
         """Take back the slot of an attempt and give it to the next."""
         self._release(grant, now)
         if end is interface.AttemptEnd.COMPLETE:
-            self.lengths.learn(grant.waiter.ticket, grant.tokens)
+            if grant.tokens:
+                self.lengths.learn(grant.waiter.ticket, grant.tokens)
             self._health.answered(grant.engine, self._engine_set.live, now)
         elif end in _FAILED_ENDS:
             if self.limiter is not None:
--- a/src/corianderloft/_internal/decisions/pool.py
+++ b/src/corianderloft/_internal/decisions/pool.py
@@ -18,6 +18,10 @@
 from corianderloft._internal.models import catalog
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import requests
+from corianderloft._internal.models import states
+
+_PLAIN_COST = 1.0
+"""Cost of a call to a plain service, in tokens."""
 
 
 class ServicePool:
@@ -89,7 +93,9 @@
         weight: int,
     ) -> waiting.Waiter:
         """Return a request with its estimates, not queued yet."""
-        cost = self.seen.lengths.cost(ticket)
+        cost = _PLAIN_COST
+        if self.template.kind is states.ServiceKind.MODEL:
+            cost = self.seen.lengths.cost(ticket)
         return waiting.Waiter(
             ticket=ticket,
             lane=waiting.Lane(ticket.tier, cost > self._cfg.long_cost),
