--- a/bench/relay/__main__.py
+++ b/bench/relay/__main__.py
@@ -190,8 +190,10 @@
     """First token of one caller at a time, direct and relayed in turn."""
     await bench.pace(0.1)
     seen: dict[str, list[float]] = {'direct': [], 'host': []}
+    spent = 0.0
     for _ in range(4):
         for name, target in _targets(bench):
+            before = _cpu(target)
             result = await _load(
                 dataclasses.replace(target, ports=target.ports[:1]),
                 streams=1,
@@ -199,7 +201,10 @@
                 rounds=IDLE_REQUESTS,
             )
             seen[name] += result['first']
-    return _first_rows('idle', seen, '<= 3 added')
+            spent += _cpu(target) - before if name == 'host' else 0.0
+    each = round(spent / len(seen['host']) * 1000, 2)
+    rows = _first_rows('idle', seen, '<= 3 added')
+    return [*rows, ['CPU a request of one token, ms', '', each, '']]
 
 
 async def _paced(bench: Bench) -> list[list[typing.Any]]:
