--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 JOBS ?= 4
 
 .PHONY: setup test format lint types unit docs docs-check demo
-.PHONY: bench-policy bench-relay
+.PHONY: bench-policy bench-relay bench-control fuzz slopes capacity
 
 setup: $(STAMP)
 
@@ -34,6 +34,7 @@
 docs-check: setup
 	$(PY) -m corianderloft._internal.settings.document --check \
 		docs/settings.md
+	$(PY) -m bench.capacity.page --check
 	$(PY) -m pytest tests/docs
 
 demo: setup
@@ -49,3 +50,21 @@
 
 bench-relay: setup
 	$(PY) -m bench.relay
+
+slopes: setup
+	$(PY) -m bench.capacity.slopes
+	$(PY) -m bench.relay --record docs/measurements/relay.json
+
+capacity: setup
+	$(PY) -m bench.capacity.page
+
+FUZZ_SEED ?= $(shell date +%s)
+
+fuzz: setup
+	$(PY) -m pytest -n $(JOBS) --timeout 3000 --hypothesis-profile=fuzz \
+		--hypothesis-seed=$(FUZZ_SEED) tests/unit/shared -k machine
+
+HOSTS ?= 8,16,32,64
+
+bench-control: setup
+	$(PY) -m bench.control --hosts $(HOSTS)
