Leave prefill out of the relay's bench

Cause: the stand-in engine's prefill time is multiplied by the pace, so each arrival lengthened a step by several ms and the added first token at 125 streams measured the bunching of arrivals.

--- a/bench/relay/__main__.py
+++ b/bench/relay/__main__.py
@@ -154,6 +154,7 @@
         slots=SLOTS,
         step_time=STEP_TIME,
         step_time_per_request=0,
+        prefill_time_per_token=0,
     )
     system.backends[engine_id] = engine
     await system.put(
