--- a/bench/relay/__main__.py
+++ b/bench/relay/__main__.py
@@ -154,6 +154,7 @@
         slots=SLOTS,
         step_time=STEP_TIME,
         step_time_per_request=0,
+        prefill_time_per_token=0,
     )
     system.backends[engine_id] = engine
     await system.put(
@@ -199,8 +200,10 @@
     """First token of one caller at a time, direct and relayed in turn."""
     await bench.pace(0.1)
     seen: dict[str, list[float]] = {'direct': [], 'host': []}
+    spent = 0.0
     for _ in range(4):
         for name, target in _targets(bench):
+            before = _cpu(target)
             result = await _load(
                 dataclasses.replace(target, ports=target.ports[:1]),
                 streams=1,
@@ -208,7 +211,10 @@
                 rounds=IDLE_REQUESTS,
             )
             seen[name] += result['first']
-    return _first_rows('idle', seen, '<= 3 added')
+            spent += _cpu(target) - before if name == 'host' else 0.0
+    each = round(spent / len(seen['host']) * 1000, 2)
+    rows = _first_rows('idle', seen, '<= 3 added')
+    return [*rows, ['CPU a request of one token, ms', '', each, '']]
 
 
 async def _paced(bench: Bench) -> list[list[typing.Any]]:
