Send each workspace's work to its own suppliers

Cause: a parameter of a template may choose the supplier for a workspace; the decisions knew the template's routes only. Ruled out: a pool for each workspace with its own routes (their engines are shared, so their slots must be counted together). Change: EngineSet keeps the routes that overrides change; candidates, turns and the early "no_backend" follow the workspace; where routes differ, a request that cannot start lets up to 64 others be looked at.

--- a/src/corianderloft/_internal/decisions/dispatcher.py
+++ b/src/corianderloft/_internal/decisions/dispatcher.py
@@ -11,6 +11,7 @@
 from corianderloft._internal.decisions import plugins
 from corianderloft._internal.decisions import pool
 from corianderloft._internal.decisions import refusals
+from corianderloft._internal.decisions import routes
 from corianderloft._internal.decisions import waiting
 from corianderloft._internal.metrics import queues
 from corianderloft._internal.models import backends
@@ -55,7 +56,9 @@
     ) -> interface.Grant | requests.Refused:
         """Queue a request until it may run on a backend server."""
         service = self._pools.get(ticket.service)
-        if service is None or not service.engine_set.live:
+        if service is None or not service.engine_set.live_for(
+            ticket.workspace
+        ):
             return refusals.no_backend(ticket.service)
         now = trio.current_time()
         weight = self._weights.get(ticket.workspace, 1)
@@ -133,8 +136,12 @@
         }
         self.limits.use_catalog(current)
         known = {service.name for service in current.services}
+        own = routes.own_routes(current.workspaces)
         for template in current.services:
             self._use_template(template)
+            self._pools[template.name].engine_set.use_own_routes(
+                own.get(template.name, {})
+            )
         for name in set(self._pools) - known:
             self._pools.pop(name).close(trio.current_time())
         self.use_backends(self._backends)
--- a/src/corianderloft/_internal/decisions/engine_set.py
+++ b/src/corianderloft/_internal/decisions/engine_set.py
@@ -32,6 +32,7 @@
         self.live: list[engines.EngineView] = []
         self.capacity = 0.0
         self.routes = routes.Routes(())
+        self._own_routes: dict[ids.WorkspaceId, routes.Routes] = {}
         self._limiter = limiter
         self._subset = subsets.Subset(
             cfg.subset_above, cfg.subset_hosts_per_engine
@@ -51,6 +52,37 @@
         self.routes = routes.Routes(declared)
         self.refresh()
 
+    def use_own_routes(
+        self, own: collections.abc.Mapping[ids.WorkspaceId, routes.Declared]
+    ) -> None:
+        """Replace the routes of workspaces that do not use the template's."""
+        if own or self._own_routes:
+            self._own_routes = {
+                name: routes.Routes(declared) for name, declared in own.items()
+            }
+            self.refresh()
+
+    @property
+    def differs(self) -> bool:
+        """Whether some workspaces may use other engines than the rest."""
+        return bool(self._own_routes)
+
+    def routes_of(self, workspace: ids.WorkspaceId) -> routes.Routes:
+        """Return the routes that a workspace uses."""
+        return self._own_routes.get(workspace, self.routes)
+
+    def live_for(self, workspace: ids.WorkspaceId) -> list[engines.EngineView]:
+        """Return the engines that may be given work of a workspace."""
+        if not self.differs:
+            return self.live
+        used = self.routes_of(workspace)
+        return [e for e in self.live if used.serves(e.backend)]
+
+    def _serves(self, backend: backends.Backend) -> bool:
+        return self.routes.serves(backend) or any(
+            own.serves(backend) for own in self._own_routes.values()
+        )
+
     def use_hosts(self, own: ids.HostId, live: tuple[ids.HostId, ...]) -> None:
         """Note which live hosts share the engines."""
         self._own = own
@@ -86,7 +118,7 @@
         usable = {
             engine_id: engine
             for engine_id, engine in self.engines.items()
-            if engine.takes_new_work and self.routes.serves(engine.backend)
+            if engine.takes_new_work and self._serves(engine.backend)
         }
         chosen = self._subset.choose(self._own, self._hosts, usable)
         self.live = [usable[engine_id] for engine_id in sorted(chosen)]
--- a/src/corianderloft/_internal/decisions/observations.py
+++ b/src/corianderloft/_internal/decisions/observations.py
@@ -80,7 +80,8 @@
         self.demand.left_queue(waiter, now)
         self.demand.started(waiter, now)
         grant.engine.add(waiter.lane)
-        self._engine_set.routes.started(grant.engine, waiter.cost)
+        used = self._engine_set.routes_of(waiter.ticket.workspace)
+        used.started(grant.engine, waiter.cost)
         self.running[waiter.ticket.request_id] += 1
 
     def saw_first_token(self, grant: grants.AttemptGrant, now: float) -> None:
--- a/src/corianderloft/_internal/decisions/pool.py
+++ b/src/corianderloft/_internal/decisions/pool.py
@@ -19,6 +19,9 @@
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import requests
 
+MOST_BLOCKED = 64
+"""Requests that are passed by in one search for one that can start."""
+
 
 class ServicePool:
     """Grants the requests of one service to its engines.
@@ -169,11 +172,17 @@
                 break
             if not self._grant(waiter, guaranteed, now):
                 blocked.append(waiter)
-                if not waiter.exclude:
+                if self._blocks_others(waiter, len(blocked)):
                     break
         for waiter in reversed(blocked):
             queue.put_back(waiter)
 
+    def _blocks_others(self, waiter: waiting.Waiter, blocked: int) -> bool:
+        """Whether no request behind ``waiter`` can start either."""
+        if self.engine_set.differs:
+            return blocked >= MOST_BLOCKED
+        return not waiter.exclude
+
     def _next(self, now: float) -> tuple[waiting.Waiter | None, bool]:
         queue = self.plugins.queue
         owed = self.guarantee.owed(self.seen.demand, now)
@@ -226,12 +235,13 @@
     def _candidates(
         self, waiter: waiting.Waiter, now: float
     ) -> list[engines.EngineView]:
-        live = self.engine_set.live
+        workspace = waiter.ticket.workspace
+        live = self.engine_set.live_for(workspace)
         others = [e for e in live if e.backend.engine_id not in waiter.exclude]
         open_to = [
             e for e in others or live if self._takes(e, waiter.lane, now)
         ]
-        candidates = self.engine_set.routes.prefer(open_to)
+        candidates = self.engine_set.routes_of(workspace).prefer(open_to)
         return self._trials(waiter, candidates) or candidates
 
     def _trials(
--- a/src/corianderloft/_internal/decisions/routes.py
+++ b/src/corianderloft/_internal/decisions/routes.py
@@ -6,9 +6,12 @@
 from corianderloft._internal.decisions import engines
 from corianderloft._internal.models import backends
 from corianderloft._internal.models import catalog
+from corianderloft._internal.models import ids
 
 _Key = tuple[str, str]
 
+Declared = collections.abc.Iterable[catalog.SupplierRoute]
+
 _CATCH_UP = 1000.0
 """Most that a route which was away makes up for, in tokens a weight of 1."""
 
@@ -74,3 +77,16 @@
 
 def _engine_key(engine: engines.EngineView) -> _Key:
     return _key(engine.backend.supplier, engine.backend.model)
+
+
+def own_routes(
+    workspaces: collections.abc.Iterable[catalog.Workspace],
+) -> dict[ids.ServiceName, dict[ids.WorkspaceId, Declared]]:
+    """Return the routes that parameters of workspaces change, by service."""
+    found: dict[ids.ServiceName, dict[ids.WorkspaceId, Declared]] = {}
+    for workspace in workspaces:
+        for override in workspace.overrides:
+            if override.routes:
+                by_workspace = found.setdefault(override.service, {})
+                by_workspace[workspace.workspace_id] = override.routes
+    return found
