--- a/tests/docs/test_commands.py
+++ b/tests/docs/test_commands.py
@@ -2,7 +2,9 @@
 
 import pathlib
 import re
+import runpy
 import shlex
+import sys
 
 import pytest
 
@@ -15,6 +17,7 @@
     page
     for page in (
         guide.ROOT / 'README.md',
+        guide.ROOT / 'docs' / 'CALLERS.md',
         *sorted((guide.ROOT / 'docs' / 'operators').glob('*.md')),
     )
     if '\n$ ' in page.read_text(encoding='utf-8')
@@ -35,6 +38,8 @@
     with guide.running() as processes:
         kv_address = processes.translate('127.0.0.1:2379')
         monkeypatch.setenv(options.KV_VARIABLE, kv_address)
+        if page.parent.name != 'operators':
+            assert parser.main(['apply', 'examples/nileknot']) == 0
         monkeypatch.setenv(
             http_client.OPERATOR_KEY_VARIABLE, 'clk_example_operator'
         )
@@ -54,6 +59,10 @@
         return 0
     if words[0] == 'make':
         return _known_targets(words[1:])
+    if words[0] == 'python':
+        monkeypatch.setattr(sys, 'argv', words[1:])
+        runpy.run_path(words[1], run_name='__main__')
+        return 0
     assert words[0] == parser.PROGRAM, f'{line!r} is not checked'
     if words[-1] == '&':
         bound = parser.understand(words[1:-1])
