Forget the queues of an ended host; show peers' revisions and whole tokens

(2) status showed revision 0 for all other hosts for good, though each message says it. (3) tokens of answers that are not streamed were counted as 0, so that goodput lacked them. Change: queues.watched is a context; View.note_revision; Opened.tokens.

--- a/src/corianderloft/_internal/entry/attempts.py
+++ b/src/corianderloft/_internal/entry/attempts.py
@@ -34,9 +34,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Opened:
-    """The answer has begun; ``first`` is its whole body or first events."""
+    """The answer has begun.
+
+    Attributes
+    ----------
+    first : bytes
+        Its whole body, or its first events.
+    tokens : int
+        Tokens of a whole body.
+    """
 
     first: bytes
+    tokens: int = 0
 
 
 Opening = Opened | outbound.Failure | requests.Refused
@@ -203,7 +212,7 @@
             return self._failed(self._broken('its answer is no completion'))
         self._grant.first_token()
         self._grant.progress(tokens)
-        return Opened(body)
+        return Opened(body, tokens)
 
     async def _not_served(self, head: outbound.Head, have: int) -> Opening:
         body = await self._outbound.read_all(
--- a/src/corianderloft/_internal/entry/chat.py
+++ b/src/corianderloft/_internal/entry/chat.py
@@ -110,6 +110,7 @@
         try:
             if not self._call.stream:
                 end = interface.AttemptEnd.COMPLETE
+                self._record.tokens = won.opened.tokens
                 return Completed(won.opened.first)
             self._answer.model = self._model = attempt.backend.model
             failure = await attempt.relay(won.opened.first, self._answer)
--- a/src/corianderloft/_internal/entry/host.py
+++ b/src/corianderloft/_internal/entry/host.py
@@ -1,6 +1,7 @@
 """Runs an entry host until it has drained."""
 
 import collections.abc
+import contextlib
 import dataclasses
 import functools
 import signal
@@ -96,10 +97,11 @@
     """
     sockets = sockets or bind(settings)
     parts = entry_parts.assemble(settings, shared, dispatcher)
-    queues.watch(dispatcher.queue_states)
     draining = drain.Drain(parts)
     stopped = trio.Event()
-    async with trio.open_nursery() as nursery:
+    async with contextlib.AsyncExitStack() as stack:
+        stack.enter_context(queues.watched(dispatcher.queue_states))
+        nursery = await stack.enter_async_context(trio.open_nursery())
         for task in (*background, *_tasks(parts)):
             nursery.start_soon(task)
         if handle_signals:
--- a/src/corianderloft/_internal/metrics/queues.py
+++ b/src/corianderloft/_internal/metrics/queues.py
@@ -1,6 +1,7 @@
 """Length and age of the queues of each tier."""
 
 import collections.abc
+import contextlib
 import dataclasses
 
 from corianderloft._internal.metrics import registry
@@ -40,8 +41,9 @@
 Source = collections.abc.Callable[[], collections.abc.Iterable[QueueState]]
 
 
-def watch(source: Source) -> None:
-    """Ask ``source`` for all queues at each exposition."""
+@contextlib.contextmanager
+def watched(source: Source) -> collections.abc.Iterator[None]:
+    """Ask ``source`` for all queues at each exposition inside the block."""
     seen: set[tuple[str, ids.Tier]] = set()
 
     def collect() -> None:
@@ -54,3 +56,7 @@
             _AGE.set(labels, state.oldest if state else 0.0)
 
     registry.on_collect(collect)
+    try:
+        yield
+    finally:
+        registry.stop_collecting(collect)
--- a/src/corianderloft/_internal/metrics/registry.py
+++ b/src/corianderloft/_internal/metrics/registry.py
@@ -44,6 +44,11 @@
     return collect
 
 
+def stop_collecting(collect: Collect) -> None:
+    """Call ``collect`` no more."""
+    _COLLECTS.remove(collect)
+
+
 def collect_all() -> None:
     """Bring all metrics up to date."""
     for collect in _COLLECTS:
--- a/src/corianderloft/_internal/shared/membership/detector.py
+++ b/src/corianderloft/_internal/shared/membership/detector.py
@@ -145,6 +145,7 @@
             self._merge(host)
         for note in message.notes:
             self._take_note(note)
+        self.view.note_revision(message.sender, message.configuration)
         self._known.heard(source, message)
         self._check_sender(source, message)
         self._compare_views(source, message)
--- a/src/corianderloft/_internal/shared/membership/view.py
+++ b/src/corianderloft/_internal/shared/membership/view.py
@@ -87,6 +87,14 @@
         )
         self._digest = None
 
+    def note_revision(
+        self, host_id: ids.HostId, revision: ids.Revision
+    ) -> None:
+        """Note which configuration another member said to have in force."""
+        member = self._members.get(host_id)
+        if member is not None and member.host.revision < revision:
+            member.host = dataclasses.replace(member.host, revision=revision)
+
     def get(self, host_id: ids.HostId) -> interface.Host | None:
         """Return one other member, or None."""
         member = self._members.get(host_id)
--- a/tests/unit/entry/test_operators.py
+++ b/tests/unit/entry/test_operators.py
@@ -71,6 +71,24 @@
     )
 
 
+async def test_tokens_of_a_whole_answer_are_counted(
+    nursery: trio.Nursery,
+) -> None:
+    _, one = await engines.start(nursery, 'e1', engines.serves)
+    async with entry.running_host(one) as fixture:
+        answer = await entry.call(
+            fixture.url + '/v1/chat/completions',
+            body={**entry.BODY, 'stream': False},
+            headers=entry.headers_of('stables', X_Request_Id='r1'),
+        )
+        assert answer.status == 200
+        url = fixture.operators_url + '/v1/requests/r1'
+        found = await entry.call(url, 'GET', headers=_headers(entry.VIEWER))
+    (told,) = found.json()['requests']
+    usage = answer.json()['usage']
+    assert told['tokens'] == usage['completion_tokens'] > 0
+
+
 async def test_explained_requests_are_bounded(nursery: trio.Nursery) -> None:
     _, one = await engines.start(nursery, 'e1', engines.serves)
     few = {'explained_requests': 2}
--- a/tests/unit/metrics/test_exposition.py
+++ b/tests/unit/metrics/test_exposition.py
@@ -63,11 +63,12 @@
 def test_queues_are_asked_at_each_exposition() -> None:
     desk, tier = ids.ServiceName('desk'), ids.Tier(7)
     states = [[queues.QueueState(desk, tier, 3, 1.5)], []]
-    queues.watch(lambda: states.pop(0) if states else [])
     labels = '{service="desk",tier="7"}'
-    exposed = _exposed()
-    assert f'queue_oldest_seconds{labels} 1.5' in exposed
-    assert f'queue_requests{labels} 3' in exposed
+    with queues.watched(lambda: states.pop(0)):
+        exposed = _exposed()
+        assert f'queue_oldest_seconds{labels} 1.5' in exposed
+        assert f'queue_requests{labels} 3' in exposed
+        assert f'queue_requests{labels} 0' in _exposed()
     assert f'queue_requests{labels} 0' in _exposed()
 
 
--- a/tests/unit/shared/test_fleet.py
+++ b/tests/unit/shared/test_fleet.py
@@ -29,6 +29,20 @@
     assert took <= DEAD_HOST_S
 
 
+async def test_every_host_learns_what_is_in_force_on_the_others(
+    fleet, autojump_clock
+):
+    revision = await fleet.edit()
+    await fleet.until_in_force(revision)
+    await fleet.until(
+        lambda: all(
+            host.revision >= revision
+            for running in fleet.hosts.values()
+            for host in running.shared.live_hosts()
+        )
+    )
+
+
 async def test_a_host_that_takes_its_leave_back_is_told_of(
     fleet, autojump_clock
 ):
