Let benches save their rows for the report page

Cause: the page reads bench runs, but no bench could write one. Ruled out: a second format for each bench. Conclusion: the benches can adopt it.

--- a/src/corianderloft/_internal/report/__init__.py
+++ b/src/corianderloft/_internal/report/__init__.py
@@ -1,6 +1,7 @@
 """Pages about runs of the load generator and of benches."""
 
+from corianderloft._internal.report.inputs import BenchRun
 from corianderloft._internal.report.inputs import ReportProblem
 from corianderloft._internal.report.page import write_report
 
-__all__ = ['ReportProblem', 'write_report']
+__all__ = ['BenchRun', 'ReportProblem', 'write_report']
--- a/src/corianderloft/_internal/report/inputs.py
+++ b/src/corianderloft/_internal/report/inputs.py
@@ -31,7 +31,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class BenchRun:
-    """One run of a bench.
+    """One run of a bench: the rows of its table.
 
     Its file holds ``{"kind": "bench", "title", "command", "rows": [{}]}``.
     """
@@ -40,6 +40,11 @@
     command: str
     rows: list[Json]
 
+    def save(self, path: pathlib.Path) -> None:
+        """Write the run to a file; raises `OSError`."""
+        body = {'kind': 'bench'} | dataclasses.asdict(self)
+        path.write_bytes(orjson.dumps(body))
+
 
 Run = LoadRun | BenchRun
 
--- a/tests/unit/report/test_page.py
+++ b/tests/unit/report/test_page.py
@@ -36,16 +36,16 @@
 def test_a_page_holds_every_run_and_needs_nothing_else(
     tmp_path: pathlib.Path,
 ) -> None:
-    bench = {'kind': 'bench', 'title': 'relay', 'rows': [{'p99': 1.5}]}
     paths = [tmp_path / 'load.json', tmp_path / 'bench.json']
-    for path, run in zip(paths, (load_run(), bench), strict=True):
-        path.write_bytes(orjson.dumps(run))
+    paths[0].write_bytes(orjson.dumps(load_run()))
+    bench = report.BenchRun('relay', 'make bench-relay', [{'p99': 1.5}])
+    bench.save(paths[1])
     written = report.write_report(paths, tmp_path / 'report.html')
     assert isinstance(written, pathlib.Path)
     page = written.read_text()
     assert page.count('<svg') == 4
     assert '&lt;groom&gt;' in page and '<groom>' not in page
-    assert 'p99' in page and 'src=' not in page
+    assert 'p99' in page and 'make bench-relay' in page and 'src=' not in page
 
 
 @pytest.mark.parametrize('content', [b'[]', b'{"kind": "other"}', b'{'])
