--- a/src/corianderloft/_internal/decisions/observations.py
+++ b/src/corianderloft/_internal/decisions/observations.py
@@ -80,7 +80,8 @@
         self.demand.left_queue(waiter, now)
         self.demand.started(waiter, now)
         grant.engine.add(waiter.lane)
-        self._engine_set.routes.started(grant.engine, waiter.cost)
+        used = self._engine_set.routes_of(waiter.ticket.workspace)
+        used.started(grant.engine, waiter.cost)
         self.running[waiter.ticket.request_id] += 1
 
     def saw_first_token(self, grant: grants.AttemptGrant, now: float) -> None:
@@ -116,7 +117,8 @@
         """Take back the slot of an attempt and give it to the next."""
         self._release(grant, now)
         if end is interface.AttemptEnd.COMPLETE:
-            self.lengths.learn(grant.waiter.ticket, grant.tokens)
+            if grant.tokens:
+                self.lengths.learn(grant.waiter.ticket, grant.tokens)
             self._health.answered(grant.engine, self._engine_set.live, now)
         elif end in _FAILED_ENDS:
             if self.limiter is not None:
--- a/src/corianderloft/_internal/decisions/pool.py
+++ b/src/corianderloft/_internal/decisions/pool.py
@@ -18,6 +18,13 @@
 from corianderloft._internal.models import catalog
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import requests
+from corianderloft._internal.models import states
+
+_PLAIN_COST = 1.0
+"""Cost of a call to a plain service, in tokens."""
+
+MOST_BLOCKED = 64
+"""Requests that are passed by in one search for one that can start."""
 
 
 class ServicePool:
@@ -89,7 +96,9 @@
         weight: int,
     ) -> waiting.Waiter:
         """Return a request with its estimates, not queued yet."""
-        cost = self.seen.lengths.cost(ticket)
+        cost = _PLAIN_COST
+        if self.template.kind is states.ServiceKind.MODEL:
+            cost = self.seen.lengths.cost(ticket)
         return waiting.Waiter(
             ticket=ticket,
             lane=waiting.Lane(ticket.tier, cost > self._cfg.long_cost),
@@ -169,11 +178,17 @@
                 break
             if not self._grant(waiter, guaranteed, now):
                 blocked.append(waiter)
-                if not waiter.exclude:
+                if self._blocks_others(waiter, len(blocked)):
                     break
         for waiter in reversed(blocked):
             queue.put_back(waiter)
 
+    def _blocks_others(self, waiter: waiting.Waiter, blocked: int) -> bool:
+        """Whether no request behind ``waiter`` can start either."""
+        if self.engine_set.differs:
+            return blocked >= MOST_BLOCKED
+        return not waiter.exclude
+
     def _next(self, now: float) -> tuple[waiting.Waiter | None, bool]:
         queue = self.plugins.queue
         owed = self.guarantee.owed(self.seen.demand, now)
@@ -226,12 +241,13 @@
     def _candidates(
         self, waiter: waiting.Waiter, now: float
     ) -> list[engines.EngineView]:
-        live = self.engine_set.live
+        workspace = waiter.ticket.workspace
+        live = self.engine_set.live_for(workspace)
         others = [e for e in live if e.backend.engine_id not in waiter.exclude]
         open_to = [
             e for e in others or live if self._takes(e, waiter.lane, now)
         ]
-        candidates = self.engine_set.routes.prefer(open_to)
+        candidates = self.engine_set.routes_of(workspace).prefer(open_to)
         return self._trials(waiter, candidates) or candidates
 
     def _trials(
