Compare at most 12 engines; see an outage at a third of the engines

Change: the balancer compares a random sample of 12 when more have room; an outage is assumed when more than a third of the engines failed and none answered since.

--- a/src/corianderloft/_internal/decisions/balancers/observed.py
+++ b/src/corianderloft/_internal/decisions/balancers/observed.py
@@ -19,6 +19,9 @@
 _NOISE = 0.05
 """Random part of a cost, so that hosts do not choose alike."""
 
+_MOST_COMPARED = 12
+"""Engines compared for one request; of more, a random sample."""
+
 _PREFILL_RATE = 8000.0
 """Prompt tokens that an engine reads in a second, roughly."""
 
@@ -49,6 +52,8 @@
         """Return the candidate of the least cost."""
         if len(candidates) < 2:
             return candidates[0] if candidates else None
+        if len(candidates) > _MOST_COMPARED:
+            candidates = self._rng.sample(candidates, _MOST_COMPARED)
         matched = scene.prefixes.matched(waiter.ticket.prefix_hashes)
         prefill = waiter.ticket.prompt_tokens / _PREFILL_RATE
         most = min(_MOST_AFFINITY, self._affinity * prefill)
--- a/src/corianderloft/_internal/decisions/health.py
+++ b/src/corianderloft/_internal/decisions/health.py
@@ -43,7 +43,7 @@
     healthy_gap : float
         Time between tokens of a healthy engine, in seconds; 0 if unknown.
     outage : bool
-        Whether most engines failed and none has answered since.
+        Whether many engines failed and none has answered since.
     """
 
     def __init__(self, cfg: plugins.Settings, rng: random.Random) -> None:
@@ -150,7 +150,7 @@
             return
         was_outage = self.outage
         self._failed.add(engine.backend.engine_id)
-        self.outage = len(self._failed) > max(1, self._live_count // 2)
+        self.outage = len(self._failed) > max(1, self._live_count // 3)
         if self.outage and not was_outage:
             self._next_probe = now + _FIRST_PROBE * self._rng.random()
 
