--- a/tests/lib/entry.py
+++ b/tests/lib/entry.py
@@ -74,12 +74,12 @@
     )
 
 
-def origin() -> calls.Origin:
+def origin(caller_id: str = 'r1') -> calls.Origin:
     """Return the origin of a request of ``stables`` to ``desk``."""
     current = catalog_of()
     service = current.services[0]
     return calls.Origin(
-        current.workspaces[0], service, service.classes[0], 'r1'
+        current.workspaces[0], service, service.classes[0], caller_id
     )
 
 
@@ -194,13 +194,19 @@
         self._turn = itertools.count()
         self.grants: list[FakeGrant] = []
         self.hedge: float | None = None
+        self.asked = trio.Event()
+        self.gate = trio.Event()
+        self.gate.set()
+        self.reports: list[backends.LoadReport] = []
+        self.cached: list[tuple[typing.Any, ...]] = []
 
     async def acquire(
         self,
         ticket: requests.Ticket,
         exclude: typing.AbstractSet[ids.EngineId] = frozenset(),
     ) -> FakeGrant | requests.Refused:
-        await trio.lowlevel.checkpoint()
+        self.asked.set()
+        await self.gate.wait()
         usable = [
             backend
             for backend in self._shared.backends
@@ -235,6 +241,9 @@
     def hedge_after(self, ticket: requests.Ticket) -> float | None:
         return self.hedge
 
+    def queue_states(self) -> tuple[()]:
+        return ()
+
     def use_catalog(self, current: object) -> None:
         pass
 
@@ -244,11 +253,11 @@
     def use_hosts(self, own: object, live: object) -> None:
         pass
 
-    def report_load(self, report: object) -> None:
-        pass
+    def report_load(self, report: backends.LoadReport) -> None:
+        self.reports.append(report)
 
-    def cached_prefixes(self, *event: object) -> None:
-        pass
+    def cached_prefixes(self, *event: typing.Any) -> None:
+        self.cached.append(event)
 
 
 @dataclasses.dataclass
--- a/tests/unit/metrics/test_exposition.py
+++ b/tests/unit/metrics/test_exposition.py
@@ -6,6 +6,7 @@
 import pytest
 
 from corianderloft._internal.metrics import classes
+from corianderloft._internal.metrics import control
 from corianderloft._internal.metrics import exposition
 from corianderloft._internal.metrics import queues
 from corianderloft._internal.metrics import reasons as reason_counters
@@ -60,10 +61,15 @@
 
 
 def test_queues_are_asked_at_each_exposition() -> None:
-    ages = iter((1.5, 2.5))
-    queues.watch(lambda: [queues.QueueState(ids.Tier(7), 3, next(ages, 0.0))])
-    assert 'queue_oldest_seconds{tier="7"} 1.5' in _exposed()
-    assert 'queue_oldest_seconds{tier="7"} 2.5' in _exposed()
+    desk, tier = ids.ServiceName('desk'), ids.Tier(7)
+    states = [[queues.QueueState(desk, tier, 3, 1.5)], []]
+    labels = '{service="desk",tier="7"}'
+    with queues.watched(lambda: states.pop(0)):
+        exposed = _exposed()
+        assert f'queue_oldest_seconds{labels} 1.5' in exposed
+        assert f'queue_requests{labels} 3' in exposed
+        assert f'queue_requests{labels} 0' in _exposed()
+    assert f'queue_requests{labels} 0' in _exposed()
 
 
 def test_two_modules_share_a_metric_of_one_name() -> None:
@@ -83,3 +89,16 @@
     await exposition.app({'headers': []}, None, send)
     assert sent[0]['status'] == 200
     assert b'corianderloft_refusals_total' in sent[1]['body']
+
+
+def test_control_cost_is_added_up() -> None:
+    before = control.total_bytes()
+    control.count_bytes(control.Direction.SENT, 100)
+    control.count_bytes(control.Direction.RECEIVED, 11)
+    assert control.total_bytes() - before == 111
+    with control.cpu_of('test'):
+        sum(range(1000))
+    exposed = _exposed()
+    assert 'corianderloft_control_cpu_seconds_total{part="test"}' in exposed
+    assert 'corianderloft_control_bytes_total{direction="sent"}' in exposed
+    assert 'corianderloft_process_resident_bytes ' in exposed
