Let explain ask several hosts and show attempts as a table

Cause: a caller's library may take a request to another host than the one that the operator names; attempts were shown as text of JSON, and the time of arrival as a rounded number.

--- a/tests/unit/cli/test_configuration_commands.py
+++ b/tests/unit/cli/test_configuration_commands.py
@@ -6,8 +6,11 @@
 import shutil
 
 import pytest
+import trio
 
+import corianderloft
 from corianderloft._internal.cli import exit_codes
+from corianderloft._internal.cli import http_client
 from corianderloft._internal.cli import options
 from corianderloft._internal.cli import parser
 from tests.lib import guide
@@ -95,3 +98,38 @@
     code, failure = run('get', 'service/lace-modl')
     assert code == exit_codes.ExitCode.NOT_FOUND
     assert 'service/lace-model' in str(failure)
+
+
+def test_explain_shows_the_attempts_of_a_request(
+    monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setenv(
+        http_client.OPERATOR_KEY_VARIABLE, 'clk_example_operator'
+    )
+    with guide.running() as processes:
+        kv_address = processes.translate('127.0.0.1:2379')
+        monkeypatch.setenv(options.KV_VARIABLE, kv_address)
+        assert parser.main(['apply', str(guide.EXAMPLES / 'nileknot')]) == 0
+        callers = processes.translate('127.0.0.1:8101')
+        request_id = trio.run(_ask, callers)
+        capfd.readouterr()
+        ports = processes.translate('127.0.0.1:9101 127.0.0.1:9102').split()
+        assert parser.main(['explain', request_id, *ports]) == 0
+    printed = capfd.readouterr().out
+    assert 'stock-question' in printed and 'answered' in printed
+    assert 'Attempts' in printed and 'delta-1' in printed
+
+
+async def _ask(callers: str) -> str:
+    """Send one request and return its id."""
+    address, _, port = callers.rpartition(':')
+    seed = corianderloft.Address(address, int(port))
+    body = {'messages': [{'role': 'user', 'content': 'red?'}]}
+    key = 'clk_example_aswan-stalls'
+    async with corianderloft.Client([seed], key) as client:
+        for _ in range(100):
+            answer = await client.chat('lace-model', 'stock-question', body)
+            if isinstance(answer, corianderloft.ChatAnswer):
+                return answer.request_id
+            await trio.sleep(0.05)
+    raise AssertionError(answer)
