--- a/src/corianderloft/_internal/network/inbound.py
+++ b/src/corianderloft/_internal/network/inbound.py
@@ -34,7 +34,7 @@
     'protocol_errors_total', 'Requests that were not valid HTTP, by status.'
 )
 
-ByteStream = trio.SocketStream | trio.SSLStream
+ByteStream = trio.SocketStream | trio.SSLStream[trio.SocketStream]
 
 logger = logging.getLogger(__name__)
 
--- a/src/corianderloft/_internal/network/streams.py
+++ b/src/corianderloft/_internal/network/streams.py
@@ -30,7 +30,7 @@
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
-        self._tls: trio.SSLStream | None = None
+        self._tls: trio.SSLStream[trio.SocketStream] | None = None
         self._fileno = stream.socket.fileno()
         self.before_read: Hook | None = None
 
--- a/tests/lib/calls.py
+++ b/tests/lib/calls.py
@@ -12,11 +12,11 @@
     """Return the whole reply; raises httpcore's errors."""
     url = httpcore.URL(f'http://127.0.0.1:{port}{path}')
     async with httpcore.AsyncHTTPConnection(origin=url.origin) as conn:
+        named = [(name.replace('_', '-'), v) for name, v in headers.items()]
         return await conn.request(
             method,
             url,
-            headers={name.replace('_', '-'): headers[name] for name in headers}
-            | {'host': f'127.0.0.1:{port}'},
+            headers=[('host', f'127.0.0.1:{port}'), *named],
             content=None if body is None else orjson.dumps(body),
         )
 
--- a/tests/lib/system.py
+++ b/tests/lib/system.py
@@ -261,7 +261,7 @@
             return await pool.request(
                 method,
                 f'http://{ADDRESS}:{port}{path}',
-                headers=named,
+                headers=list(named.items()),
                 content=content,
             )
 
