Decide on retries in one place; no rule repeats what may have run

Cause: calls of plain services were guarded against a retry rule that repeats a call that may have run, chats of a class that is not idempotent were not; the refusal of a request given up stood twice. Change: entry/retrying.py asks, guards, counts and tells.

--- a/src/corianderloft/_internal/entry/chat.py
+++ b/src/corianderloft/_internal/entry/chat.py
@@ -9,6 +9,7 @@
 from corianderloft._internal.entry import attempts
 from corianderloft._internal.entry import hedging
 from corianderloft._internal.entry import parts as entry_parts
+from corianderloft._internal.entry import retrying
 from corianderloft._internal.metrics import reasons as counts
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import reasons
@@ -16,20 +17,6 @@
 from corianderloft._internal.models import states
 from corianderloft._internal.network import outbound
 
-_Reason = reasons.RefusalReason
-
-GIVEN_UP: dict[reasons.RetryRefusalReason, reasons.RefusalReason] = {
-    reasons.RetryRefusalReason.NOT_IDEMPOTENT: _Reason.OUTCOME_UNKNOWN,
-    reasons.RetryRefusalReason.BUDGET: _Reason.RETRIES_EXHAUSTED,
-    reasons.RetryRefusalReason.DEADLINE: _Reason.DEADLINE,
-    reasons.RetryRefusalReason.ATTEMPTS: _Reason.RETRIES_EXHAUSTED,
-    reasons.RetryRefusalReason.NO_OTHER_BACKEND: _Reason.BACKEND_ERROR,
-}
-"""What a caller is told when a failed request is not sent again."""
-
-RETRY_TIME = 1.0
-"""When to come back after a request was given up, in seconds."""
-
 
 @dataclasses.dataclass(frozen=True)
 class Completed:
@@ -67,16 +54,20 @@
             ended = await self._once(ticket)
             if isinstance(ended, (Completed, requests.Refused)):
                 return ended
-            decision = self._parts.dispatcher.retry(
+            decision = retrying.decide(
+                self._parts.dispatcher,
                 ticket,
-                ended.end,
+                ended,
                 self._count,
-                ended.may_have_run,
                 self._answer.tokens,
             )
             if isinstance(decision, interface.GiveUp):
-                return self._given_up(ended, decision.reason)
-            counts.count(decision.reason)
+                return retrying.given_up(
+                    ended,
+                    decision.reason,
+                    self._record.run_state(),
+                    ticket.idempotent,
+                )
             await trio.sleep(decision.delay)
             ticket = self._ticket()
 
@@ -180,16 +171,3 @@
         if self._record.run_state() is states.RunState.NOT_RUN:
             return refused
         return dataclasses.replace(refused, run=self._record.run_state())
-
-    def _given_up(
-        self,
-        failure: outbound.Failure,
-        reason: reasons.RetryRefusalReason,
-    ) -> requests.Refused:
-        counts.count(reason)
-        return requests.Refused(
-            GIVEN_UP[reason],
-            self._record.run_state(),
-            f'{failure.detail}; not sent again: {reason.value}',
-            RETRY_TIME,
-        )
--- a/src/corianderloft/_internal/entry/plain.py
+++ b/src/corianderloft/_internal/entry/plain.py
@@ -9,11 +9,10 @@
 from corianderloft._internal.decisions import interface
 from corianderloft._internal.entry import bounds
 from corianderloft._internal.entry import calls
-from corianderloft._internal.entry import chat
 from corianderloft._internal.entry import parts as entry_parts
 from corianderloft._internal.entry import records
+from corianderloft._internal.entry import retrying
 from corianderloft._internal.entry import verdicts
-from corianderloft._internal.metrics import reasons as counts
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import reasons
 from corianderloft._internal.models import requests
@@ -132,17 +131,16 @@
             ended = await self._once(grant)
             if isinstance(ended, PlainAnswer):
                 return ended
-            decision = self._parts.dispatcher.retry(
-                ticket, ended.end, count, ended.may_have_run, 0
+            decision = retrying.decide(
+                self._parts.dispatcher, ticket, ended, count
             )
-            if ended.may_have_run and not ticket.idempotent:
-                # No retry rule may repeat a call that may have run.
-                decision = interface.GiveUp(
-                    reasons.RetryRefusalReason.NOT_IDEMPOTENT
-                )
             if isinstance(decision, interface.GiveUp):
-                return self._given_up(ended, decision.reason)
-            counts.count(decision.reason)
+                return retrying.given_up(
+                    ended,
+                    decision.reason,
+                    self._record.run_state(),
+                    ticket.idempotent,
+                )
             await trio.sleep(decision.delay)
         return requests.Refused(
             reasons.RefusalReason.RETRIES_EXHAUSTED,
@@ -208,7 +206,7 @@
             self._record.run_state(),
             f'the claim of key {self._call.key!r} ran out before the call '
             'was sent',
-            chat.RETRY_TIME,
+            retrying.RETRY_TIME,
         )
 
     def _message(self) -> outbound.Message:
@@ -226,20 +224,6 @@
         digest.update(b'\n' + self._call.target + b'\n' + self._call.body)
         return str(digest.hexdigest())
 
-    def _given_up(
-        self,
-        failure: outbound.Failure,
-        reason: reasons.RetryRefusalReason,
-    ) -> requests.Refused:
-        counts.count(reason)
-        run = self._record.run_state()
-        told = chat.GIVEN_UP[reason]
-        if run is states.RunState.UNKNOWN and not self._call.ticket.idempotent:
-            told = reasons.RefusalReason.OUTCOME_UNKNOWN
-        return requests.Refused(
-            told, run, f'{failure.detail}; not sent again: {reason.value}'
-        )
-
 
 def _bounded() -> trio.CancelScope:
     """Return a scope that a drain does not cut short."""
--- a/tests/lib/entry.py
+++ b/tests/lib/entry.py
@@ -194,6 +194,7 @@
         self._turn = itertools.count()
         self.grants: list[FakeGrant] = []
         self.hedge: float | None = None
+        self.reckless = False
         self.asked = trio.Event()
         self.gate = trio.Event()
         self.gate.set()
@@ -232,6 +233,8 @@
         may_have_run: bool,
         relayed_tokens: int,
     ) -> decisions.RetryNow | decisions.GiveUp:
+        if self.reckless:
+            return decisions.RetryNow(reasons.RetryReason.RESUME, 0.0)
         if may_have_run and not ticket.idempotent:
             return decisions.GiveUp(reasons.RetryRefusalReason.NOT_IDEMPOTENT)
         if attempts >= 4:
--- a/tests/unit/entry/test_plain.py
+++ b/tests/unit/entry/test_plain.py
@@ -72,6 +72,21 @@
         assert again.refusal() == ('claim_in_progress', 'unknown')
 
 
+async def test_no_retry_rule_can_repeat_what_may_have_run(
+    nursery: trio.Nursery,
+) -> None:
+    till, one = await engines.start(nursery, 't1', breaks_off, 'till')
+    desk, two = await engines.start(nursery, 'e1', breaks_off)
+    async with entry.running_host(one, two) as fixture:
+        fixture.dispatcher.reckless = True
+        fixture.shared.catalog = entry.catalog_of(idempotent=False)
+        called = await call(fixture)
+        asked = await entry.chat(fixture)
+    for answer in (called, asked):
+        assert answer.refusal() == ('outcome_unknown', 'unknown')
+    assert (len(till.seen), len(desk.seen)) == (1, 1)
+
+
 async def test_call_that_certainly_did_not_run_is_sent_again(
     nursery: trio.Nursery,
 ) -> None:
