--- a/bench/relay/__main__.py
+++ b/bench/relay/__main__.py
@@ -5,31 +5,23 @@
 through the host in turn, and prints one table.
 """
 
-import contextlib
 import dataclasses
 import os
 import pathlib
 import pstats
 import statistics
-import sys
 import tempfile
 import time
 import typing
 
 import fire
-import orjson
 import tabulate
 import trio
 
 from bench.capacity import measurements
-from tests.lib import calls
-from tests.lib import processes
-from tests.lib import system as whole
+from bench.relay import system
 
-ENGINES = 4
-SLOTS = 64
 STREAMS = 125
-STEP_TIME = 0.001
 PACED_FACTOR = 36.0
 IDLE_REQUESTS = 200
 PACED_WINDOW = (2.0, 9.0)
@@ -38,33 +30,6 @@
 FLOOD_TOKENS = 60000
 HEADERS = ('figure', 'direct', 'host', 'target')
 CLOCK_TICKS = os.sysconf('SC_CLK_TCK')
-SERVICE = 'relay-desk'
-DECLARATIONS = pathlib.Path(__file__).parent / 'declarations'
-
-Result = dict[str, typing.Any]
-
-
-@dataclasses.dataclass(frozen=True)
-class Target:
-    """Where callers send, and the process whose CPU is measured."""
-
-    ports: list[int]
-    pids: list[int]
-
-
-@dataclasses.dataclass(frozen=True)
-class Bench:
-    """The running processes."""
-
-    system: whole.System
-    host: Target
-    engines: Target
-
-    async def pace(self, factor: float) -> None:
-        """Let each engine make a token every ``factor`` milliseconds."""
-        for engine in self.system.backends.values():
-            faults = {'slow_factor': factor}
-            await calls.post(engine.port, '/control/faults', faults)
 
 
 def main(profile: float = 0.0, record: str = '') -> None:
@@ -85,7 +50,7 @@
 
 
 async def _measure(record: str) -> None:
-    async with _running() as bench:
+    async with system.running() as bench:
         rows = await _idle(bench)
         rows += await _paced(bench)
         rows += await _flood(bench)
@@ -97,106 +62,19 @@
 async def _profiled(seconds: float) -> None:
     with tempfile.NamedTemporaryFile() as out:
         flags = ('-m', 'cProfile', '-o', out.name)
-        async with _running(flags) as bench:
+        async with system.running(flags) as bench:
             await bench.pace(PACED_FACTOR)
-            tokens = int(seconds / (STEP_TIME * PACED_FACTOR))
-            await _load(bench.host, streams=STREAMS, tokens=tokens, spread=1.0)
+            tokens = int(seconds / (system.STEP_TIME * PACED_FACTOR))
+            await system.load(
+                bench.host, streams=STREAMS, tokens=tokens, spread=1.0
+            )
             host = bench.system.hosts['host-1']
             host.terminate()
             await host.wait_ended()
         pstats.Stats(out.name).sort_stats('tottime').print_stats(45)
 
 
-@contextlib.asynccontextmanager
-async def _running(
-    flags: tuple[str, ...] = (),
-) -> typing.AsyncIterator[Bench]:
-    with tempfile.TemporaryDirectory() as directory:
-        async with processes.running() as started:
-            kv = await started.standin('kv')
-            system = whole.System(started, pathlib.Path(directory), kv)
-            await system.apply(DECLARATIONS)
-            for number in range(ENGINES):
-                await _add_engine(system, f'engine-{number}')
-            host = await _add_host(system, flags)
-            port = host.announced['caller_port']
-            bench = Bench(
-                system,
-                Target([port], [host.pid]),
-                Target(
-                    [e.port for e in system.backends.values()],
-                    [e.pid for e in system.backends.values()],
-                ),
-            )
-            await _warm_up(bench)
-            yield bench
-
-
-async def _add_host(
-    system: whole.System, flags: tuple[str, ...]
-) -> processes.Process:
-    path = system.directory / 'host-1.yaml'
-    path.write_text(
-        f'host: {{host_id: host-1}}\nkv: {{endpoint: "{system.kv_url}"}}\n'
-        'peers: {answer_ttl_s: 0.1}\n'
-    )
-    host = await system.started.start(
-        *flags, '-m', 'corianderloft', 'serve', str(path)
-    )
-    system.hosts['host-1'] = host
-    return host
-
-
-async def _add_engine(system: whole.System, engine_id: str) -> None:
-    engine = await system.started.standin(
-        'engine',
-        engine_id=engine_id,
-        slots=SLOTS,
-        step_time=STEP_TIME,
-        step_time_per_request=0,
-        prefill_time_per_token=0,
-    )
-    system.backends[engine_id] = engine
-    await system.put(
-        f'platform/backends/{engine_id}',
-        {
-            'engine_id': engine_id,
-            'service': SERVICE,
-            'supplier': 'bench',
-            'model': 'model-1',
-            'address': whole.ADDRESS,
-            'port': engine.port,
-            'failure_domain': whole.FAILURE_DOMAINS[0],
-            'slots': SLOTS,
-            'state': 'live',
-        },
-    )
-
-
-async def _warm_up(bench: Bench) -> None:
-    async def answers() -> bool:
-        with contextlib.suppress(AssertionError):
-            await _load(bench.host, streams=8, tokens=4)
-            return True
-        return False
-
-    await processes.wait_for(answers, 'the host answers')
-
-
-async def _load(target: Target, **plan: typing.Any) -> Result:
-    """Run one caller process."""
-    encoded = orjson.dumps({'ports': target.ports, **plan}).decode()
-    done = await trio.run_process(
-        [sys.executable, '-m', 'bench.relay.load', encoded],
-        capture_stdout=True,
-        check=False,
-    )
-    assert done.returncode == 0, done
-    result: Result = orjson.loads(done.stdout)
-    return result
-
-
-async def _idle(bench: Bench) -> list[list[typing.Any]]:
+async def _idle(bench: system.Bench) -> list[list[typing.Any]]:
     """First token of one caller at a time, direct and relayed in turn."""
     await bench.pace(0.1)
     seen: dict[str, list[float]] = {'direct': [], 'host': []}
@@ -204,7 +82,7 @@
     for _ in range(4):
         for name, target in _targets(bench):
             before = _cpu(target)
-            result = await _load(
+            result = await system.load(
                 dataclasses.replace(target, ports=target.ports[:1]),
                 streams=1,
                 tokens=1,
@@ -217,11 +95,11 @@
     return [*rows, ['CPU a request of one token, ms', '', each, '']]
 
 
-async def _paced(bench: Bench) -> list[list[typing.Any]]:
+async def _paced(bench: system.Bench) -> list[list[typing.Any]]:
     """The design size: 125 streams with 36 ms between tokens."""
     await bench.pace(PACED_FACTOR)
     rows: list[list[typing.Any]] = []
-    seen: dict[str, Result] = {}
+    seen: dict[str, system.Result] = {}
     idle_memory = _memory(bench.host.pids[0])
     for name, target in _targets(bench):
         seen[name] = await _measured(
@@ -252,7 +130,7 @@
     return rows
 
 
-async def _flood(bench: Bench) -> list[list[typing.Any]]:
+async def _flood(bench: system.Bench) -> list[list[typing.Any]]:
     """Engines faster than the host can relay."""
     await bench.pace(1.0)
     seen = {
@@ -279,9 +157,11 @@
     ]
 
 
-async def _measured(target: Target, **plan: typing.Any) -> Result:
+async def _measured(
+    target: system.Target, **plan: typing.Any
+) -> system.Result:
     """Run a plan and measure CPU and memory in its window."""
-    result: Result = {}
+    result: system.Result = {}
     begin, end = plan['window']
 
     async def watch() -> None:
@@ -294,11 +174,11 @@
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(watch)
-        result |= await _load(target, **plan)
+        result |= await system.load(target, **plan)
     return result
 
 
-def _targets(bench: Bench) -> list[tuple[str, Target]]:
+def _targets(bench: system.Bench) -> list[tuple[str, system.Target]]:
     return [('direct', bench.engines), ('host', bench.host)]
 
 
@@ -323,14 +203,14 @@
 
 def _row(
     label: str,
-    seen: dict[str, Result],
-    figure: typing.Callable[[Result], typing.Any],
+    seen: dict[str, system.Result],
+    figure: typing.Callable[[system.Result], typing.Any],
     target: str,
 ) -> list[typing.Any]:
     return [label, figure(seen['direct']), figure(seen['host']), target]
 
 
-def _cpu_row(load: str, seen: dict[str, Result]) -> list[typing.Any]:
+def _cpu_row(load: str, seen: dict[str, system.Result]) -> list[typing.Any]:
     host = seen['host']
     rate: float = host['tokens'] / host['seconds']
     return [
@@ -341,7 +221,7 @@
     ]
 
 
-def _rate(result: Result) -> int:
+def _rate(result: system.Result) -> int:
     rate: float = result['tokens'] / result['seconds']
     return round(rate)
 
@@ -353,7 +233,7 @@
     return round(cut[round(part * 1000) - 1] * 1000, 2)
 
 
-def _cpu(target: Target) -> float:
+def _cpu(target: system.Target) -> float:
     """Return the CPU seconds that the processes used."""
     fields = [
         pathlib.Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2]
--- a/src/corianderloft/_internal/entry/attempts.py
+++ b/src/corianderloft/_internal/entry/attempts.py
@@ -207,7 +207,7 @@
         )
         if isinstance(body, outbound.Failure):
             return self._failed(body)
-        tokens = _completion_tokens(body)
+        tokens = verdicts.completion_tokens(body)
         if tokens is None:
             return self._failed(self._broken('its answer is no completion'))
         self._grant.first_token()
@@ -290,14 +290,3 @@
         self._grant.progress(self._sink.take(events))
         self.complete = events.endswith(sse.DONE)
         await self._sink.send(events)
-
-
-def _completion_tokens(body: bytes) -> int | None:
-    """Return the tokens of a whole completion, or None if it is none."""
-    try:
-        answer = orjson.loads(body)
-        if not answer['choices']:
-            return None
-        return int(answer.get('usage', {}).get('completion_tokens', 1))
-    except (ValueError, KeyError, TypeError, AttributeError):
-        return None
--- a/src/corianderloft/_internal/entry/verdicts.py
+++ b/src/corianderloft/_internal/entry/verdicts.py
@@ -1,4 +1,4 @@
-"""What an answer other than a success says about a request."""
+"""What an answer that is not streamed says about a request."""
 
 import orjson
 
@@ -68,6 +68,17 @@
     return status == 503 and _error(body)[0] == LEAVING
 
 
+def completion_tokens(body: bytes) -> int | None:
+    """Return the tokens of a whole completion, or None if it is none."""
+    try:
+        answer = orjson.loads(body)
+        if not answer['choices']:
+            return None
+        return int(answer.get('usage', {}).get('completion_tokens', 1))
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return None
+
+
 def _error(body: bytes) -> tuple[str, str]:
     try:
         error = orjson.loads(body)['error']
