--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 JOBS ?= 4
 
 .PHONY: setup test format lint types unit docs docs-check demo
-.PHONY: bench-policy bench-control fuzz
+.PHONY: bench-policy bench-relay bench-control fuzz
 
 setup: $(STAMP)
 
@@ -57,3 +57,6 @@
 
 bench-control: setup
 	$(PY) -m bench.control --hosts $(HOSTS)
+
+bench-relay: setup
+	$(PY) -m bench.relay
--- a/src/corianderloft/_internal/shared/peers/transport.py
+++ b/src/corianderloft/_internal/shared/peers/transport.py
@@ -1,6 +1,7 @@
 """How hosts reach each other: datagrams over UDP, fetches over TCP."""
 
 import collections.abc
+import dataclasses
 import itertools
 import logging
 import random
@@ -8,7 +9,7 @@
 
 import trio
 
-from corianderloft._internal.metrics import registry
+from corianderloft._internal.metrics import control
 from corianderloft._internal.shared import mirror
 from corianderloft._internal.shared.peers import codec
 from corianderloft._internal.shared.peers import messages
@@ -22,10 +23,34 @@
 FETCH_TIMEOUT_S = 5.0
 BIND_ATTEMPTS = 50
 UDP_HEADER_BYTES = 28
+TCP_EXCHANGE_BYTES = 500
 
-BYTES_SENT = registry.counter(
-    'peer_bytes_sent', 'Bytes sent to peers, IP and UDP headers included.'
-)
+
+@dataclasses.dataclass
+class Traffic:
+    """Bytes of messages, with IP and UDP headers, since the start.
+
+    Attributes
+    ----------
+    sent, received : int
+        Bytes.
+    """
+
+    sent: int = 0
+    received: int = 0
+
+    def count_sent(self, size: int) -> None:
+        """Count a message that was sent."""
+        self.sent += size
+        control.count_bytes(control.Direction.SENT, size)
+
+    def count_received(self, size: int) -> None:
+        """Count a message that was received."""
+        self.received += size
+        control.count_bytes(control.Direction.RECEIVED, size)
+
+
+traffic = Traffic()
 
 Answer = collections.abc.Callable[[messages.Fetch], messages.Fetched]
 
@@ -81,7 +106,7 @@
     ) -> None:
         """Send a datagram; errors of the network count as loss."""
         raw = self._wire.encode_datagram(message)
-        BYTES_SENT.add({'kind': 'datagram'}, len(raw) + UDP_HEADER_BYTES)
+        traffic.count_sent(len(raw) + UDP_HEADER_BYTES)
         try:
             await self._udp.sendto(raw, to)
         except OSError as exc:
@@ -95,6 +120,7 @@
             except OSError as exc:
                 logger.debug('no datagram was received: %s', exc)
                 continue
+            traffic.count_received(len(raw) + UDP_HEADER_BYTES)
             message = self._wire.decode_datagram(raw)
             if isinstance(message, messages.Datagram):
                 return messages.Address(*source[:2]), message
@@ -137,7 +163,7 @@
             return
         for page in pages(fetch.nonce, answer(fetch)):
             raw = self._wire.encode_page(page)
-            BYTES_SENT.add({'kind': 'fetch'}, len(raw))
+            traffic.count_sent(len(raw) + TCP_EXCHANGE_BYTES)
             await _send_frame(stream, raw)
 
     async def _read_pages(
@@ -148,6 +174,7 @@
             frame = await _receive_frame(stream)
             if frame is None:
                 return messages.FetchFailed('the answer was cut')
+            traffic.count_received(len(frame) + TCP_EXCHANGE_BYTES)
             page = self._wire.decode_page(frame)
             if isinstance(page, messages.Undecodable):
                 return messages.FetchFailed(page.fault.value)
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -12,11 +12,8 @@
 
 async def test_a_request_is_served_end_to_end() -> None:
     async with whole.running() as system:
-        answer = await system.call('host-1', 'GET', '/v1/addresses')
-        ports = {a['port'] for a in orjson.loads(answer.content)['addresses']}
-        assert ports == {
-            host.announced['caller_port'] for host in system.hosts.values()
-        }
+        ports = {system.port(host_id) for host_id in system.hosts}
+        assert await system.addresses('host-1') == ports
         plain = await system.chat('host-2')
         message = orjson.loads(plain.content)['choices'][0]['message']
         streamed = await system.chat('host-1', stream=True)
@@ -26,14 +23,7 @@
         deltas = [orjson.loads(d)['choices'][0] for d in data[:-2]]
         text = ''.join(d['delta'].get('content', '') for d in deltas)
         assert text == message['content']
-        booked = await system.call(
-            'host-1',
-            'POST',
-            f'/v1/services/{whole.PLAIN_SERVICE}/bookings',
-            {'booking': 'b1'},
-            X_Class='booking',
-            Idempotency_Key='k1',
-        )
+        booked = await system.book('host-1', 'b1', 'k1')
         assert orjson.loads(booked.content)['runs'] == 1
 
 
--- a/tests/lib/entry.py
+++ b/tests/lib/entry.py
@@ -90,6 +90,7 @@
         self.catalog = catalog_of()
         self.backends = listed
         self.fresh = True
+        self.asked = 0
         self.claim_valid_until = math.inf
         self.leaving: list[ids.EngineId] = []
         self.left = False
@@ -125,12 +126,16 @@
     def addresses(
         self, failure_domain: ids.FailureDomain | None
     ) -> shared_state.AddressAnswer:
+        self.asked += 1
         return shared_state.AddressAnswer(self.live_hosts(), 5.0)
 
     async def leave(self) -> float:
         self.left = True
         return self.answer_ttl
 
+    async def stay(self) -> None:
+        self.left = False
+
     async def claim(
         self, workspace: str, service: str, key: str, body_hash: str
     ) -> shared_state.ClaimResult:
@@ -455,3 +460,21 @@
     return [
         int(line[3:]) for line in body.split(b'\n') if line.startswith(b'id:')
     ]
+
+
+async def raw(fixture: Fixture, sent: bytes) -> bytes:
+    """Send bytes and return all that comes back until the end."""
+    port = fixture.sockets.caller_port
+    stream = await trio.open_tcp_stream('127.0.0.1', port)
+    got = b''
+    with trio.fail_after(10):
+        try:
+            await stream.send_all(sent)
+        except trio.BrokenResourceError:
+            pass
+        try:
+            while part := await stream.receive_some(4096):
+                got += part
+        except trio.BrokenResourceError:
+            pass
+    return got
--- a/tests/lib/streams.py
+++ b/tests/lib/streams.py
@@ -26,12 +26,15 @@
         All content.
     done : bool
         Whether the end of the answer arrived.
+    error : str
+        Data of the error event, if there is one.
     """
 
     status: int
     counts: tuple[int, ...]
     text: str
     done: bool
+    error: str = ''
 
 
 def read_stream(status: int, content: bytes) -> Streamed:
@@ -47,9 +50,15 @@
         ),
         ''.join(contents),
         bool(fields) and fields[-1].get(b'data') == b'[DONE]',
+        _error(fields),
     )
 
 
+def _error(events: list[dict[bytes, bytes]]) -> str:
+    errors = [e[b'data'] for e in events if e.get(b'event') == b'error']
+    return b''.join(errors).decode()
+
+
 def _chunk(fields: dict[bytes, bytes]) -> typing.Any:
     data = fields.get(b'data', b'[DONE]')
     return {} if data == b'[DONE]' else orjson.loads(data)
@@ -72,6 +81,21 @@
     return read_stream(reply.status, reply.content).text
 
 
+async def expected_all(
+    system: whole.System, engine_id: str, contents: list[str]
+) -> list[str]:
+    """Return the whole answers to all ``contents``, in their order."""
+    answers: dict[int, str] = {}
+
+    async def one(number: int, content: str) -> None:
+        answers[number] = await expected(system, engine_id, content)
+
+    async with trio.open_nursery() as nursery:
+        for number, content in enumerate(contents):
+            nursery.start_soon(one, number, content)
+    return [answers[number] for number in sorted(answers)]
+
+
 async def stream_all(
     system: whole.System, host_id: str, contents: list[str]
 ) -> list[Streamed]:
--- a/tests/lib/system.py
+++ b/tests/lib/system.py
@@ -12,9 +12,9 @@
 import orjson
 import yaml
 
+from corianderloft._internal.cli import exit_codes
 from corianderloft._internal.kv import etcd
 from corianderloft._internal.kv import interface as kv_interface
-from corianderloft._internal.models import ids
 from corianderloft._internal.settings import kv as kv_settings
 from tests.lib import calls
 from tests.lib import processes
@@ -28,6 +28,24 @@
 PLAIN_SERVICE = 'yard-counter'
 
 
+def chat_body(content: str, stream: bool) -> dict[str, typing.Any]:
+    """Return the body of a chat completion."""
+    return {
+        'model': 'rug-8b-v3',
+        'messages': [{'role': 'user', 'content': content}],
+        'stream': stream,
+        'seed': 7,
+    }
+
+
+@dataclasses.dataclass(frozen=True)
+class Applied:
+    """How ``apply`` ended, and what it printed."""
+
+    code: exit_codes.ExitCode
+    printed: dict[str, typing.Any]
+
+
 @dataclasses.dataclass
 class System:
     """Processes of one system, and calls on them.
@@ -40,6 +58,8 @@
         Holds settings.
     kv : Process
         The key-value service.
+    revision : int
+        Revision of the first configuration.
     hosts, backends : dict
         Processes by host id and by engine id.
     """
@@ -47,6 +67,7 @@
     started: processes.Processes
     directory: pathlib.Path
     kv: processes.Process
+    revision: int = 0
     hosts: dict[str, processes.Process] = dataclasses.field(
         default_factory=dict
     )
@@ -95,7 +116,12 @@
         return service
 
     async def list_backend(
-        self, engine_id: str, service: str, supplier: str, state: str = 'live'
+        self,
+        engine_id: str,
+        service: str,
+        supplier: str,
+        state: str = 'live',
+        port: int | None = None,
     ) -> None:
         """Put a backend server into the platform's list."""
         models = {'own-yard': 'counter-1', 'jhelum-hosting': 'rug-8b-v2'}
@@ -107,7 +133,7 @@
                 'supplier': supplier,
                 'model': models.get(supplier, 'rug-8b-v3'),
                 'address': ADDRESS,
-                'port': self.backends[engine_id].port,
+                'port': port or self.backends[engine_id].port,
                 'failure_domain': FAILURE_DOMAINS[0],
                 'slots': 8,
                 'state': state,
@@ -115,7 +141,7 @@
         )
 
     async def add_host(
-        self, host_id: str, **sections: typing.Any
+        self, host_id: str, listed: bool = True, **sections: typing.Any
     ) -> processes.Process:
         """Start an entry host and list it."""
         domain = FAILURE_DOMAINS[len(self.hosts) % len(FAILURE_DOMAINS)]
@@ -137,32 +163,85 @@
             '-m', 'corianderloft', 'serve', str(path)
         )
         self.hosts[host_id] = host
+        if listed:
+            await self.list_host(host_id, domain)
+        return host
+
+    async def list_host(self, host_id: str, failure_domain: str) -> None:
+        """Put an entry host into the platform's list."""
+        announced = self.hosts[host_id].announced
         await self.put(
             f'platform/hosts/{host_id}',
             {
                 'address': ADDRESS,
-                'caller_port': host.announced['caller_port'],
-                'peer_port': host.announced.get('peer_port', 0),
-                'failure_domain': domain,
+                'caller_port': announced['caller_port'],
+                'peer_port': announced['peer_port'],
+                'failure_domain': failure_domain,
                 'state': 'live',
             },
         )
-        return host
+
+    async def addresses(self, host_id: str) -> set[int]:
+        """Return the ports that a host names to callers."""
+        answer = await self.call(host_id, 'GET', '/v1/addresses')
+        listed = orjson.loads(answer.content)['addresses']
+        return {address['port'] for address in listed}
+
+    def port(self, host_id: str) -> int:
+        """Return the port of a host for callers."""
+        return int(self.hosts[host_id].announced['caller_port'])
 
     async def apply(
-        self, directory: pathlib.Path = EXAMPLES / 'qureshi'
-    ) -> ids.Revision:
+        self,
+        directory: pathlib.Path = EXAMPLES / 'qureshi',
+        *flags: str,
+    ) -> Applied:
         """Put a directory of declarations in force by the command line."""
-        process = await self.started.start(
+        process = await self.started.run(
             '-m',
             'corianderloft',
             'apply',
             str(directory),
             f'--kv={self.kv_url}',
             '--format=json',
+            *flags,
+        )
+        return Applied(
+            exit_codes.ExitCode(process.returncode or 0),
+            orjson.loads(process.output() or '{}'),
         )
-        assert await process.wait_ended() == 0, process.output()
-        return ids.Revision(int(process.announced['revision']))
+
+    def edited(
+        self, replacements: dict[str, str], name: str = 'edited'
+    ) -> pathlib.Path:
+        """Return a copy of Qureshi's declarations with texts replaced."""
+        target = self.directory / name
+        target.mkdir()
+        for source in (EXAMPLES / 'qureshi').iterdir():
+            text = source.read_text()
+            for old, new in replacements.items():
+                text = text.replace(old, new)
+            (target / source.name).write_text(text)
+        return target
+
+    async def book(
+        self, host_id: str, booking: str, key: str
+    ) -> httpcore.Response:
+        """Make a booking, which must run at most once."""
+        return await self.call(
+            host_id,
+            'POST',
+            f'/v1/services/{PLAIN_SERVICE}/bookings',
+            {'booking': booking},
+            X_Class='booking',
+            Idempotency_Key=key,
+        )
+
+    async def runs(self, booking: str) -> int:
+        """Return how often a booking ran."""
+        port = self.backends['counter-1'].port
+        ran = await calls.get(port, '/bookings')
+        return int(ran['bookings'].get(booking, 0))
 
     async def call(
         self,
@@ -195,12 +274,7 @@
         **headers: str,
     ) -> httpcore.Response:
         """Send one chat completion."""
-        body = {
-            'model': 'rug-8b-v3',
-            'messages': [{'role': 'user', 'content': content}],
-            'stream': stream,
-            'seed': 7,
-        }
+        body = chat_body(content, stream)
         return await self.call(
             host_id,
             'POST',
@@ -246,7 +320,9 @@
         async with processes.running() as started:
             kv = await started.standin('kv')
             system = System(started, pathlib.Path(directory), kv)
-            await system.apply()
+            applied = await system.apply()
+            assert applied.code is exit_codes.ExitCode.OK, applied
+            system.revision = int(applied.printed['revision'])
             for number in range(1, engines + 1):
                 await system.add_engine(f'engine-{number}')
             await system.add_service()
