--- a/src/corianderloft/_internal/shared/peers/transport.py
+++ b/src/corianderloft/_internal/shared/peers/transport.py
@@ -1,6 +1,7 @@
 """How hosts reach each other: datagrams over UDP, fetches over TCP."""
 
 import collections.abc
+import dataclasses
 import itertools
 import logging
 import random
@@ -9,7 +10,6 @@
 import trio
 
 from corianderloft._internal.metrics import control
-from corianderloft._internal.metrics import registry
 from corianderloft._internal.shared import mirror
 from corianderloft._internal.shared.peers import codec
 from corianderloft._internal.shared.peers import messages
@@ -23,10 +23,34 @@
 FETCH_TIMEOUT_S = 5.0
 BIND_ATTEMPTS = 50
 UDP_HEADER_BYTES = 28
+TCP_EXCHANGE_BYTES = 500
 
-BYTES_SENT = registry.counter(
-    'peer_bytes_sent', 'Bytes sent to peers, IP and UDP headers included.'
-)
+
+@dataclasses.dataclass
+class Traffic:
+    """Bytes of messages, with IP and UDP headers, since the start.
+
+    Attributes
+    ----------
+    sent, received : int
+        Bytes.
+    """
+
+    sent: int = 0
+    received: int = 0
+
+    def count_sent(self, size: int) -> None:
+        """Count a message that was sent."""
+        self.sent += size
+        control.count_bytes(control.Direction.SENT, size)
+
+    def count_received(self, size: int) -> None:
+        """Count a message that was received."""
+        self.received += size
+        control.count_bytes(control.Direction.RECEIVED, size)
+
+
+traffic = Traffic()
 
 Answer = collections.abc.Callable[[messages.Fetch], messages.Fetched]
 
@@ -83,9 +107,7 @@
         """Send a datagram; errors of the network count as loss."""
         with control.cpu_of('peers'):
             raw = self._wire.encode_datagram(message)
-        size = len(raw) + UDP_HEADER_BYTES
-        BYTES_SENT.add({'kind': 'datagram'}, size)
-        control.count_bytes(control.Direction.SENT, size)
+        traffic.count_sent(len(raw) + UDP_HEADER_BYTES)
         try:
             await self._udp.sendto(raw, to)
         except OSError as exc:
@@ -99,8 +121,7 @@
             except OSError as exc:
                 logger.debug('no datagram was received: %s', exc)
                 continue
-            size = len(raw) + UDP_HEADER_BYTES
-            control.count_bytes(control.Direction.RECEIVED, size)
+            traffic.count_received(len(raw) + UDP_HEADER_BYTES)
             with control.cpu_of('peers'):
                 message = self._wire.decode_datagram(raw)
             if isinstance(message, messages.Datagram):
@@ -145,8 +166,7 @@
         for page in pages(fetch.nonce, answer(fetch)):
             with control.cpu_of('peers'):
                 raw = self._wire.encode_page(page)
-            BYTES_SENT.add({'kind': 'fetch'}, len(raw))
-            control.count_bytes(control.Direction.SENT, len(raw))
+            traffic.count_sent(len(raw) + TCP_EXCHANGE_BYTES)
             await _send_frame(stream, raw)
 
     async def _read_pages(
@@ -157,7 +177,7 @@
             frame = await _receive_frame(stream)
             if frame is None:
                 return messages.FetchFailed('the answer was cut')
-            control.count_bytes(control.Direction.RECEIVED, len(frame))
+            traffic.count_received(len(frame) + TCP_EXCHANGE_BYTES)
             with control.cpu_of('peers'):
                 page = self._wire.decode_page(frame)
             if isinstance(page, messages.Undecodable):
