Wait in the whole-path test until the hosts know each other

Change: it waits for the same condition, all hosts named, with the usual bound. As strict: the condition is unchanged.

--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -1,5 +1,7 @@
 """The whole path of a request through separate processes."""
 
+import functools
+
 import orjson
 import trio
 
@@ -10,10 +12,16 @@
 DONE = b'data: [DONE]\n\n'
 
 
+async def _names(system: whole.System, ports: set[int]) -> bool:
+    return await system.addresses('host-1') == ports
+
+
 async def test_a_request_is_served_end_to_end() -> None:
     async with whole.running() as system:
         ports = {system.port(host_id) for host_id in system.hosts}
-        assert await system.addresses('host-1') == ports
+        await processes.wait_for(
+            functools.partial(_names, system, ports), 'all hosts are named'
+        )
         plain = await system.chat('host-2')
         message = orjson.loads(plain.content)['choices'][0]['message']
         streamed = await system.chat('host-1', stream=True)
