--- a/tests/unit/network/test_tls.py
+++ b/tests/unit/network/test_tls.py
@@ -9,7 +9,9 @@
 import trio
 import trustme
 
+import corianderloft
 from corianderloft._internal.network import tls
+from tests.lib import engines
 from tests.lib import entry
 
 
@@ -58,6 +60,32 @@
                 await trio.sleep(0.01)
 
 
+async def test_client_speaks_tls_with_hosts_it_can_trust(
+    tmp_path: pathlib.Path, nursery: trio.Nursery
+) -> None:
+    authority = trustme.CA()
+    chain, key = _write(authority, tmp_path, 1)
+    files = {'tls_certificate': chain, 'tls_key': key}
+    _, one = await engines.start(nursery, 'e1', engines.serves)
+    trusting = ssl.create_default_context()
+    authority.configure_trust(trusting)
+    told = []
+    async with entry.running_host(one, callers=files) as fixture:
+        port = fixture.sockets.caller_port
+        seeds = [corianderloft.Address('127.0.0.1', port)]
+        for context in (trusting, ssl.create_default_context()):
+            cfg = corianderloft.ClientSettings(tls=context)
+            async with corianderloft.Client(
+                seeds, entry.KEYS['stables'], cfg
+            ) as client:
+                body = {'messages': entry.BODY['messages']}
+                told.append(await client.chat('desk', 'quick', body))
+    assert isinstance(told[0], corianderloft.ChatAnswer)
+    assert told[0].tokens == engines.TOKENS
+    assert isinstance(told[1], corianderloft.Unreachable)
+    assert told[1].run == 'not_run'
+
+
 def test_broken_files_leave_the_old_certificate(
     tmp_path: pathlib.Path,
 ) -> None:
