--- a/tests/lib/fake_kv.py
+++ b/tests/lib/fake_kv.py
@@ -165,8 +165,9 @@
         if holds:
             if operations:
                 self.store.write(operations)
-                await self._notify()
-            return kv.Written(ids.Revision(self.store.revision))
+            written = kv.Written(ids.Revision(self.store.revision))
+            await self._notify()
+            return written
         present = (items[c.key] for c in compares if c.key in items)
         return kv.Conflict(self.store.revision, tuple(present))
 
