Hedge sooner, and doubt engines whose speed was never seen

Cause: with 2 of 5 engines slowed, short work that met a slowed engine for the first time waited 0.2 s for its hedge. Change: an engine without a known time between tokens is doubted; hedge_least_delay 0.2 -> 0.12 s.

--- a/src/corianderloft/_internal/decisions/engines.py
+++ b/src/corianderloft/_internal/decisions/engines.py
@@ -171,6 +171,8 @@
 
     def doubt(self, now: float) -> float:
         """Return how little its speed is known, from 0 to 1."""
+        if self.gap is None:
+            return 1.0
         return 1.0 - math.exp((self.last_progress - now) / _KNOWN_FOR)
 
     def others(self, mean_others: float, now: float) -> float:
--- a/src/corianderloft/_internal/settings/decisions.py
+++ b/src/corianderloft/_internal/settings/decisions.py
@@ -112,5 +112,5 @@
         lt=1,
     )
     hedge_least_delay: float = base.setting(
-        0.2, 'Shortest wait before a hedge.', 's', gt=0
+        0.12, 'Shortest wait before a hedge.', 's', gt=0
     )
