--- a/tests/unit/decisions/test_choice.py
+++ b/tests/unit/decisions/test_choice.py
@@ -6,6 +6,7 @@
 import trio.testing
 
 from corianderloft._internal.decisions import interface
+from corianderloft._internal.models import reasons
 from corianderloft._internal.models import requests
 from tests.lib import decisions as lib
 
@@ -128,3 +129,45 @@
         for _ in range(5):
             nursery.start_soon(serve, 'calm')
     assert max(n for n, w in enumerate(order) if w == 'calm') < 20
+
+
+async def test_request_without_a_chance_is_refused_at_once(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    dispatcher = lib.dispatcher(engines=1, slots=1)
+
+    async def serve() -> None:
+        grant = await lib.granted(dispatcher, lib.ticket(wait=1000.0))
+        await trio.sleep(1.0)
+        grant.close(interface.AttemptEnd.COMPLETE)
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(30):
+            nursery.start_soon(serve)
+        await trio.sleep(5.5)
+        began = trio.current_time()
+        hopeless = await dispatcher.acquire(lib.ticket(wait=3.0))
+        assert isinstance(hopeless, requests.Refused)
+        assert hopeless.reason is reasons.RefusalReason.DEADLINE
+        assert trio.current_time() == began
+        nursery.cancel_scope.cancel()
+
+
+async def test_workspaces_share_by_cost_not_by_count(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    dispatcher = lib.dispatcher(engines=1, slots=1)
+    order = []
+
+    async def serve(workspace: str, max_tokens: int) -> None:
+        wanted = lib.ticket(0, workspace, max_tokens=max_tokens)
+        grant = await lib.granted(dispatcher, wanted)
+        order.append(workspace)
+        await trio.sleep(0.01)
+        grant.close(interface.AttemptEnd.COMPLETE)
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(30):
+            nursery.start_soon(serve, 'wordy', 400)
+            nursery.start_soon(serve, 'brief', 40)
+    assert order[:24].count('brief') >= 16
