--- a/src/corianderloft/_internal/decisions/dispatcher.py
+++ b/src/corianderloft/_internal/decisions/dispatcher.py
@@ -1,5 +1,6 @@
 """The decisions on the requests of one entry host."""
 
+import collections
 import collections.abc
 import random
 
@@ -10,7 +11,9 @@
 from corianderloft._internal.decisions import plugins
 from corianderloft._internal.decisions import pool
 from corianderloft._internal.decisions import refusals
+from corianderloft._internal.decisions import routes
 from corianderloft._internal.decisions import waiting
+from corianderloft._internal.metrics import queues
 from corianderloft._internal.models import backends
 from corianderloft._internal.models import catalog
 from corianderloft._internal.models import ids
@@ -53,7 +56,9 @@
     ) -> interface.Grant | requests.Refused:
         """Queue a request until it may run on a backend server."""
         service = self._pools.get(ticket.service)
-        if service is None or not service.engine_set.live:
+        if service is None or not service.engine_set.live_for(
+            ticket.workspace
+        ):
             return refusals.no_backend(ticket.service)
         now = trio.current_time()
         weight = self._weights.get(ticket.workspace, 1)
@@ -115,15 +120,40 @@
             return None
         return service.hedge_after(ticket)
 
+    def queue_states(self) -> tuple[queues.QueueState, ...]:
+        """Return the queues in which requests wait, by service and tier."""
+        now = trio.current_time()
+        return tuple(
+            state
+            for name, service in self._pools.items()
+            for state in _queue_states(name, service, now)
+        )
+
+    def longest_lane_wait(self) -> float:
+        """Return the longest time a lane waited for a start, in seconds."""
+        return max(
+            (
+                lane.longest_wait
+                for service in self._pools.values()
+                for lane in service.seen.demand.lanes.values()
+            ),
+            default=0.0,
+        )
+
     def use_catalog(self, current: catalog.Catalog) -> None:
         """Put a new configuration in force."""
         self._weights = {
-            w.workspace_id: w.limits.weight for w in current.workspaces
+            w.workspace_id: w.limits.weight
+            for w in current.limited_workspaces()
         }
         self.limits.use_catalog(current)
         known = {service.name for service in current.services}
+        own = routes.own_routes(current.workspaces)
         for template in current.services:
             self._use_template(template)
+            self._pools[template.name].engine_set.use_own_routes(
+                own.get(template.name, {})
+            )
         for name in set(self._pools) - known:
             self._pools.pop(name).close(trio.current_time())
         self.use_backends(self._backends)
@@ -176,6 +206,19 @@
                 service.scene.prefixes.remove(engine_id, removed)
 
 
+def _queue_states(
+    name: ids.ServiceName, service: pool.ServicePool, now: float
+) -> collections.abc.Iterator[queues.QueueState]:
+    """Yield the queue of each tier of one service."""
+    ages: collections.defaultdict[ids.Tier, list[float]] = (
+        collections.defaultdict(list)
+    )
+    for waiter in service.plugins.queue.waiters():
+        ages[waiter.ticket.tier].append(now - waiter.ticket.arrived)
+    for tier, waits in sorted(ages.items()):
+        yield queues.QueueState(name, tier, len(waits), max(waits))
+
+
 def _abandon(service: pool.ServicePool, waiter: waiting.Waiter) -> None:
     """Leave the queue, or give back a slot that nobody will use."""
     if waiter.outcome is None:
--- a/src/corianderloft/_internal/entry/attempts.py
+++ b/src/corianderloft/_internal/entry/attempts.py
@@ -34,9 +34,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Opened:
-    """The answer has begun; ``first`` is its whole body or first events."""
+    """The answer has begun.
+
+    Attributes
+    ----------
+    first : bytes
+        Its whole body, or its first events.
+    tokens : int
+        Tokens of a whole body.
+    """
 
     first: bytes
+    tokens: int = 0
 
 
 Opening = Opened | outbound.Failure | requests.Refused
@@ -198,12 +207,12 @@
         )
         if isinstance(body, outbound.Failure):
             return self._failed(body)
-        tokens = _completion_tokens(body)
+        tokens = verdicts.completion_tokens(body)
         if tokens is None:
             return self._failed(self._broken('its answer is no completion'))
         self._grant.first_token()
         self._grant.progress(tokens)
-        return Opened(body)
+        return Opened(body, tokens)
 
     async def _not_served(self, head: outbound.Head, have: int) -> Opening:
         body = await self._outbound.read_all(
@@ -281,14 +290,3 @@
         self._grant.progress(self._sink.take(events))
         self.complete = events.endswith(sse.DONE)
         await self._sink.send(events)
-
-
-def _completion_tokens(body: bytes) -> int | None:
-    """Return the tokens of a whole completion, or None if it is none."""
-    try:
-        answer = orjson.loads(body)
-        if not answer['choices']:
-            return None
-        return int(answer.get('usage', {}).get('completion_tokens', 1))
-    except (ValueError, KeyError, TypeError, AttributeError):
-        return None
--- a/src/corianderloft/_internal/entry/host.py
+++ b/src/corianderloft/_internal/entry/host.py
@@ -1,6 +1,7 @@
 """Runs an entry host until it has drained."""
 
 import collections.abc
+import contextlib
 import dataclasses
 import functools
 import signal
@@ -15,6 +16,7 @@
 from corianderloft._internal.entry import feeds
 from corianderloft._internal.entry import operators_app
 from corianderloft._internal.entry import parts as entry_parts
+from corianderloft._internal.metrics import queues
 from corianderloft._internal.network import serving
 from corianderloft._internal.network import tls
 from corianderloft._internal.settings import callers
@@ -97,7 +99,9 @@
     parts = entry_parts.assemble(settings, shared, dispatcher)
     draining = drain.Drain(parts)
     stopped = trio.Event()
-    async with trio.open_nursery() as nursery:
+    async with contextlib.AsyncExitStack() as stack:
+        stack.enter_context(queues.watched(dispatcher.queue_states))
+        nursery = await stack.enter_async_context(trio.open_nursery())
         for task in (*background, *_tasks(parts)):
             nursery.start_soon(task)
         if handle_signals:
--- a/src/corianderloft/_internal/shared/peers/transport.py
+++ b/src/corianderloft/_internal/shared/peers/transport.py
@@ -105,7 +105,8 @@
         self, to: messages.Address, message: messages.Datagram
     ) -> None:
         """Send a datagram; errors of the network count as loss."""
-        raw = self._wire.encode_datagram(message)
+        with control.cpu_of('peers'):
+            raw = self._wire.encode_datagram(message)
         traffic.count_sent(len(raw) + UDP_HEADER_BYTES)
         try:
             await self._udp.sendto(raw, to)
@@ -121,7 +122,8 @@
                 logger.debug('no datagram was received: %s', exc)
                 continue
             traffic.count_received(len(raw) + UDP_HEADER_BYTES)
-            message = self._wire.decode_datagram(raw)
+            with control.cpu_of('peers'):
+                message = self._wire.decode_datagram(raw)
             if isinstance(message, messages.Datagram):
                 return messages.Address(*source[:2]), message
 
@@ -162,7 +164,8 @@
         if isinstance(fetch, messages.Undecodable):
             return
         for page in pages(fetch.nonce, answer(fetch)):
-            raw = self._wire.encode_page(page)
+            with control.cpu_of('peers'):
+                raw = self._wire.encode_page(page)
             traffic.count_sent(len(raw) + TCP_EXCHANGE_BYTES)
             await _send_frame(stream, raw)
 
@@ -175,7 +178,8 @@
             if frame is None:
                 return messages.FetchFailed('the answer was cut')
             traffic.count_received(len(frame) + TCP_EXCHANGE_BYTES)
-            page = self._wire.decode_page(frame)
+            with control.cpu_of('peers'):
+                page = self._wire.decode_page(frame)
             if isinstance(page, messages.Undecodable):
                 return messages.FetchFailed(page.fault.value)
             if page.nonce != fetch.nonce:
--- a/tests/unit/entry/test_plain.py
+++ b/tests/unit/entry/test_plain.py
@@ -72,6 +72,21 @@
         assert again.refusal() == ('claim_in_progress', 'unknown')
 
 
+async def test_no_retry_rule_can_repeat_what_may_have_run(
+    nursery: trio.Nursery,
+) -> None:
+    till, one = await engines.start(nursery, 't1', breaks_off, 'till')
+    desk, two = await engines.start(nursery, 'e1', breaks_off)
+    async with entry.running_host(one, two) as fixture:
+        fixture.dispatcher.reckless = True
+        fixture.shared.catalog = entry.catalog_of(idempotent=False)
+        called = await call(fixture)
+        asked = await entry.chat(fixture)
+    for answer in (called, asked):
+        assert answer.refusal() == ('outcome_unknown', 'unknown')
+    assert (len(till.seen), len(desk.seen)) == (1, 1)
+
+
 async def test_call_that_certainly_did_not_run_is_sent_again(
     nursery: trio.Nursery,
 ) -> None:
@@ -149,6 +164,30 @@
     assert len(engine.seen) == 1
 
 
+async def test_call_that_waits_ends_with_its_caller(
+    nursery: trio.Nursery,
+) -> None:
+    engine, one = await engines.start(nursery, 't1', charges, 'till')
+    async with entry.running_host(one) as fixture:
+        fixture.dispatcher.gate = trio.Event()
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as callers:
+
+                async def leave_once_queued() -> None:
+                    await fixture.dispatcher.asked.wait()
+                    scope.cancel()
+
+                callers.start_soon(leave_once_queued)
+                await call(fixture, Idempotency_Key='k1')
+        with trio.fail_after(10):
+            while not fixture.shared.released:
+                await trio.sleep(0.01)
+        fixture.dispatcher.gate.set()
+        answer = await call(fixture, Idempotency_Key='k1')
+    assert answer.status == 201
+    assert len(engine.seen) == 1
+
+
 async def test_old_connection_carries_no_call_that_is_not_idempotent(
     nursery: trio.Nursery,
 ) -> None:
