Let exceptions leave the callers' client; run the guide as written

Cause: by hand, the guide's `python examples/caller.py` printed nothing and ended with 0 when the host had no configuration yet. `Client` cancelled its nursery before it closed kept connections; the `Cancelled` of the close replaced the block's exception and the nursery swallowed it. For the same reason tests/docs passed although the README's example had failed: the test writes the example's lists with their fixed ports into its own key-value service, so its hosts were told of engines and peers that were not theirs. Ruled out: the host, whose refusal (stale_configuration, not_run) is right. Change: connections are closed first, for at most 1 s, then the nursery is cancelled; the block's own exception goes on as it was raised, not in a group. The test of the pages lists the ports that are bound, and is stricter now: a failed example fails it. Conclusion: callers see their own exceptions, and the pages' test the truth.

--- a/src/corianderloft/_internal/caller/client.py
+++ b/src/corianderloft/_internal/caller/client.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import types
 import typing
 import uuid
 
@@ -14,6 +15,8 @@
 from corianderloft._internal.caller import streams
 from corianderloft._internal.network import outbound
 
+CLOSE_TIMEOUT = 1.0  # s
+
 _ASK_AGAIN = frozenset({'claim_in_progress'})
 
 
@@ -52,12 +55,27 @@
     async def __aenter__(self) -> 'Client':
         nursery = await self._stack.enter_async_context(trio.open_nursery())
         nursery.start_soon(self._hosts.watch.run)
-        self._stack.push_async_callback(self._hosts.close)
         self._stack.callback(nursery.cancel_scope.cancel)
+        self._stack.push_async_callback(self._close)
         return self
 
-    async def __aexit__(self, *exc: typing.Any) -> bool | None:
-        return await self._stack.__aexit__(*exc)
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> bool | None:
+        try:
+            return await self._stack.__aexit__(kind, exc, traceback)
+        except BaseExceptionGroup as group:
+            if group.exceptions != (exc,):
+                raise
+            # The block's own exception goes on as it was raised.
+            return False
+
+    async def _close(self) -> None:
+        with trio.move_on_after(CLOSE_TIMEOUT):
+            await self._hosts.close()
 
     def stream(
         self,
--- a/tests/docs/test_commands.py
+++ b/tests/docs/test_commands.py
@@ -24,6 +24,8 @@
 ]
 PAGE_IDS = [page.name for page in PAGES]
 
+LISTS = 'examples/platform/nileknot.yaml'
+
 COMMAND = re.compile(r'^\$ (.+?)(?:\s+# exit code (\d+))?$', re.MULTILINE)
 
 
@@ -32,6 +34,7 @@
     page: pathlib.Path,
     monkeypatch: pytest.MonkeyPatch,
     capfd: pytest.CaptureFixture[str],
+    tmp_path: pathlib.Path,
 ) -> None:
     text = page.read_text(encoding='utf-8').replace('\\\n', ' ')
     monkeypatch.chdir(guide.ROOT)
@@ -43,8 +46,12 @@
         monkeypatch.setenv(
             http_client.OPERATOR_KEY_VARIABLE, 'clk_example_operator'
         )
+        lists = tmp_path / 'lists.yaml'
+        listed = (guide.ROOT / LISTS).read_text(encoding='utf-8')
+        lists.write_text(processes.translate_lists(listed), encoding='utf-8')
         for line, code in COMMAND.findall(text):
-            found = _run(processes.translate(line), monkeypatch)
+            bound = processes.translate(line).replace(LISTS, str(lists))
+            found = _run(bound, monkeypatch)
             printed = capfd.readouterr()
             assert found == int(code or 0), (line, printed)
             assert 'Traceback' not in printed.out + printed.err
--- a/tests/lib/guide.py
+++ b/tests/lib/guide.py
@@ -23,7 +23,8 @@
 }
 START_TIMEOUT = 30.0  # s
 
-_PORT = re.compile(r'127\.0\.0\.1:(\d+)')
+_ADDRESS = re.compile(r'127\.0\.0\.1:(\d+)')
+_LISTED_PORT = re.compile(r'port: (\d+)')
 
 
 @dataclasses.dataclass
@@ -40,10 +41,16 @@
 
     def translate(self, line: str) -> str:
         """Return a command line with the ports that are bound."""
-        return _PORT.sub(
+        return _ADDRESS.sub(
             lambda found: f'127.0.0.1:{self.ports[int(found.group(1))]}', line
         )
 
+    def translate_lists(self, text: str) -> str:
+        """Return the platform's lists with the ports that are bound."""
+        return _LISTED_PORT.sub(
+            lambda found: f'port: {self.ports[int(found.group(1))]}', text
+        )
+
 
 @contextlib.contextmanager
 def running() -> collections.abc.Iterator[Guide]:
--- a/tests/unit/caller/test_client.py
+++ b/tests/unit/caller/test_client.py
@@ -3,6 +3,7 @@
 import contextlib
 import typing
 
+import pytest
 import trio
 
 import corianderloft
@@ -59,6 +60,18 @@
     assert (answer.text, answer.tokens) == (TEXT, engines.TOKENS)
 
 
+@pytest.mark.parametrize('service', ['desk', 'absent'])
+async def test_exception_leaves_the_block(
+    service: str, nursery: trio.Nursery
+) -> None:
+    _, one = await engines.start(nursery, 'e1', engines.serves)
+    async with entry.running_host(one) as fixture:
+        with pytest.raises(SystemExit, match='^gave up$'):
+            async with client(fixture.sockets.caller_port) as caller:
+                await caller.chat(service, 'quick', CHAT)
+                raise SystemExit('gave up')
+
+
 async def test_address_answer_is_kept_and_followed(
     nursery: trio.Nursery,
 ) -> None:
