Serve stand-ins in one place; end on Ctrl-C without a traceback

Cause: standin/__main__.py and commands/standin.py both checked options, served and announced the port. Ctrl-C at `corianderloft standin kv` printed a traceback: trio raises KeyboardInterrupt within a group, and only the bare one was caught. Change: standin/process.py holds the kinds and serves them; both command lines use it and check options the same way. The parser and the stand-ins take interrupts in groups too.

--- a/src/corianderloft/_internal/cli/parser.py
+++ b/src/corianderloft/_internal/cli/parser.py
@@ -89,9 +89,13 @@
     wrong = output.unknown_format(bound._form)
     if wrong is not None:
         return _print(wrong, output.TABLE)
+    outcome: output.Outcome | None = None
     try:
         outcome = bound._run()
-    except KeyboardInterrupt:
+    except* KeyboardInterrupt:
+        # Nurseries raise it within a group.
+        pass
+    if outcome is None:
         return exit_codes.ExitCode.INTERRUPTED
     return _print(outcome, bound._form)
 
--- a/src/corianderloft/_internal/commands/standin.py
+++ b/src/corianderloft/_internal/commands/standin.py
@@ -1,21 +1,13 @@
 """Commands ``standin ...``: stand-ins for the platform, for trials."""
 
-import collections.abc
 import typing
 
-import trio
-
 from corianderloft._internal.cli import exit_codes
 from corianderloft._internal.cli import output
 from corianderloft._internal.commands import registry
-from corianderloft._internal.settings import base
-from corianderloft._internal import standin
+from corianderloft._internal.standin import process
 from corianderloft._internal.utils import checking
 
-LOOPBACK = '127.0.0.1'
-
-Serve = collections.abc.Callable[..., collections.abc.Awaitable[None]]
-
 
 @registry.COMMANDS.register('standin kv')
 def kv(format: str = output.TABLE, **settings: typing.Any) -> output.Outcome:
@@ -29,7 +21,7 @@
     format : str
         ``table`` or ``json``.
     """
-    return _run('kv', standin.KvSettings, standin.serve_kv, settings)
+    return _run('kv', settings)
 
 
 @registry.COMMANDS.register('standin engine')
@@ -46,9 +38,7 @@
     format : str
         ``table`` or ``json``.
     """
-    return _run(
-        'engine', standin.EngineSettings, standin.serve_engine, settings
-    )
+    return _run('engine', settings)
 
 
 @registry.COMMANDS.register('standin service')
@@ -65,30 +55,17 @@
     format : str
         ``table`` or ``json``.
     """
-    return _run(
-        'service', standin.ServiceSettings, standin.serve_service, settings
-    )
+    return _run('service', settings)
 
 
-def _run(
-    name: str,
-    model: type[base.Section],
-    serve: Serve,
-    options: dict[str, typing.Any],
-) -> output.Outcome:
-    checked = checking.check(model, options, name)
-    if isinstance(checked, tuple):
+def _run(name: str, options: dict[str, typing.Any]) -> output.Outcome:
+    model = process.KINDS[name].settings
+    settings = checking.check(model, options, name)
+    if isinstance(settings, tuple):
         return output.Failure(
             exit_codes.ExitCode.USAGE,
             f'wrong option of `standin {name}`',
-            tuple(map(str, checked)),
+            tuple(map(str, settings)),
         )
-    trio.run(_serve, name, serve, checked)
+    process.run(name, settings)
     return output.Result({'stopped': name})
-
-
-async def _serve(name: str, serve: Serve, settings: base.Section) -> None:
-    async with trio.open_nursery() as nursery:
-        port = await nursery.start(serve, settings)
-        line = {'standin': name, 'address': LOOPBACK, 'port': port}
-        print(output.to_json(line), flush=True)
--- a/tests/unit/cli/test_parser.py
+++ b/tests/unit/cli/test_parser.py
@@ -3,8 +3,10 @@
 import json
 import pathlib
 import socket
+import typing
 
 import pytest
+import trio
 
 from corianderloft._internal.cli import exit_codes
 from corianderloft._internal.cli import parser
@@ -112,3 +114,22 @@
     printed = capsys.readouterr().err
     assert code == exit_codes.ExitCode.FAILED
     assert 'h cannot serve' in printed and 'Traceback' not in printed
+
+
+@pytest.mark.parametrize(
+    'argv, code',
+    [
+        (['standin', 'kv'], exit_codes.ExitCode.OK),
+        (['address', '127.0.0.1:1'], exit_codes.ExitCode.INTERRUPTED),
+    ],
+)
+def test_interrupt_within_a_nursery_prints_no_traceback(
+    argv: list[str],
+    code: exit_codes.ExitCode,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def interrupted(*_: typing.Any) -> None:
+        raise BaseExceptionGroup('nursery', [KeyboardInterrupt()])
+
+    monkeypatch.setattr(trio, 'run', interrupted)
+    assert parser.main(argv) == code
