Take trio.TaskStatus where it can be taken

Cause: utils/tasks.py held our own protocol because the stubs of trio had none; trio itself brings it.

--- a/src/corianderloft/_internal/demo/stage.py
+++ b/src/corianderloft/_internal/demo/stage.py
@@ -15,7 +15,6 @@
 from corianderloft._internal.settings import root
 from corianderloft._internal import standin
 from corianderloft._internal.standin import platform_file
-from corianderloft._internal.utils import tasks
 
 LOOPBACK = '127.0.0.1'
 
@@ -122,7 +121,7 @@
 async def _run_host(
     settings: root.Settings,
     ended: trio.Event,
-    task_status: tasks.TaskStatus[daemon.Started] = trio.TASK_STATUS_IGNORED,
+    task_status: trio.TaskStatus[daemon.Started] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     await daemon.run(settings, handle_signals=False, task_status=task_status)
     ended.set()
--- a/src/corianderloft/_internal/standin/engine/server.py
+++ b/src/corianderloft/_internal/standin/engine/server.py
@@ -16,12 +16,11 @@
 from corianderloft._internal.standin import http
 from corianderloft._internal.standin import settings as standin_settings
 from corianderloft._internal.utils import prefixes
-from corianderloft._internal.utils import tasks
 
 
 async def serve_engine(
     settings: standin_settings.EngineSettings,
-    task_status: tasks.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve a model engine on loopback; reports the bound port."""
     engine = Engine(settings)
--- a/src/corianderloft/_internal/standin/http.py
+++ b/src/corianderloft/_internal/standin/http.py
@@ -9,8 +9,6 @@
 import orjson
 import trio
 
-from corianderloft._internal.utils import tasks
-
 Scope = dict[str, typing.Any]
 Receive = collections.abc.Callable[
     [], collections.abc.Awaitable[dict[str, typing.Any]]
@@ -203,7 +201,7 @@
 
 
 async def serve(
-    app: Routes, port: int, task_status: tasks.TaskStatus[int]
+    app: Routes, port: int, task_status: trio.TaskStatus[int]
 ) -> None:
     """Serve ``app`` on loopback and report the bound port."""
     config = hypercorn.config.Config()
--- a/src/corianderloft/_internal/standin/kv/server.py
+++ b/src/corianderloft/_internal/standin/kv/server.py
@@ -12,7 +12,6 @@
 from corianderloft._internal.standin.kv import store as kv_store
 from corianderloft._internal.standin.kv import watching
 from corianderloft._internal.standin import settings as standin_settings
-from corianderloft._internal.utils import tasks
 
 LEASE_CHECK_INTERVAL = 0.1  # s
 PLATFORM_PREFIX = b'platform/'
@@ -24,7 +23,7 @@
 
 async def serve_kv(
     settings: standin_settings.KvSettings,
-    task_status: tasks.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve the key-value service on loopback; reports the bound port."""
     async with trio.open_nursery() as nursery:
--- a/src/corianderloft/_internal/standin/service/server.py
+++ b/src/corianderloft/_internal/standin/service/server.py
@@ -8,12 +8,11 @@
 from corianderloft._internal.standin import http
 from corianderloft._internal.standin.service import faults as service_faults
 from corianderloft._internal.standin import settings as standin_settings
-from corianderloft._internal.utils import tasks
 
 
 async def serve_service(
     settings: standin_settings.ServiceSettings,
-    task_status: tasks.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve a plain service on loopback; reports the bound port."""
     service = PlainService(settings)
