--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -6,6 +6,7 @@
 import tabulate
 
 from bench.capacity import measurements
+from bench.capacity import quantities
 from bench.capacity import rows
 
 PAGE = pathlib.Path('docs/CAPACITY.md')
@@ -19,7 +20,7 @@
     return f'{value:.3g}'
 
 
-def _cells(row: rows.Row) -> tuple[str, ...]:
+def _cells(row: quantities.Row) -> tuple[str, ...]:
     used = '' if row.budget is None else f'{row.value / row.budget:.0%}'
     budget = '' if row.budget is None else _format(row.budget)
     return (
--- a/bench/capacity/rows.py
+++ b/bench/capacity/rows.py
@@ -1,12 +1,12 @@
 """Rows of the table: each role's cost at the design size."""
 
 import collections.abc
-import dataclasses
-import enum
 import itertools
 
 from bench.capacity import design
+from bench.capacity import kv_rows
 from bench.capacity import measurements
+from bench.capacity import quantities
 from corianderloft._internal.settings import backends
 
 POLLS_PER_SECOND = backends.BackendSettings().polls_per_second
@@ -17,63 +17,15 @@
 MESSAGES_PER_PROBE = 2.0  # a probe and its answer
 PROBE_NEWS = 3  # hosts of which a probe carries news
 HEADER_BYTES = 28.0  # IP and UDP
-WATCHERS_PER_DOMAIN = 2
-WATCHED_PREFIXES = 2
-WATCH_LIFE = 3.0  # s
-VERIFY_INTERVAL = 2.0  # s
 SHARDS = 4096
 CHANGES_IN_A_MINUTE = 1_000
-CLAIM_WRITES_PER_SECOND = 200.0
 TOKEN_GAP = 0.036  # s
-LEASE_TTL = 15.0  # s
-RENEWALS_PER_TTL = 3.0
 ADDRESS_TTL = 10.0  # s
 CALLER_PROCESSES = 10_000
 
 Slopes = measurements.Recorded
 
 
-class Status(enum.Enum):
-    """How a figure came about."""
-
-    MEASURED = 'measured'
-    EXTRAPOLATED = 'extrapolated'
-    NOT_BUILT = 'not yet built'
-
-
-@dataclasses.dataclass(frozen=True)
-class Row:
-    """One quantity of one role.
-
-    Attributes
-    ----------
-    role, quantity, formula : str
-        What it is, and how it is worked out.
-    value : float
-        At the design size, in ``unit``.
-    unit : str
-        Unit of value and budget.
-    budget : float or None
-        What it may be.
-    mechanism : str
-        Module that carries it.
-    status : Status
-        How the figure came about.
-    worst : bool
-        Whether it is a worst moment and no steady state.
-    """
-
-    role: str
-    quantity: str
-    formula: str
-    value: float
-    unit: str
-    budget: float | None
-    mechanism: str
-    status: Status
-    worst: bool = False
-
-
 def _core(seconds: float) -> float:
     """Return a part of a core, in percent."""
     return 100.0 * seconds
@@ -82,14 +34,16 @@
 CORE_BUDGET = _core(SIZE.control_core_fraction)
 
 
-def all_rows(slopes: Slopes) -> tuple[Row, ...]:
+def all_rows(slopes: Slopes) -> tuple[quantities.Row, ...]:
     """Return all rows, role by role."""
-    makers: tuple[collections.abc.Callable[[Slopes], tuple[Row, ...]], ...] = (
+    makers: tuple[
+        collections.abc.Callable[[Slopes], tuple[quantities.Row, ...]], ...
+    ] = (
         _messages,
         _memory,
         _configuration,
         _requests,
-        _service,
+        kv_rows.all_rows,
         _callers,
     )
     rows = tuple(
@@ -98,7 +52,7 @@
     return rows + _totals(rows)
 
 
-def _totals(rows: tuple[Row, ...]) -> tuple[Row, ...]:
+def _totals(rows: tuple[quantities.Row, ...]) -> tuple[quantities.Row, ...]:
     """Return what all control of one host adds up to, worst moments apart."""
     budgets = (
         ('CPU', '% of a core', CORE_BUDGET),
@@ -106,7 +60,7 @@
         ('bytes', 'bytes/s', SIZE.control_bytes_per_second),
     )
     return tuple(
-        Row(
+        quantities.Row(
             'entry host',
             f'all control: {what}',
             'sum of the rows above with this budget',
@@ -114,7 +68,7 @@
             unit,
             budget,
             '',
-            Status.EXTRAPOLATED,
+            quantities.Status.EXTRAPOLATED,
         )
         for what, unit, budget in budgets
     )
@@ -135,9 +89,9 @@
     return 2.0 * PROBES_PER_SECOND * MESSAGES_PER_PROBE * size
 
 
-def _messages(slopes: Slopes) -> tuple[Row, ...]:
+def _messages(slopes: Slopes) -> tuple[quantities.Row, ...]:
     return (
-        Row(
+        quantities.Row(
             'entry host',
             'CPU for probes',
             '2 messages/s each way x (encode + decode)',
@@ -145,9 +99,9 @@
             '% of a core',
             CORE_BUDGET,
             'shared/membership/detector.py',
-            Status.EXTRAPOLATED,
+            quantities.Status.EXTRAPOLATED,
         ),
-        Row(
+        quantities.Row(
             'entry host',
             'bytes for reading load and cache events',
             f'{POLLS_PER_SECOND:g} polls/s x poll_size',
@@ -155,9 +109,9 @@
             'bytes/s',
             SIZE.control_bytes_per_second,
             'entry/feeds.py',
-            Status.EXTRAPOLATED,
+            quantities.Status.EXTRAPOLATED,
         ),
-        Row(
+        quantities.Row(
             'entry host',
             'bytes for probes, both ways',
             '4 messages/s x (size + headers)',
@@ -165,19 +119,19 @@
             'bytes/s',
             SIZE.control_bytes_per_second,
             'shared/membership/detector.py',
-            Status.EXTRAPOLATED,
+            quantities.Status.EXTRAPOLATED,
         ),
     )
 
 
-def _memory(slopes: Slopes) -> tuple[Row, ...]:
+def _memory(slopes: Slopes) -> tuple[quantities.Row, ...]:
     return _held(slopes) + _process(slopes)
 
 
-def _process(slopes: Slopes) -> tuple[Row, ...]:
+def _process(slopes: Slopes) -> tuple[quantities.Row, ...]:
     streams = SIZE.tokens_per_host * TOKEN_GAP
     return (
-        Row(
+        quantities.Row(
             'entry host',
             'memory of an idle process',
             'idle_process',
@@ -185,9 +139,9 @@
             'MB',
             SIZE.control_memory / 1e6,
             'the interpreter and the libraries',
-            Status.MEASURED,
+            quantities.Status.MEASURED,
         ),
-        Row(
+        quantities.Row(
             'entry host',
             'memory for open streams',
             '3,421 tokens/s x 36 ms x open_stream',
@@ -195,12 +149,12 @@
             'MB',
             None,
             'entry/, network/',
-            Status.EXTRAPOLATED,
+            quantities.Status.EXTRAPOLATED,
         ),
     )
 
 
-def _held(slopes: Slopes) -> tuple[Row, ...]:
+def _held(slopes: Slopes) -> tuple[quantities.Row, ...]:
     counts = (
         ('members', SIZE.hosts, 'member_known', 'shared/membership/view.py'),
         (
@@ -217,7 +171,7 @@
         ),
     )
     return tuple(
-        Row(
+        quantities.Row(
             'entry host',
             f'memory for {what}',
             f'{count:,} x {name}',
@@ -225,18 +179,18 @@
             'MB',
             SIZE.control_memory / 1e6,
             mechanism,
-            Status.EXTRAPOLATED,
+            quantities.Status.EXTRAPOLATED,
         )
         for what, count, name, mechanism in counts
     )
 
 
-def _configuration(slopes: Slopes) -> tuple[Row, ...]:
+def _configuration(slopes: Slopes) -> tuple[quantities.Row, ...]:
     once = slopes.slope('change_applied').median * MICROSECOND
     rate = SIZE.changes_per_day / DAY
     shard = SIZE.workspaces / SHARDS
     return (
-        Row(
+        quantities.Row(
             'entry host',
             'CPU for changes, an ordinary day',
             '10,000/day x change_applied',
@@ -244,9 +198,9 @@
             '% of a core',
             CORE_BUDGET,
             'shared/configuration/catalogs.py',
-            Status.EXTRAPOLATED,
+            quantities.Status.EXTRAPOLATED,
         ),
-        Row(
+        quantities.Row(
             'entry host',
             'CPU for changes, 1,000 in a minute',
             '1,000/60 s x change_applied',
@@ -254,10 +208,10 @@
             '% of a core',
             CORE_BUDGET,
             'shared/configuration/catalogs.py',
-            Status.EXTRAPOLATED,
+            quantities.Status.EXTRAPOLATED,
             worst=True,
         ),
-        Row(
+        quantities.Row(
             'entry host',
             'bytes for changes, an ordinary day',
             '10,000/day x a shard of 8.8 workspaces, received and passed on',
@@ -265,16 +219,16 @@
             'bytes/s',
             SIZE.control_bytes_per_second,
             'shared/configuration/exchange.py',
-            Status.EXTRAPOLATED,
+            quantities.Status.EXTRAPOLATED,
         ),
     )
 
 
-def _requests(slopes: Slopes) -> tuple[Row, ...]:
+def _requests(slopes: Slopes) -> tuple[quantities.Row, ...]:
     decision = slopes.slope('decision').median * MICROSECOND
     relay = slopes.slope('relayed_token').median * MICROSECOND
     return (
-        Row(
+        quantities.Row(
             'entry host',
             'CPU for decisions',
             '11.6 requests/s x decision (subset of 900 engines at most)',
@@ -282,9 +236,9 @@
             '% of a core',
             None,
             'decisions/dispatcher.py',
-            Status.EXTRAPOLATED,
+            quantities.Status.EXTRAPOLATED,
         ),
-        Row(
+        quantities.Row(
             'entry host',
             'CPU for relayed tokens',
             '3,421 tokens/s x relayed_token',
@@ -292,65 +246,16 @@
             '% of a core',
             50.0,
             'entry/attempts.py, network/',
-            Status.MEASURED,
-        ),
-    )
-
-
-def _service(slopes: Slopes) -> tuple[Row, ...]:
-    watchers = WATCHERS_PER_DOMAIN * SIZE.failure_domains
-    watches = watchers * WATCHED_PREFIXES
-    reads = watches / WATCH_LIFE + watchers / VERIFY_INTERVAL
-    renewals = SIZE.models * RENEWALS_PER_TTL / LEASE_TTL
-    return (
-        Row(
-            'key-value service',
-            'watches opened and heads compared',
-            '18 watchers x (2 watches/3 s + 1 compare/2 s)',
-            reads,
-            'calls/s',
-            SIZE.kv_reads_per_second,
-            'shared/configuration/watching.py',
-            Status.EXTRAPOLATED,
-        ),
-        Row(
-            'key-value service',
-            'waiting watches',
-            '18 watchers x 2 prefixes',
-            float(watches),
-            'calls',
-            None,
-            'shared/configuration/watching.py',
-            Status.EXTRAPOLATED,
-        ),
-        Row(
-            'home of a claim',
-            'writes for claims',
-            'bound of the settings, shared by the live hosts in batches',
-            CLAIM_WRITES_PER_SECOND,
-            'calls/s',
-            SIZE.kv_writes_per_second,
-            'shared/claims/batch.py',
-            Status.EXTRAPOLATED,
-        ),
-        Row(
-            "holder of a service's lease",
-            'renewals',
-            '5 services x 3 renewals/15 s',
-            renewals,
-            'calls/s',
-            SIZE.kv_writes_per_second,
-            'shared/leases/lease.py',
-            Status.EXTRAPOLATED,
+            quantities.Status.MEASURED,
         ),
     )
 
 
-def _callers(slopes: Slopes) -> tuple[Row, ...]:
+def _callers(slopes: Slopes) -> tuple[quantities.Row, ...]:
     look_ups = CALLER_PROCESSES / ADDRESS_TTL / SIZE.hosts
     cost = slopes.slope('address_answer').median * MICROSECOND
     return (
-        Row(
+        quantities.Row(
             'caller',
             'CPU of a host for address answers',
             '10,000 caller processes / 10 s / 380 hosts x address_answer',
@@ -358,6 +263,6 @@
             '% of a core',
             CORE_BUDGET,
             'shared/membership/addresses.py',
-            Status.EXTRAPOLATED,
+            quantities.Status.EXTRAPOLATED,
         ),
     )
