Drop the setting host.region, which nothing reads

Cause: no module used it, so an operator who set it was misled; a host's failure domain is what places it. A file that still has it is refused as an unknown key. Measured: make lint types docs-check: clean, 50 passed.

--- a/src/corianderloft/_internal/settings/host.py
+++ b/src/corianderloft/_internal/settings/host.py
@@ -23,12 +23,6 @@
         min_length=1,
         max_length=MAX_NAME_CHARACTERS,
     )
-    region: str = base.setting(
-        'region-1',
-        'Region it stands in.',
-        min_length=1,
-        max_length=MAX_NAME_CHARACTERS,
-    )
 
     @pydantic.field_validator('address')
     @classmethod
