Make the machines over leases and the fleet find their faults

Ruled out: more examples (the needed steps in a row were rare). Change: rules that cut off the holder, and that answer with old reads after an outage. Unchanged code passes.

--- a/tests/unit/shared/test_fleet_machine.py
+++ b/tests/unit/shared/test_fleet_machine.py
@@ -49,6 +49,10 @@
     def fail_service(self, host, stale):
         self.step(self._fail_service, host, stale)
 
+    @stateful.rule(stale_by=strategies.integers(1, 4))
+    def outage_then_old_reads(self, stale_by):
+        self.step(self._outage_then_old_reads, stale_by)
+
     @stateful.rule(seconds=strategies.sampled_from([0.1, 2.0, 9.0, 30.0]))
     def wait(self, seconds):
         self.step(trio.sleep, seconds)
@@ -90,6 +94,17 @@
         self.host(number).kv.stale_reads = stale
         self.host(number).kv.stale_by = stale
 
+    async def _outage_then_old_reads(self, stale_by):
+        await self.fleet.edit()
+        await trio.sleep(5)
+        self.fleet.outage(True)
+        await trio.sleep(2)
+        for host in self.fleet.hosts.values():
+            host.kv.stale_reads = 10
+            host.kv.stale_by = stale_by
+        self.fleet.outage(False)
+        await trio.sleep(10)
+
     def heal(self):
         network = self.fleet.network
         network.cuts.clear()
--- a/tests/unit/shared/test_lease_machine.py
+++ b/tests/unit/shared/test_lease_machine.py
@@ -27,6 +27,10 @@
     def fail(self, host, fault, count):
         self.step(self._fail, host, fault, count)
 
+    @stateful.rule(seconds=strategies.sampled_from([5.0, 40.0]))
+    def cut_off_the_holder(self, seconds):
+        self.step(self._cut_off_holder, seconds)
+
     @stateful.rule(host=HOSTS)
     def kill(self, host):
         self.step(self._kill, host)
@@ -38,6 +42,11 @@
     async def _fail(self, host, fault, value):
         setattr(self.candidates[host].kv, fault, value)
 
+    async def _cut_off_holder(self, seconds):
+        for candidate in self.candidates:
+            candidate.kv.down = candidate.lease.current() is not None
+        await trio.sleep(seconds)
+
     async def _kill(self, host):
         self.candidates[host].scope.cancel()
         await trio.lowlevel.checkpoint()
