Test a restart of all hosts at once

Cause: recovery without a herd was not tested. Conclusion: on a fake network; not measured with real processes.

--- a/tests/unit/shared/test_fleet.py
+++ b/tests/unit/shared/test_fleet.py
@@ -8,6 +8,7 @@
 
 DEAD_HOST_S = 5.0
 IN_FORCE_S = 2.0
+RECOVERY_S = 8.0
 
 
 @pytest.fixture
@@ -292,3 +293,28 @@
         await trio.sleep(60)
         rates[size] = (fleet.store.calls.total() - before) / 60
     assert rates[32] <= 1.25 * rates[16]
+
+
+async def test_all_hosts_restart_at_once(nursery, autojump_clock):
+    reads = {}
+    for size in (8, 32):
+        fleet = fleets.Fleet(nursery)
+        await fleet.start_many(size, domains=2)
+        revision = await fleet.edit()
+        await fleet.settle(revision)
+        ended = [fleet.kill(host_id) for host_id in list(fleet.hosts)]
+        before = fleet.store.calls['get_prefix']
+        for old in ended:
+            host = old.host
+            await fleet.start(
+                host.host_id, host.failure_domain, host.address, listed=False
+            )
+        began = trio.current_time()
+        await fleet.settle(revision)
+        assert trio.current_time() - began <= RECOVERY_S
+        reads[size] = fleet.store.calls['get_prefix'] - before - size
+        for host_id in list(fleet.hosts):
+            fleet.kill(host_id)
+    # Each host reads the list of hosts; few but the two watchers of both
+    # domains read the two other prefixes.
+    assert max(reads.values()) <= 12
