--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -8,7 +8,7 @@
 from tests.lib import processes
 from tests.lib import system as whole
 
-LONG = 'hello [tokens:150]'
+LONG = 'hello [tokens:350]'
 DONE = b'data: [DONE]\n\n'
 
 
