Hold a workspace in two thirds of the memory

Cause: docs/CAPACITY.md showed 120 of 128 MB for control, 48 MB of it the 36,000 workspaces. Ruled out: keeping only workspaces that a host has seen (a first request would wait for a read, and fail in an outage). Change: Workspace and WorkspaceLimits have slots.

--- a/src/corianderloft/_internal/models/catalog.py
+++ b/src/corianderloft/_internal/models/catalog.py
@@ -103,7 +103,7 @@
         return next((c for c in self.classes if c.name == name), None)
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class WorkspaceLimits:
     """What one workspace may use across all hosts.
 
@@ -141,7 +141,7 @@
     routes: tuple[SupplierRoute, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Workspace:
     """One workspace and what it may use.
 
