--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -5,6 +5,7 @@
 
 import tabulate
 
+from bench.capacity import fleet
 from bench.capacity import measurements
 from bench.capacity import rows
 
@@ -74,7 +75,21 @@
         f'Measured by `{recorded.command}` on {recorded.date}, '
         f'{recorded.machine}.'
     )
-    return f'{BEGIN}\n\n{table}\n\n{source}\n\n{slopes}\n\n{END}'
+    parts = (BEGIN, table, source, slopes, _fleets(fleet.load()), END)
+    return '\n\n'.join(parts)
+
+
+def _fleets(runs: fleet.FleetRuns) -> str:
+    table = tabulate.tabulate(
+        [fleet.cells(run) for run in runs.rows],
+        headers=fleet.HEADERS,
+        tablefmt='github',
+        disable_numparse=True,
+    )
+    return (
+        f'Fleets of real processes, `{runs.command}`, shared state only, one '
+        f'run a row:\n\n{table}'
+    )
 
 
 def replace_table(page: str, table: str) -> str:
