--- a/src/corianderloft/_internal/settings/peers.py
+++ b/src/corianderloft/_internal/settings/peers.py
@@ -10,6 +10,10 @@
     secret: str = base.setting(..., 'Secret shared by all hosts.')
 
 
+DEFAULT_KEYS = (PeerKey(key_id=0, secret='corianderloft'),)
+"""Keys of a fleet whose settings name none; known to everybody."""
+
+
 class PeerSettings(base.Section):
     """Messages between hosts."""
 
@@ -17,7 +21,7 @@
         0, 'UDP and TCP port; 0 lets the kernel choose.', ge=0, le=65535
     )
     keys: tuple[PeerKey, ...] = base.setting(
-        (PeerKey(key_id=0, secret='corianderloft'),),
+        DEFAULT_KEYS,
         'Keys for the keyed hash of messages; the first signs, all are'
         ' accepted. Set them: the default protects against accidents only.',
     )
--- a/src/corianderloft/_internal/shared/state.py
+++ b/src/corianderloft/_internal/shared/state.py
@@ -13,6 +13,7 @@
 from corianderloft._internal.models import catalog
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import states
+from corianderloft._internal.settings import peers as peer_settings
 from corianderloft._internal.settings import root
 from corianderloft._internal.shared import backend_list
 from corianderloft._internal.shared.claims import claims
@@ -380,6 +381,11 @@
     task_status : TaskStatus
         Receives the `interface.SharedState`.
     """
+    if settings.peers.keys == peer_settings.DEFAULT_KEYS:
+        logger.warning(
+            'peers.keys is not set: anybody who reaches the port for peers'
+            ' can speak as a host'
+        )
     ring = keys.KeyRing(
         [(key.key_id, key.secret.encode()) for key in settings.peers.keys]
     )
--- a/tests/unit/shared/test_state_thin.py
+++ b/tests/unit/shared/test_state_thin.py
@@ -86,3 +86,7 @@
     assert done == interface.AlreadyDone(200, 'text/plain', b'booked')
     other = await shared.claim('w', 's', 'k', 'another')
     assert other.reason.value == 'key_reused'
+
+
+async def test_keys_known_to_everybody_are_warned_of(shared, caplog):
+    assert 'peers.keys is not set' in caplog.text
