--- a/src/corianderloft/_internal/demo/show.py
+++ b/src/corianderloft/_internal/demo/show.py
@@ -4,6 +4,7 @@
 import dataclasses
 import importlib.resources
 import pathlib
+import secrets
 import typing
 
 import httpcore
@@ -25,6 +26,7 @@
 from corianderloft._internal.standin import platform_file
 
 OPERATOR_KEY = 'clk_demo_operator'
+_PEER_SECRET = secrets.token_hex()
 SLOWED_ENGINE = 'ravi-2'
 DRAINED_HOST = 'host-2'
 
@@ -154,7 +156,10 @@
                 'host_id': host_id,
                 'failure_domain': listed.failure_domain,
             },
-            'peers': {'answer_ttl_s': ANSWER_TTL},
+            'peers': {
+                'answer_ttl_s': ANSWER_TTL,
+                'keys': [{'key_id': 1, 'secret': _PEER_SECRET}],
+            },
             'operators': {
                 'credentials': [
                     {
--- a/tests/lib/system.py
+++ b/tests/lib/system.py
@@ -5,6 +5,7 @@
 import dataclasses
 import hashlib
 import pathlib
+import secrets
 import tempfile
 import typing
 
@@ -46,6 +47,10 @@
     printed: dict[str, typing.Any]
 
 
+def _new_keys() -> list[dict[str, typing.Any]]:
+    return [{'key_id': 1, 'secret': secrets.token_hex()}]
+
+
 @dataclasses.dataclass
 class System:
     """Processes of one system, and calls on them.
@@ -60,6 +65,9 @@
         The key-value service.
     revision : int
         Revision of the first configuration.
+    peer_keys : list of dict
+        Keys of this system's hosts; hosts of another system that got a port
+        of this one do not join.
     hosts, backends : dict
         Processes by host id and by engine id.
     """
@@ -68,6 +76,9 @@
     directory: pathlib.Path
     kv: processes.Process
     revision: int = 0
+    peer_keys: list[dict[str, typing.Any]] = dataclasses.field(
+        default_factory=_new_keys
+    )
     hosts: dict[str, processes.Process] = dataclasses.field(
         default_factory=dict
     )
@@ -156,6 +167,7 @@
             'kv': {'endpoint': self.kv_url},
             'operators': {'credentials': [credential]},
             **sections,
+            'peers': {'keys': self.peer_keys, **sections.get('peers', {})},
         }
         path = self.directory / f'{host_id}.yaml'
         path.write_text(yaml.safe_dump(settings))
@@ -181,6 +193,16 @@
             },
         )
 
+    async def metrics(self, host_id: str) -> str:
+        """Return the metrics of a host."""
+        reply = await calls.call(
+            'GET',
+            self.hosts[host_id].announced['operator_port'],
+            '/metrics',
+            authorization=f'Bearer {OPERATOR_KEY}',
+        )
+        return reply.content.decode()
+
     async def addresses(self, host_id: str) -> set[int]:
         """Return the ports that a host names to callers."""
         answer = await self.call(host_id, 'GET', '/v1/addresses')
