Tell engines of the lowered priority of a running job

Ruled out: a task for each stream (cost for streams that are never lowered); one task for all engines (a slow engine would hold up the others); several changes at a time to one engine (a late first step could undo the second). Change: `entry/priorities.py` sends `PATCH /v1/requests/<id>`, one at a time for each engine, on a kept connection that carries nothing else. A step that still waits gives way to the next, and that of an ended job is dropped, so what waits is bounded by the streams in flight. The relay only notes the change; outcomes are counted in corianderloft_priority_changes_total. Against real processes: not run. What it is worth to short requests was not measured.

--- a/src/corianderloft/_internal/entry/attempts.py
+++ b/src/corianderloft/_internal/entry/attempts.py
@@ -1,7 +1,6 @@
 """One attempt of a chat completion on one engine."""
 
 import dataclasses
-import typing
 
 import orjson
 
@@ -11,6 +10,7 @@
 from corianderloft._internal.entry import inflight
 from corianderloft._internal.entry import parts as entry_parts
 from corianderloft._internal.entry import records
+from corianderloft._internal.entry import relayed
 from corianderloft._internal.entry import sse
 from corianderloft._internal.entry import verdicts
 from corianderloft._internal.models import requests
@@ -22,16 +22,6 @@
 _TARGET = b'/v1/chat/completions'
 
 
-class Sink(typing.Protocol):
-    """Where whole events go."""
-
-    def take(self, events: bytes) -> int:
-        """Keep events and return the tokens in them."""
-
-    async def send(self, events: bytes) -> None:
-        """Pass events on to the caller."""
-
-
 @dataclasses.dataclass(frozen=True)
 class Opened:
     """The answer has begun.
@@ -86,6 +76,7 @@
         self._noted = noted
         self._running = running
         self._closed = False
+        self._priority = grant.priority
         self._cutter = sse.EventCutter()
         self._first_bound = bounds.first_silence(cfg, request_class)
         self._gap_bound = max(
@@ -119,7 +110,9 @@
             return await self._whole()
         return await self._first_events(have)
 
-    async def relay(self, first: bytes, sink: Sink) -> outbound.Failure | None:
+    async def relay(
+        self, first: bytes, sink: relayed.Sink
+    ) -> outbound.Failure | None:
         """Pass a stream on until its end.
 
         What has arrived together goes out together, and nothing is held
@@ -132,7 +125,7 @@
         sink : Sink
             Where the events go.
         """
-        stream = _Relayed(self._cutter, self._grant, sink, first)
+        stream = relayed.Relayed(self._cutter, self._saw_tokens, sink, first)
         with self._parts.watch.guard(self._gap_bound) as guard:
 
             async def before_read() -> None:
@@ -163,6 +156,9 @@
             end = interface.AttemptEnd.CALLER_LEFT
         self._noted.end = end
         self._grant.close(end)
+        self._parts.priorities.forget(
+            self.backend, self._call.ticket.request_id
+        )
         await self._outbound.close()
 
     def _caller_left(self) -> bool:
@@ -171,7 +167,18 @@
             and self._running.reason is inflight.StopReason.CALLER_LEFT
         )
 
-    async def _read_into(self, stream: '_Relayed') -> outbound.Failure | None:
+    def _saw_tokens(self, tokens: int) -> None:
+        self._grant.progress(tokens)
+        if self._grant.priority == self._priority:
+            return
+        self._priority = self._grant.priority
+        self._parts.priorities.change(
+            self.backend, self._call.ticket.request_id, self._priority
+        )
+
+    async def _read_into(
+        self, stream: relayed.Relayed
+    ) -> outbound.Failure | None:
         while True:
             data = await self._outbound.read()
             if isinstance(data, outbound.Failure):
@@ -233,7 +240,7 @@
     def _message(self, have: int) -> outbound.Message:
         body = dict(self._call.body)
         body['model'] = self.backend.model
-        body['priority'] = self._grant.priority
+        body['priority'] = self._priority
         headers = [
             (b'content-type', b'application/json'),
             (b'x-request-id', self._call.ticket.request_id.encode('ascii')),
@@ -259,34 +266,3 @@
             True,
             f'engine {self.backend.engine_id!r}: {cause}',
         )
-
-
-class _Relayed:
-    """Pieces of a stream that arrived and did not go out yet."""
-
-    def __init__(
-        self,
-        cutter: sse.EventCutter,
-        grant: interface.Grant,
-        sink: Sink,
-        first: bytes,
-    ) -> None:
-        self.pieces: list[bytes] = []
-        self.complete = False
-        self._whole = first
-        self._cutter = cutter
-        self._grant = grant
-        self._sink = sink
-
-    async def flush(self) -> None:
-        """Pass on all whole events."""
-        events = self._whole
-        if self.pieces:
-            events += self._cutter.feed(b''.join(self.pieces))
-            self.pieces.clear()
-        if not events or self.complete:
-            return
-        self._whole = b''
-        self._grant.progress(self._sink.take(events))
-        self.complete = events.endswith(sse.DONE)
-        await self._sink.send(events)
--- a/src/corianderloft/_internal/entry/host.py
+++ b/src/corianderloft/_internal/entry/host.py
@@ -122,6 +122,7 @@
     feed = feeds.Feeds(parts)
     return (
         parts.watch.run,
+        parts.priorities.run,
         functools.partial(_housekeeping, parts),
         feed.follow_shared_state,
         feed.poll_engines,
--- a/src/corianderloft/_internal/entry/parts.py
+++ b/src/corianderloft/_internal/entry/parts.py
@@ -6,8 +6,11 @@
 from corianderloft._internal.decisions import interface as decisions
 from corianderloft._internal.entry import answers
 from corianderloft._internal.entry import inflight
+from corianderloft._internal.entry import priorities
 from corianderloft._internal.entry import records
+from corianderloft._internal.models import backends
 from corianderloft._internal.network import connections
+from corianderloft._internal.network import outbound
 from corianderloft._internal.network import silence
 from corianderloft._internal.settings import root
 from corianderloft._internal.shared import interface as shared_state
@@ -31,6 +34,8 @@
         Kept connections to backend servers.
     watch : SilenceWatch
         Notices silent backend servers.
+    priorities : Priorities
+        Tells engines of changed priorities.
     answers : Answers
         Answers kept for lost callers.
     records : Records
@@ -44,6 +49,7 @@
     dispatcher: decisions.Dispatcher
     kept: connections.Connections
     watch: silence.SilenceWatch
+    priorities: priorities.Priorities
     answers: answers.Answers
     records: records.Records
     inflight: inflight.InFlight
@@ -56,12 +62,21 @@
 ) -> Parts:
     """Return the parts of a host around its shared state and decisions."""
     callers = settings.callers
+    kept = connections.Connections(settings.backends)
+    watch = silence.SilenceWatch()
+
+    def exchange(backend: backends.Backend) -> outbound.Outbound:
+        name = f'engine {backend.engine_id!r}'
+        cfg = settings.backends
+        return outbound.Outbound(kept, watch, backend, name, cfg.connect_time)
+
     return Parts(
         settings=settings,
         shared=shared,
         dispatcher=dispatcher,
-        kept=connections.Connections(settings.backends),
-        watch=silence.SilenceWatch(),
+        kept=kept,
+        watch=watch,
+        priorities=priorities.Priorities(exchange),
         answers=answers.Answers(
             callers.answer_kept_time, callers.answers_kept_bytes
         ),
--- a/tests/lib/entry.py
+++ b/tests/lib/entry.py
@@ -168,10 +168,14 @@
 
 @dataclasses.dataclass
 class FakeGrant:
-    """Grant that counts how it is used."""
+    """Grant that counts how it is used.
+
+    ``lower_after`` are the tokens after which its priority is lowered.
+    """
 
     backend: backends.Backend
     priority: int = 0
+    lower_after: tuple[int, ...] = ()
     tokens: int = 0
     ends: list[decisions.AttemptEnd] = dataclasses.field(default_factory=list)
 
@@ -180,6 +184,7 @@
 
     def progress(self, tokens: int) -> None:
         self.tokens += tokens
+        self.priority = sum(self.tokens > n for n in self.lower_after)
 
     def close(self, end: decisions.AttemptEnd) -> None:
         assert not self.ends
@@ -194,6 +199,7 @@
         self._turn = itertools.count()
         self.grants: list[FakeGrant] = []
         self.hedge: float | None = None
+        self.lower_after: tuple[int, ...] = ()
         self.reckless = False
         self.asked = trio.Event()
         self.gate = trio.Event()
@@ -221,7 +227,8 @@
                 'no backend server',
                 1.5,
             )
-        grant = FakeGrant(usable[next(self._turn) % len(usable)])
+        backend = usable[next(self._turn) % len(usable)]
+        grant = FakeGrant(backend, lower_after=self.lower_after)
         self.grants.append(grant)
         return grant
 
