Wait by the workspace's own first-token target in the decisions

Cause: a ticket carries tier, deadline and idempotence of the workspace's own class, but not its first-token target. `ServicePool._target` looked the class up by name in the service template, which holds the shared classes only, so the start target in the queue and the wait before a hedge were the template's. Ruled out: the own classes of all workspaces in each pool (36,000 workspaces would be read again at each change, as for routes); the class at the time of the decision (the deadline already follows the class at arrival). Change: `Ticket.first_token_target`, set by `entry/checks.py` from the class that the request was checked against; None means the template's. A small, additive change of models/requests.py.

--- a/src/corianderloft/_internal/decisions/pool.py
+++ b/src/corianderloft/_internal/decisions/pool.py
@@ -113,6 +113,8 @@
         return self.seen.hedge_after(ticket, self._target(ticket))
 
     def _target(self, ticket: requests.Ticket) -> float:
+        if ticket.first_token_target is not None:
+            return ticket.first_token_target
         declared = self.template.request_class(ticket.class_name)
         if declared is None:
             return ticket.start_by - ticket.arrived
--- a/src/corianderloft/_internal/entry/checks.py
+++ b/src/corianderloft/_internal/entry/checks.py
@@ -199,6 +199,7 @@
         max_tokens=max_tokens,
         idempotent=request_class.idempotent,
         prefix_hashes=hashes,
+        first_token_target=request_class.first_token_target,
     )
 
 
--- a/src/corianderloft/_internal/models/requests.py
+++ b/src/corianderloft/_internal/models/requests.py
@@ -36,6 +36,9 @@
         Whether it may be sent to a second backend server.
     prefix_hashes : tuple of int
         Hashes of growing prefixes of the prompt, shortest first.
+    first_token_target : float or None
+        Wait for the first token that its workspace asks for, in seconds;
+        None for that of the service template.
     """
 
     request_id: ids.RequestId
@@ -49,6 +52,7 @@
     max_tokens: int
     idempotent: bool = True
     prefix_hashes: tuple[int, ...] = ()
+    first_token_target: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/unit/entry/test_parameters.py
+++ b/tests/unit/entry/test_parameters.py
@@ -3,12 +3,19 @@
 import dataclasses
 
 import orjson
+import pytest
 
+from corianderloft._internal.decisions import grants
+from corianderloft._internal.entry import calls
+from corianderloft._internal.entry import checks
 from corianderloft._internal.models import catalog
 from corianderloft._internal.models import ids
+from corianderloft._internal.models import requests
+from tests.lib import decisions
 from tests.lib import entry
 
 MOST_TOKENS = 4
+OWN_TARGET = 0.25
 
 
 def _with_own_bound(current: catalog.Catalog) -> catalog.Catalog:
@@ -37,3 +44,36 @@
     till = current.services[1]
     assert current.workspaces[0].apply(till) is till
     assert current.workspaces[0].workspace_id == ids.WorkspaceId('stables')
+
+
+def _ticket(workspace: catalog.Workspace) -> requests.Ticket:
+    """Return what the decisions know of a request of a workspace."""
+    service = workspace.apply(decisions.template())
+    origin = calls.Origin(workspace, service, service.classes[0], 'r1')
+    checked = checks.chat_body(origin, orjson.dumps(entry.BODY))
+    assert isinstance(checked, calls.ChatCall)
+    return checked.ticket
+
+
+async def test_a_workspace_waits_by_its_own_first_token_target() -> None:
+    template = decisions.template()
+    declared = template.classes[0]
+    own = dataclasses.replace(declared, first_token_target=OWN_TARGET)
+    workspaces = tuple(
+        catalog.Workspace(
+            ids.WorkspaceId(name),
+            (),
+            (decisions.SERVICE,),
+            overrides=(catalog.ServiceOverride(decisions.SERVICE, classes),),
+        )
+        for name, classes in (('own', (own,)), ('plain', ()))
+    )
+    made = decisions.dispatcher()
+    made.use_catalog(catalog.Catalog(ids.Revision(2), (template,), workspaces))
+    waits = []
+    for workspace in workspaces:
+        grant = await decisions.granted(made, _ticket(workspace))
+        assert isinstance(grant, grants.AttemptGrant)
+        waiter = grant.waiter
+        waits.append(waiter.start_target - waiter.ticket.arrived)
+    assert waits == pytest.approx([OWN_TARGET, declared.first_token_target])
