Leave an engine open that streams while one attempt was silent

Cause: an attempt that waits in an engine's own queue beyond the bound ends as `silent`, a hard failure: the engine is closed for up to 4 s although it gives tokens to other streams of this host, and some such engines make an outage, in which only trials go out. Ruled out: letting the attempt itself wait longer. Change: silence before the first token is no failure of an engine that gave tokens to another stream of this host within the last second. The attempt is given up and retried as before, and borrowed slots go back. Not measured: what it is worth under load.

--- a/src/corianderloft/_internal/decisions/engines.py
+++ b/src/corianderloft/_internal/decisions/engines.py
@@ -23,6 +23,9 @@
 _RAMP = 4.0
 """Slots a second that an engine is given after it came back."""
 
+_ALIVE_FOR = 1.0
+"""Time for which tokens of a running stream prove life, in seconds."""
+
 _FIRST_BACKOFF = 0.25
 _MOST_BACKOFF = 4.0
 """Wait before a failed engine is tried again, in seconds."""
@@ -169,6 +172,10 @@
         ratio = max(1.0, gap / healthy_gap)
         return 1.0 + (ratio - 1.0) * math.exp(-silence / _SLOW_MEMORY)
 
+    def streaming(self, now: float) -> bool:
+        """Return whether it gives tokens to streams of this host."""
+        return self.streams > 0 and now - self.last_progress <= _ALIVE_FOR
+
     def doubt(self, now: float) -> float:
         """Return how little its speed is known, from 0 to 1."""
         if self.gap is None:
--- a/src/corianderloft/_internal/decisions/observations.py
+++ b/src/corianderloft/_internal/decisions/observations.py
@@ -123,7 +123,8 @@
         elif end in _FAILED_ENDS:
             if self.limiter is not None:
                 self.limiter.failed(grant.engine)
-            self._health.failed(grant.engine, end in _HARD_ENDS, now)
+            if not _only_waited(grant, end, now):
+                self._health.failed(grant.engine, end in _HARD_ENDS, now)
         self._slot_freed(now)
 
     def _release(self, grant: grants.AttemptGrant, now: float) -> None:
@@ -159,3 +160,18 @@
     def is_hedge(self, waiter: waiting.Waiter) -> bool:
         """Return whether another attempt of the request is in flight."""
         return bool(self.running.get(waiter.ticket.request_id))
+
+
+def _only_waited(
+    grant: grants.AttemptGrant, end: interface.AttemptEnd, now: float
+) -> bool:
+    """Whether silence says nothing against the engine.
+
+    An engine that gives tokens to other streams lets the attempt wait in
+    its queue, or the one connection is at fault.
+    """
+    return (
+        end is interface.AttemptEnd.SILENT
+        and grant.first_token_at is None
+        and grant.engine.streaming(now)
+    )
