Take a stream that only ends for no answer

Cause: the property test drew the bytes of 'data: [DONE]' for an engine that sends 'bytes that are no events', and failed: a caller was told of an empty answer as a whole one. Product: an end as the first event of a fresh answer counted as an answer. Test: after a resumed stream such an end is a legitimate one, so the generator broke its own description. Ruled out: accepting what ends with the end event (an engine that ends early in good form cannot be told from one that ends, at whatever length). Change: such an answer is a broken one, and another attempt follows. The generator leaves the end event out; the case itself is an example of the property and a test of its own, so no case is lost.

--- a/src/corianderloft/_internal/entry/attempts.py
+++ b/src/corianderloft/_internal/entry/attempts.py
@@ -202,6 +202,8 @@
                     events = sse.after(self._cutter.feed(data), have)
                 except ValueError as exc:
                     return self._failed(self._broken(str(exc)))
+                if events == sse.DONE and not have:
+                    return self._failed(self._broken('its answer is empty'))
                 if events:
                     self._grant.first_token()
                     return Opened(events)
--- a/tests/unit/entry/test_chat.py
+++ b/tests/unit/entry/test_chat.py
@@ -14,6 +14,12 @@
     await wire.done()
 
 
+async def only_ends(wire: engines.Wire, seen: engines.Seen) -> None:
+    """End a stream before its first token."""
+    await wire.head()
+    await wire.done()
+
+
 async def cut_clean(wire: engines.Wire, seen: engines.Seen) -> None:
     """End a stream in good HTTP, but without its last event."""
     await wire.head()
@@ -215,3 +221,11 @@
                 callers.start_soon(ask, fixture, f'rug {number}')
     assert all(text == said for text, said in answers.items())
     assert len(answers) > 20
+
+
+async def test_empty_stream_is_no_answer(nursery: trio.Nursery) -> None:
+    _, empty = await engines.start(nursery, 'e1', only_ends)
+    _, backend = await engines.start(nursery, 'e2', engines.serves)
+    async with entry.running_host(empty, backend) as fixture:
+        answer = await entry.chat(fixture)
+    assert answer.body == engines.whole_body()
--- a/tests/unit/entry/test_promises.py
+++ b/tests/unit/entry/test_promises.py
@@ -7,6 +7,7 @@
 import orjson
 import trio
 
+from corianderloft._internal.entry import sse
 from tests.lib import engines
 from tests.lib import entry
 
@@ -42,6 +43,8 @@
     return script
 
 
+# A good end of a stream is an event, and may end a resumed answer rightly.
+NO_EVENTS = st.binary(max_size=40).filter(lambda data: sse.DONE not in data)
 REFUSALS = st.sampled_from(
     [
         engines.refuses(503, 'overloaded'),
@@ -53,7 +56,7 @@
     REFUSALS,
     PIECES.map(engines.dies_after),
     PIECES.map(cuts),
-    st.binary(max_size=40).map(garbles),
+    NO_EVENTS.map(garbles),
     st.just(engines.refuses(500, 'crash')),
     st.just(engines.silent_after(4)),
 )
@@ -127,13 +130,14 @@
     st.lists(
         st.one_of(
             PIECES.map(engines.dies_after),
-            st.binary(max_size=40).map(garbles),
+            NO_EVENTS.map(garbles),
             st.just(engines.refuses(500, 'crash')),
         ),
         min_size=1,
         max_size=3,
     )
 )
+@hypothesis.example([garbles(sse.DONE)])
 def test_not_run_is_never_told_of_what_ran(
     faults: list[engines.Script],
 ) -> None:
