Serve the users' platform: a gateway of declared routes, thin

Cause: the platform's callers send plain HTTP by host and path, which the chat interface does not serve. Change: a gateway package (routes, sends, streams, drain, membership by lease), its decisions in placement, the platform's words in platform/.

--- a/src/corianderloft/__init__.py
+++ b/src/corianderloft/__init__.py
@@ -3,14 +3,18 @@
 Callers use `Client`; everything below ``corianderloft._internal`` may change.
 """
 
-from corianderloft._internal.caller import Address
-from corianderloft._internal.caller import ChatAnswer
-from corianderloft._internal.caller import Client
-from corianderloft._internal.caller import ClientSettings
-from corianderloft._internal.caller import Event
-from corianderloft._internal.caller import PlainAnswer
-from corianderloft._internal.caller import Refused
-from corianderloft._internal.caller import Unreachable
+import importlib
+import typing
+
+if typing.TYPE_CHECKING:
+    from corianderloft._internal.caller import Address
+    from corianderloft._internal.caller import ChatAnswer
+    from corianderloft._internal.caller import Client
+    from corianderloft._internal.caller import ClientSettings
+    from corianderloft._internal.caller import Event
+    from corianderloft._internal.caller import PlainAnswer
+    from corianderloft._internal.caller import Refused
+    from corianderloft._internal.caller import Unreachable
 
 __version__ = '0.1.0'
 
@@ -25,3 +29,14 @@
     'Unreachable',
     '__version__',
 ]
+
+
+def __getattr__(name: str) -> typing.Any:
+    """Import the callers' library when it is first used.
+
+    The daemons import this package too, and start without it.
+    """
+    if name not in __all__:
+        raise AttributeError(f'module {__name__!r} has no attribute {name!r}')
+    caller = importlib.import_module('corianderloft._internal.caller')
+    return getattr(caller, name)
--- a/src/corianderloft/_internal/entry/sse.py
+++ b/src/corianderloft/_internal/entry/sse.py
@@ -44,6 +44,10 @@
             raise ValueError(f'an event is longer than {self._limit} bytes')
         return whole
 
+    def rest(self) -> bytes:
+        """Return the part of an event that was kept back."""
+        return self._rest
+
 
 def last_id(events: bytes) -> int | None:
     """Return the id of the last event that has one, or None.
--- /dev/null
+++ b/src/corianderloft/_internal/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Routes callers' HTTP requests to backend servers by declared routes."""
--- /dev/null
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -0,0 +1,200 @@
+"""Puts the parts of a gateway host together and runs them."""
+
+import dataclasses
+import logging
+import os
+import random
+import secrets
+import signal
+
+import trio
+
+from corianderloft._internal.gateway import app
+from corianderloft._internal.gateway import dialect
+from corianderloft._internal.gateway import following
+from corianderloft._internal.gateway import layout
+from corianderloft._internal.gateway import membership
+from corianderloft._internal.gateway import settings
+from corianderloft._internal.gateway import side_apps
+from corianderloft._internal.gateway import stopping
+from corianderloft._internal.gateway import view
+from corianderloft._internal.kv import interface as kv
+from corianderloft._internal.models import listener
+from corianderloft._internal.models import members
+from corianderloft._internal.models import routing
+from corianderloft._internal.network import engine_pool
+from corianderloft._internal.network import serving
+from corianderloft._internal.placement import budget
+from corianderloft._internal.placement import placer
+
+logger = logging.getLogger(__name__)
+
+RESERVED_FILES = 700
+"""Descriptors left for files, checks, and connections to backend servers."""
+
+STALLED_TIME = 10.0
+"""Time after which a caller that acknowledges nothing is cut, in seconds."""
+
+HOUSEKEEPING_INTERVAL = 1.0
+"""Time between two clean-ups of idle connections, in seconds."""
+
+SIDE_CONNECTIONS = 200
+"""Connections for checks, address answers or metrics, each."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Parts:
+    """What a host is made of.
+
+    Attributes
+    ----------
+    cfg : GatewaySettings
+        Settings of the process.
+    store : KeyValueClient
+        The platform's store.
+    places : StoreLayout
+        Where things lie in the store.
+    words : Dialect
+        Writes and reads heads.
+    """
+
+    cfg: settings.GatewaySettings
+    store: kv.KeyValueClient
+    places: layout.StoreLayout
+    words: dialect.Dialect
+
+
+class Host:
+    """One host of the gateway."""
+
+    def __init__(self, parts: Parts) -> None:
+        cfg = parts.cfg
+        self._cfg = cfg
+        self._store = parts.store
+        self._beliefs = view.View(parts.places, cfg.bounds.key_life)
+        self._retries = budget.RetryBudget(
+            cfg.bounds.retry_ratio,
+            cfg.bounds.retry_slack,
+            cfg.bounds.retry_window,
+        )
+        self._placer = placer.Placer(
+            cfg.failure_domain, self._retries, random.Random()
+        )
+        self._beliefs.listen(self._placer)
+        self._pool = engine_pool.EnginePool()
+        self._stop = stopping.Stopping()
+        self._entry = membership.Membership(
+            parts.store,
+            parts.places.hosts_prefix + cfg.host_id,
+            parts.places.encode_member(_member(cfg)),
+            self._beliefs.trouble,
+        )
+        self._app = app.GatewayApp(
+            self._beliefs, self._placer, self._pool, parts.words, self._stop
+        )
+        self._readiness = side_apps.Readiness(self._beliefs, self._stop)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM has ended all that is in flight."""
+        servers = self._servers()
+        stopped = trio.Event()
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            async with trio.open_nursery() as nursery:
+                follower = following.Follower(self._store, self._beliefs)
+                nursery.start_soon(follower.run)
+                nursery.start_soon(follower.drop_held)
+                nursery.start_soon(self._keep_entry)
+                nursery.start_soon(self._housekeeping)
+                for server in servers:
+                    nursery.start_soon(server.serve, stopped)
+                logger.info(
+                    'started',
+                    extra={'host': self._cfg.host_id, 'pid': os.getpid()},
+                )
+                async for number in signals:
+                    if number != signal.SIGHUP:
+                        break
+                    logger.info('reload: settings are read at the start only')
+                await self._stop.run(self._entry, self._cfg.bounds.stop_time)
+                self._pool.close()
+                nursery.cancel_scope.cancel()
+
+    async def _keep_entry(self) -> None:
+        """Register once this host can serve, until it leaves."""
+        while not self._readiness.ready():
+            await trio.sleep(0.02)
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._entry.run)
+                while not self._stop.leaving:
+                    await trio.sleep(0.05)
+                scope.cancel()
+
+    async def _housekeeping(self) -> None:
+        while True:
+            await trio.sleep(HOUSEKEEPING_INTERVAL)
+            self._pool.close_old()
+
+    def _servers(self) -> list[serving.Server]:
+        cfg = self._cfg
+        limits = serving.ServerLimits(
+            max_connections=cfg.most_files - RESERVED_FILES,
+            max_header_bytes=app.MAX_HEADER_BYTES,
+            idle_time=60.0,
+            stalled_time=STALLED_TIME,
+        )
+        side = dataclasses.replace(limits, max_connections=SIDE_CONNECTIONS)
+        addresses = side_apps.Addresses(
+            self._beliefs,
+            cfg.host_id,
+            self._readiness,
+            cfg.bounds.answer_life,
+        )
+        callers = self._server(self._app, cfg.caller_port, limits)
+        self._beliefs.listen(_LimitsOfCallers(callers))
+        return [
+            callers,
+            self._side(self._readiness.serve, cfg.ready_port, side),
+            self._side(addresses.serve, cfg.address_port, side),
+            self._side(side_apps.serve_metrics, cfg.metrics_port, side),
+        ]
+
+    def _side(
+        self,
+        serve: side_apps.Serve,
+        port: int,
+        limits: serving.ServerLimits,
+    ) -> serving.Server:
+        return self._server(side_apps.SideApp(serve), port, limits)
+
+    def _server(
+        self, served: serving.App, port: int, limits: serving.ServerLimits
+    ) -> serving.Server:
+        sock = serving.bind(self._cfg.address, port)
+        return serving.Server(served, sock, limits)
+
+
+class _LimitsOfCallers(listener.Listener):
+    """Puts the declared limits of callers in force."""
+
+    def __init__(self, server: serving.Server) -> None:
+        self._server = server
+
+    def use_table(self, table: routing.RoutingTable) -> None:
+        """Take over new declarations."""
+        self._server.use_limits(
+            table.limits.header_bytes, table.limits.idle_time
+        )
+
+
+def _member(cfg: settings.GatewaySettings) -> members.Member:
+    return members.Member(
+        host_id=cfg.host_id,
+        address=cfg.address,
+        port=cfg.caller_port,
+        peer_port=cfg.peer_port,
+        failure_domain=cfg.failure_domain,
+        start=secrets.token_hex(4),
+    )
--- /dev/null
+++ b/src/corianderloft/_internal/gateway/layout.py
@@ -0,0 +1,40 @@
+"""Where the gateway's declarations and registrations lie in the store."""
+
+import collections.abc
+import dataclasses
+
+from corianderloft._internal.models import instances
+from corianderloft._internal.models import members
+from corianderloft._internal.models import routing
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreLayout:
+    """Keys in the store, and how their values are read.
+
+    Attributes
+    ----------
+    configuration_key : str
+        Key of the declarations.
+    instances_prefix, hosts_prefix : str
+        Prefixes of the entries of backend servers and of entry hosts; the
+        identity follows.
+    decode_table, decode_instance, decode_member : callable
+        Return what a value says, or None for one that cannot be read.
+    encode_member : callable
+        Returns the value of the entry of this host.
+    """
+
+    configuration_key: str
+    instances_prefix: str
+    hosts_prefix: str
+    decode_table: collections.abc.Callable[
+        [bytes], routing.RoutingTable | None
+    ]
+    decode_instance: collections.abc.Callable[
+        [str, bytes], instances.Instance | None
+    ]
+    decode_member: collections.abc.Callable[
+        [str, bytes], members.Member | None
+    ]
+    encode_member: collections.abc.Callable[[members.Member], bytes]
--- /dev/null
+++ b/src/corianderloft/_internal/gateway/membership.py
@@ -0,0 +1,106 @@
+"""Registers this host in the store under a lease."""
+
+import collections.abc
+import logging
+import typing
+
+import trio
+
+from corianderloft._internal.gateway import following
+from corianderloft._internal.kv import interface as kv
+from corianderloft._internal.models import ids
+
+logger = logging.getLogger(__name__)
+
+LEASE_TIME = 3.0
+"""Life of the entry of a host that is gone, in seconds: callers that are
+sent to it lose a second each until then."""
+
+RENEW_INTERVAL = 1.0
+"""Time between two renewals, in seconds; two may be lost."""
+
+RETRY_INTERVAL = 0.3
+"""Wait after a call that failed, in seconds."""
+
+LEAVE_TIME = 1.0
+"""Longest time for the entry to be removed, in seconds."""
+
+
+class Membership:
+    """Keeps the entry of this host.
+
+    Parameters
+    ----------
+    store : KeyValueClient
+        The store.
+    key : str
+        Key of the entry.
+    value : bytes
+        The entry.
+    failed : callable
+        Told why a call failed.
+    """
+
+    def __init__(
+        self,
+        store: kv.KeyValueClient,
+        key: str,
+        value: bytes,
+        failed: collections.abc.Callable[[str], None],
+    ) -> None:
+        self._store = store
+        self._key = key
+        self._value = value
+        self._failed = failed
+        self._lease: ids.LeaseId | None = None
+
+    async def run(self) -> typing.NoReturn:
+        """Keep the entry until cancelled."""
+        while True:
+            if self._lease is None:
+                await self._register()
+            else:
+                await self._renew(self._lease)
+
+    async def leave(self) -> None:
+        """Remove the entry."""
+        if self._lease is None:
+            return
+        with trio.move_on_after(LEAVE_TIME):
+            outcome = await self._store.revoke_lease(self._lease)
+            logger.info(
+                'entry of this host removed',
+                extra={'key': self._key, 'outcome': type(outcome).__name__},
+            )
+        self._lease = None
+
+    async def _register(self) -> None:
+        granted = await self._store.grant_lease(LEASE_TIME)
+        if not isinstance(granted, kv.LeaseGranted):
+            await self._pause(granted.detail)
+            return
+        put = kv.Put(self._key, self._value, granted.lease_id)
+        written = await self._store.transact((), (put,))
+        if not isinstance(written, kv.Written):
+            await self._pause(str(written))
+            return
+        self._lease = granted.lease_id
+        logger.info(
+            'entry of this host written',
+            extra={'key': self._key, 'revision': written.revision},
+        )
+        await trio.sleep(following.spread(RENEW_INTERVAL))
+
+    async def _renew(self, lease: ids.LeaseId) -> None:
+        renewed = await self._store.renew_lease(lease)
+        if isinstance(renewed, kv.LeaseLost):
+            logger.warning('lease of this host lapsed; registering again')
+            self._lease = None
+        elif isinstance(renewed, kv.Unavailable):
+            await self._pause(renewed.detail)
+        else:
+            await trio.sleep(following.spread(RENEW_INTERVAL))
+
+    async def _pause(self, detail: str) -> None:
+        self._failed(detail)
+        await trio.sleep(following.spread(RETRY_INTERVAL))
--- /dev/null
+++ b/src/corianderloft/_internal/gateway/settings.py
@@ -0,0 +1,98 @@
+"""What a process of the gateway is told when it starts."""
+
+import dataclasses
+
+from corianderloft._internal.models import ids
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """Promises of the deployment that the gateway keeps.
+
+    Attributes
+    ----------
+    key_life : float or None
+        Longest time that a removed key may still be honoured by a host that
+        cannot reach the store, in seconds; None when keys may outlive it.
+    stop_time : float
+        Time between the signal to stop and the kill, in seconds.
+    retry_ratio : float
+        Repeated sends a service may get for each request to it.
+    retry_slack : float
+        Repeated sends it may get beyond those in one window.
+    retry_window : float
+        Length of that window in seconds.
+    answer_life : float
+        Longest time that callers keep an address answer, in seconds.
+    leaving_time : float
+        Time after which a leaving backend server gets nothing, in seconds.
+    prefix_life : float
+        Time that a shared part of a prompt is worth keeping after its last
+        use, in seconds.
+    """
+
+    key_life: float | None
+    stop_time: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window: float
+    answer_life: float
+    leaving_time: float
+    prefix_life: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Store:
+    """The platform's store.
+
+    Attributes
+    ----------
+    address : str
+        IP number.
+    port : int
+        TCP port.
+    least_lease : float
+        Shortest lease that it grants, in seconds.
+    """
+
+    address: str
+    port: int
+    least_lease: float
+
+
+@dataclasses.dataclass(frozen=True)
+class GatewaySettings:
+    """Settings of one process.
+
+    Attributes
+    ----------
+    host_id : HostId
+        Identity of this host.
+    address : str
+        IP number.
+    caller_port, ready_port, address_port, metrics_port : int
+        TCP ports for callers, for readiness checks, for address answers and
+        for metrics.
+    peer_port : int
+        UDP port for other entry hosts.
+    failure_domain : FailureDomain
+        Where it stands.
+    most_files : int
+        Descriptors that the process may hold.
+    bounds : Bounds
+        Promises of the deployment.
+    store : Store
+        The platform's store.
+    """
+
+    host_id: ids.HostId
+    address: str
+    caller_port: int
+    ready_port: int
+    address_port: int
+    metrics_port: int
+    peer_port: int
+    failure_domain: ids.FailureDomain
+    most_files: int
+    bounds: Bounds
+    store: Store
--- /dev/null
+++ b/src/corianderloft/_internal/gateway/stopping.py
@@ -0,0 +1,89 @@
+"""How a host of the gateway ends without cutting an answer."""
+
+import collections.abc
+import contextlib
+import logging
+
+import trio
+
+from corianderloft._internal.gateway import membership
+
+logger = logging.getLogger(__name__)
+
+ACCEPT_TIME = 3.0
+"""Time after the signal in which requests are still served, in seconds:
+callers learn of other hosts within it."""
+
+QUIET_TIME = 2.0
+"""Least time between the signal and the end, in seconds, as callers that
+know only this host still come."""
+
+KILL_MARGIN = 0.6
+"""Time before the kill at which the process ends in any case, in seconds."""
+
+LOOK_INTERVAL = 0.1
+"""Time between two looks whether anything is in flight, in seconds."""
+
+
+class Stopping:
+    """Counts what is in flight, and says what is still taken.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether connections are closed after their next answer.
+    refusing : bool
+        Whether new requests are turned away.
+    """
+
+    def __init__(self) -> None:
+        self.leaving = False
+        self.refusing = False
+        self._inflight = 0
+        self._last_request = float('-inf')
+
+    @contextlib.contextmanager
+    def request(self) -> collections.abc.Iterator[None]:
+        """Count one request while it is served."""
+        self._inflight += 1
+        self._last_request = trio.current_time()
+        try:
+            yield
+        finally:
+            self._inflight -= 1
+
+    async def run(
+        self, entry: membership.Membership, stop_time: float
+    ) -> None:
+        """Leave; return when nothing is in flight or the time is up.
+
+        Parameters
+        ----------
+        entry : Membership
+            Entry of this host.
+        stop_time : float
+            Time until the process is killed, in seconds.
+        """
+        began = trio.current_time()
+        self.leaving = True
+        logger.info('stopping', extra={'inflight': self._inflight})
+        with trio.move_on_after(stop_time - KILL_MARGIN):
+            await entry.leave()
+            while not self._quiet(began):
+                await trio.sleep(LOOK_INTERVAL)
+                if trio.current_time() - began >= ACCEPT_TIME:
+                    self.refusing = True
+        self.refusing = True
+        logger.info(
+            'stopped',
+            extra={
+                'inflight': self._inflight,
+                'took_s': round(trio.current_time() - began, 2),
+            },
+        )
+
+    def _quiet(self, began: float) -> bool:
+        now = trio.current_time()
+        if self._inflight or now - began < QUIET_TIME:
+            return False
+        return now - self._last_request >= QUIET_TIME / 4
--- a/src/corianderloft/_internal/kv/connections.py
+++ b/src/corianderloft/_internal/kv/connections.py
@@ -86,9 +86,13 @@
         )
 
     def request(
-        self, path: str, content: bytes, trace: SendTrace
+        self,
+        path: str,
+        content: bytes,
+        trace: SendTrace,
+        method: str = 'POST',
     ) -> httpcore.Request:
-        """Return a POST of ``content`` to ``path``, counted as sent."""
+        """Return a request with ``content`` to ``path``, counted as sent."""
         control.count_bytes(control.Direction.SENT, len(path) + len(content))
         url = httpcore.URL(
             scheme=self._url.scheme,
@@ -107,7 +111,7 @@
             'timeout': {'connect': self._connect_timeout},
         }
         return httpcore.Request(
-            'POST',
+            method,
             url,
             headers=headers,
             content=content,
@@ -116,14 +120,27 @@
 
     async def post(self, path: str, content: bytes) -> CallResult:
         """Send one call and read its whole reply."""
+        return await self.call('POST', path, content)
+
+    async def call(
+        self, method: str, path: str, content: bytes, waits: float = 0.0
+    ) -> CallResult:
+        """Send one call and read its whole reply.
+
+        Parameters
+        ----------
+        method, path, content
+            The request.
+        waits : float
+            Time for which the service may hold the reply back, in seconds.
+        """
         conn = await self._take()
         trace = SendTrace()
         result: CallResult | None = None
+        req = self.request(path, content, trace, method)
         try:
-            with trio.move_on_after(self._call_timeout):
-                result = await self._exchange(
-                    conn, self.request(path, content, trace), trace
-                )
+            with trio.move_on_after(self._call_timeout + waits):
+                result = await self._exchange(conn, req, trace)
         finally:
             await self._give_back(conn, result)
         if result is not None:
--- a/src/corianderloft/_internal/kv/interface.py
+++ b/src/corianderloft/_internal/kv/interface.py
@@ -142,11 +142,28 @@
     revision: ids.Revision
 
 
+@dataclasses.dataclass(frozen=True)
+class WatchProgress:
+    """All changes up to ``revision`` were delivered.
+
+    Attributes
+    ----------
+    revision : Revision
+        Revision of the store.
+    asked_at : float
+        When the store was asked, on `clock.now`, in seconds; what it said
+        is not older.
+    """
+
+    revision: ids.Revision
+    asked_at: float
+
+
 Read = Found | Unavailable
 Write = Written | Conflict | Unavailable | Unknown
 Grant = LeaseGranted | Unavailable | Unknown
 Renewal = LeaseGranted | LeaseLost | Unavailable
-WatchItem = WatchEvent | WatchEnded
+WatchItem = WatchEvent | WatchProgress | WatchEnded
 
 
 class KeyValueClient(typing.Protocol):
@@ -183,7 +200,8 @@
     ]:
         """Watch keys below ``prefix`` for changes later than ``after``.
 
-        The iterator ends after one `WatchEnded`.
+        The iterator ends after one `WatchEnded`. Services that are asked
+        again and again also yield `WatchProgress`.
         """
 
 
--- a/src/corianderloft/_internal/logs/setup.py
+++ b/src/corianderloft/_internal/logs/setup.py
@@ -3,42 +3,14 @@
 import logging
 import typing
 
-from pythonjsonlogger import json as json_formatter
+from corianderloft._internal.logs import handlers
 
-from corianderloft._internal.logs import context
-from corianderloft._internal.settings import logs
-
-ROOT_LOGGER = 'corianderloft'
-
-JSON_FIELDS = '{asctime}{levelname}{name}{request_id}{message}'
-HUMAN_LINE = '{asctime} {levelname:<7} {request_id} {name}: {message}'
-RENAMED = {'asctime': 'time', 'levelname': 'level', 'name': 'logger'}
-
-
-class HumanFormatter(logging.Formatter):
-    """Lines for people; fields of the record follow the message."""
-
-    _PLAIN = frozenset(
-        vars(logging.makeLogRecord({})).keys()
-        | {'message', 'asctime', 'request_id'}
-    )
-
-    def __init__(self) -> None:
-        super().__init__(HUMAN_LINE, style='{')
-
-    def format(self, record: logging.LogRecord) -> str:
-        """Return the line, and the fields as ``name=value``."""
-        line = super().format(record)
-        fields = (
-            f'{name}={value}'
-            for name, value in vars(record).items()
-            if name not in self._PLAIN
-        )
-        return ' '.join((line, *fields))
+if typing.TYPE_CHECKING:
+    from corianderloft._internal.settings import logs
 
 
 def configure(
-    settings: logs.LogSettings, stream: typing.TextIO | None = None
+    settings: 'logs.LogSettings', stream: typing.TextIO | None = None
 ) -> logging.Handler:
     """Send the log of this process to a stream.
 
@@ -55,18 +27,5 @@
         The handler in place; a second call replaces it.
     """
     handler = logging.StreamHandler(stream)
-    handler.setFormatter(_formatter(settings.form))
-    handler.addFilter(context.RequestIdFilter())
-    logger = logging.getLogger(ROOT_LOGGER)
-    logger.handlers = [handler]
-    logger.setLevel(settings.level)
-    logger.propagate = False
+    handlers.use_handler(handler, settings.level, settings.form)
     return handler
-
-
-def _formatter(form: logs.Form) -> logging.Formatter:
-    if form == 'human':
-        return HumanFormatter()
-    return json_formatter.JsonFormatter(
-        JSON_FIELDS, style='{', rename_fields=RENAMED
-    )
--- a/src/corianderloft/_internal/network/exchange.py
+++ b/src/corianderloft/_internal/network/exchange.py
@@ -124,20 +124,34 @@
         headers: collections.abc.Sequence[tuple[bytes, bytes]] = (),
     ) -> None:
         """Send a whole answer."""
+        fields = [(b'content-type', content_type), *headers]
+        await self.answer_raw(status, fields, body)
+
+    async def answer_raw(
+        self,
+        status: int,
+        headers: collections.abc.Sequence[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> None:
+        """Send a whole answer, whose length is added to ``headers``."""
+        length = (b'content-length', b'%d' % len(body))
+        await self.start(status, [*headers, length])
+        await self._send({'type': 'http.response.body', 'body': body})
+
+    async def start(
+        self,
+        status: int,
+        headers: collections.abc.Sequence[tuple[bytes, bytes]],
+    ) -> None:
+        """Send the head of an answer."""
         self.started = True
-        fields = [
-            (b'content-type', content_type),
-            (b'content-length', b'%d' % len(body)),
-            *headers,
-        ]
         await self._send(
             {
                 'type': 'http.response.start',
                 'status': status,
-                'headers': fields,
+                'headers': list(headers),
             }
         )
-        await self._send({'type': 'http.response.body', 'body': body})
 
     async def answer_json(
         self,
@@ -152,18 +166,12 @@
         self, headers: collections.abc.Sequence[tuple[bytes, bytes]] = ()
     ) -> None:
         """Send the headers of a stream of events."""
-        self.started = True
-        await self._send(
-            {
-                'type': 'http.response.start',
-                'status': 200,
-                'headers': [
-                    (b'content-type', EVENT_STREAM),
-                    (b'cache-control', b'no-store'),
-                    *headers,
-                ],
-            }
-        )
+        fields = [
+            (b'content-type', EVENT_STREAM),
+            (b'cache-control', b'no-store'),
+            *headers,
+        ]
+        await self.start(200, fields)
 
     async def send_events(self, data: bytes) -> None:
         """Send events of a started stream."""
--- a/src/corianderloft/_internal/network/serving.py
+++ b/src/corianderloft/_internal/network/serving.py
@@ -96,6 +96,19 @@
             trio.socket.from_stdlib_socket(sock)
         )
 
+    def use_limits(self, max_header_bytes: int, idle_time: float) -> None:
+        """Change the bounds on heads and idle time of callers.
+
+        Parameters
+        ----------
+        max_header_bytes : int
+            Largest request line with headers.
+        idle_time : float
+            Idle time of a connection in seconds.
+        """
+        self._config.h11_max_incomplete_size = max_header_bytes
+        self._config.keep_alive_timeout = idle_time
+
     async def serve(self, stopped: trio.Event) -> None:
         """Serve until ``stopped`` is set, then close all connections."""
         async with trio.open_nursery() as connections:
--- /dev/null
+++ b/src/corianderloft/_internal/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decides where, when and whether a request of the gateway runs."""
--- /dev/null
+++ b/src/corianderloft/_internal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Speaks the words of the users' platform; decides nothing."""
--- /dev/null
+++ b/src/corianderloft/_internal/platform/configuration.py
@@ -0,0 +1,104 @@
+"""The operator's configuration document."""
+
+import typing
+
+import orjson
+
+from corianderloft._internal.models import ids
+from corianderloft._internal.models import routing
+
+_Document = dict[str, typing.Any]
+
+
+def decode(value: bytes) -> routing.RoutingTable | None:
+    """Return the routing table of a document, or None if it is broken."""
+    try:
+        document = orjson.loads(value)
+        return _table(document)
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return None
+
+
+def _table(document: _Document) -> routing.RoutingTable:
+    services = map(_service, document['services'])
+    tenants = document.get('tenants') or ()
+    limits = document.get('limits') or {}
+    return routing.RoutingTable(
+        version=int(document['version']),
+        routes=routing.by_host(map(_route, document['routes'])),
+        services={service.name: service for service in services},
+        keys={
+            key: _workspace(tenant)
+            for tenant in tenants
+            for key in tenant['api_keys']
+        },
+        keyed='tenants' in document,
+        limits=routing.CallerLimits(
+            header_bytes=int(limits.get('max_header_bytes', 16384)),
+            body_bytes=int(limits.get('max_body_bytes', 4194304)),
+            header_time=limits.get('header_timeout_ms', 3000) / 1000,
+            idle_time=limits.get('idle_timeout_ms', 15000) / 1000,
+        ),
+    )
+
+
+def _workspace(tenant: _Document) -> routing.Workspace:
+    priority = tenant.get('priority')
+    return routing.Workspace(
+        ids.WorkspaceId(tenant['name']),
+        None if priority is None else ids.Tier(int(priority)),
+    )
+
+
+def _route(route: _Document) -> routing.Route:
+    timeout: float = route['timeout_ms'] / 1000
+    gap: float | None = route.get('target_gap_ms')
+    return routing.Route(
+        name=route['name'],
+        host=route['host'],
+        path_prefix=route['path_prefix'],
+        kind=_kind(route),
+        tier=ids.Tier(int(route.get('priority', 0))),
+        timeout=timeout,
+        target=route.get('target_latency_ms', timeout * 1000) / 1000,
+        gap_target=None if gap is None else gap / 1000,
+        attempts=max(1, int(route.get('attempts', 1))),
+        public=bool(route.get('public_access', False)),
+        shares=_shares(route),
+    )
+
+
+def _kind(route: _Document) -> routing.RequestKind:
+    if route['kind'] != 'streaming':
+        return routing.RequestKind(route['kind'])
+    if route.get('stream_resume'):
+        return routing.RequestKind.RESUMABLE_STREAM
+    return routing.RequestKind.STREAM
+
+
+def _shares(route: _Document) -> tuple[routing.Share, ...]:
+    split = route.get('traffic_split')
+    if not split:
+        return (routing.Share(ids.ServiceName(route['service']), 1.0),)
+    return tuple(
+        routing.Share(ids.ServiceName(part['service']), float(part['weight']))
+        for part in split
+        if part['weight'] > 0
+    )
+
+
+def _service(service: _Document) -> routing.RoutedService:
+    engine = service.get('engine')
+    return routing.RoutedService(
+        name=ids.ServiceName(service['name']),
+        health_path=service.get('health_path', '/'),
+        max_connections=int(service.get('max_connections', 100)),
+        model=(
+            routing.ModelService(
+                slots=int(engine['slots']),
+                memory_tokens=int(engine['kv_capacity_tokens']),
+            )
+            if engine
+            else None
+        ),
+    )
--- /dev/null
+++ b/src/corianderloft/_internal/platform/daemon.py
@@ -0,0 +1,55 @@
+"""Runs one host of the gateway on the users' platform."""
+
+import logging
+import sys
+
+import trio
+
+from corianderloft._internal.gateway import host
+from corianderloft._internal.gateway import layout
+from corianderloft._internal.logs import bounded
+from corianderloft._internal.logs import handlers
+from corianderloft._internal.platform import configuration
+from corianderloft._internal.platform import entries
+from corianderloft._internal.platform import headers
+from corianderloft._internal.platform import settings
+from corianderloft._internal.platform import store
+from corianderloft._internal.platform import words
+
+EXIT_BAD_SETTINGS = 2
+
+LAYOUT = layout.StoreLayout(
+    configuration_key=words.CONFIGURATION_KEY,
+    instances_prefix=words.INSTANCES_PREFIX,
+    hosts_prefix=words.HOSTS_PREFIX,
+    decode_table=configuration.decode,
+    decode_instance=entries.decode_instance,
+    decode_member=entries.decode_member,
+    encode_member=entries.encode_member,
+)
+
+
+def main() -> int:
+    """Run until the process is told to stop; return its exit code."""
+    cfg = settings.read(settings.path())
+    if isinstance(cfg, settings.Broken):
+        print(f'cannot start: {cfg}', file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    handler = bounded.BoundedHandler()
+    handlers.use_handler(handler, logging.INFO)
+    parts = host.Parts(
+        cfg=cfg,
+        store=store.PlatformStore(cfg.store.address, cfg.store.port),
+        places=LAYOUT,
+        words=headers.PlatformDialect(),
+    )
+    trio.run(_run, parts, handler)
+    return 0
+
+
+async def _run(parts: host.Parts, handler: bounded.BoundedHandler) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(handler.run)
+        await host.Host(parts).run()
+        nursery.cancel_scope.cancel()
+    await handler.drain()
--- /dev/null
+++ b/src/corianderloft/_internal/platform/settings.py
@@ -0,0 +1,91 @@
+"""The settings file that the platform writes for a process."""
+
+import dataclasses
+import os
+import typing
+
+import yaml
+
+from corianderloft._internal.gateway import settings
+from corianderloft._internal.models import ids
+
+VARIABLE = 'CORIANDERLOFT_CONFIG'
+DEFAULT_PATH = '/etc/corianderloft/settings.yaml'
+
+_LOADER = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
+
+
+@dataclasses.dataclass(frozen=True)
+class Broken:
+    """The settings file cannot be used."""
+
+    path: str
+    detail: str
+
+    def __str__(self) -> str:
+        return f'{self.path}: {self.detail}'
+
+
+def path() -> str:
+    """Return the path of the settings file of this process."""
+    return os.environ.get(VARIABLE, DEFAULT_PATH)
+
+
+def read(file: str) -> settings.GatewaySettings | Broken:
+    """Read a settings file."""
+    try:
+        with open(file, encoding='utf-8') as opened:
+            return _settings(yaml.load(opened, _LOADER))
+    except (OSError, yaml.YAMLError, ValueError) as exc:
+        return Broken(file, str(exc))
+    except (KeyError, TypeError, AttributeError, IndexError) as exc:
+        return Broken(file, f'a field is missing or malformed: {exc!r}')
+
+
+def _settings(data: typing.Any) -> settings.GatewaySettings:
+    listen = data['listen']
+    ports = data['internal_ports']
+    # The ports between hosts are free for the system's own use.
+    return settings.GatewaySettings(
+        host_id=ids.HostId(data['node']),
+        address=data['ip'],
+        caller_port=_port(listen['front']),
+        ready_port=_port(listen['ready']),
+        address_port=_port(listen['directory']),
+        metrics_port=int(ports[0]),
+        peer_port=int(ports[0]),
+        failure_domain=ids.FailureDomain(data['zone']),
+        most_files=int(data['limits']['max_fds']),
+        bounds=_bounds(data['bounds']),
+        store=_store(data['platform']),
+    )
+
+
+def _bounds(data: typing.Any) -> settings.Bounds:
+    closed = data.get('fail_closed', False)
+    return settings.Bounds(
+        key_life=data['revoke_ms'] / 1000 if closed else None,
+        stop_time=float(data['grace_s']),
+        retry_ratio=float(data['retry_budget_ratio']),
+        retry_slack=float(data['budget_slack']),
+        retry_window=float(data['budget_window_s']),
+        answer_life=float(data['ttl_max_s']),
+        leaving_time=data['drain_ms'] / 1000,
+        prefix_life=float(data.get('reuse_window_s', 0.0)),
+    )
+
+
+def _store(data: typing.Any) -> settings.Store:
+    address, _, _ = data['address'].rpartition(':')
+    return settings.Store(
+        address=address,
+        port=_port(data['address']),
+        least_lease=data['min_ttl_ms'] / 1000,
+    )
+
+
+def _port(address: str) -> int:
+    port = int(address.rpartition(':')[2])
+    if not 0 < port < 65536:
+        raise ValueError(f'{address!r} has no TCP port')
+    return port
--- /dev/null
+++ b/src/corianderloft/_internal/platform/store.py
@@ -0,0 +1,290 @@
+"""Client plug-in ``platform``: the store of the users' platform."""
+
+import base64
+import collections
+import collections.abc
+import contextlib
+import typing
+import urllib.parse
+
+import orjson
+
+from corianderloft._internal.kv import connections
+from corianderloft._internal.kv import interface
+from corianderloft._internal.models import ids
+from corianderloft._internal.utils import clock
+
+CONNECT_TIMEOUT = 0.6
+"""Bound on opening a connection, in seconds: answers take 4 ms."""
+
+CALL_TIMEOUT = 1.0
+"""Bound on a call, in seconds; the store may be 60 times slower than the
+4 ms that it usually takes."""
+
+IDLE_CONNECTIONS = 2
+IDLE_EXPIRY = 10.0
+"""Idle connections kept, and their longest idle time in seconds."""
+
+WATCH_WAIT = 2.0
+"""Time for which the store holds a watch without a change, in seconds; well
+under the bound on removed keys, which a watch confirms."""
+
+_OK = 200
+_NOT_FOUND = 404
+_CONFLICT = 412
+
+Json = dict[str, typing.Any]
+
+_Outcome = tuple[int, Json] | interface.Unavailable | interface.Unknown
+
+
+class PlatformStore:
+    """Implements `kv.interface.KeyValueClient`.
+
+    Parameters
+    ----------
+    address : str
+        IP number.
+    port : int
+        TCP port.
+    """
+
+    def __init__(self, address: str, port: int) -> None:
+        self._connections = connections.Connections(
+            f'http://{address}:{port}',
+            CONNECT_TIMEOUT,
+            CALL_TIMEOUT,
+            IDLE_CONNECTIONS,
+            IDLE_EXPIRY,
+        )
+
+    async def get(self, key: str) -> interface.Read:
+        """Read one key; ``items`` is empty when it does not exist."""
+        outcome = await self._get('/kv-key', {'key': key})
+        if not isinstance(outcome, tuple):
+            return _unavailable(outcome)
+        status, reply = outcome
+        try:
+            items = () if status == _NOT_FOUND else (_item(reply),)
+            return interface.Found(_revision(reply), items)
+        except _MALFORMED as exc:
+            return interface.Unavailable(f'malformed item: {exc!r}')
+
+    async def get_prefix(self, prefix: str) -> interface.Read:
+        """Read all keys that begin with ``prefix``, in order.
+
+        The pages are no snapshot, so the revision is that of the first.
+        """
+        items: list[interface.KeyValue] = []
+        first: ids.Revision | None = None
+        query: dict[str, str] = {'path_prefix': prefix}
+        while True:
+            outcome = await self._get('/kv-range', query)
+            if not isinstance(outcome, tuple):
+                return _unavailable(outcome)
+            try:
+                page = [_item(item) for item in outcome[1]['items']]
+                first = first or _revision(outcome[1])
+            except _MALFORMED as exc:
+                return interface.Unavailable(f'malformed page: {exc!r}')
+            items += page
+            if not outcome[1].get('has_more') or not page:
+                return interface.Found(first, tuple(items))
+            query['after'] = page[-1].key
+
+    async def transact(
+        self,
+        compares: collections.abc.Sequence[interface.Compare],
+        operations: collections.abc.Sequence[interface.Put | interface.Delete],
+    ) -> interface.Write:
+        """Apply all operations if all compares hold."""
+        outcome = await self._call(
+            'POST', '/kv-txn', _transaction(compares, operations)
+        )
+        if not isinstance(outcome, tuple):
+            return outcome
+        status, reply = outcome
+        try:
+            if status == _OK:
+                return interface.Written(ids.Revision(int(reply['revision'])))
+            if status == _CONFLICT:
+                items = tuple(
+                    _item(item) for item in reply['items'] if 'value' in item
+                )
+                return interface.Conflict(_revision(reply), items)
+        except _MALFORMED as exc:
+            return interface.Unknown(f'malformed reply: {exc!r}')
+        return interface.Unavailable(f'/kv-txn: status {status}')
+
+    async def grant_lease(self, ttl: float) -> interface.Grant:
+        """Ask for a lease of ``ttl`` seconds."""
+        outcome = await self._call(
+            'POST', '/kv-lease', {'ttl_ms': int(ttl * 1000)}
+        )
+        if not isinstance(outcome, tuple):
+            return outcome
+        try:
+            reply = outcome[1]
+            return interface.LeaseGranted(
+                ids.LeaseId(int(reply['lease'])), reply['ttl_ms'] / 1000
+            )
+        except _MALFORMED as exc:
+            return interface.Unknown(f'malformed reply: {exc!r}')
+
+    async def renew_lease(self, lease_id: ids.LeaseId) -> interface.Renewal:
+        """Extend a lease to its full time to live."""
+        outcome = await self._call('POST', f'/kv-keep/{lease_id}', {})
+        if not isinstance(outcome, tuple):
+            return _unavailable(outcome)
+        status, reply = outcome
+        if status == _NOT_FOUND:
+            return interface.LeaseLost(lease_id)
+        try:
+            return interface.LeaseGranted(lease_id, reply['ttl_ms'] / 1000)
+        except _MALFORMED as exc:
+            return interface.Unavailable(f'malformed reply: {exc!r}')
+
+    async def revoke_lease(
+        self, lease_id: ids.LeaseId
+    ) -> interface.Written | interface.Unavailable | interface.Unknown:
+        """End a lease; keys bound to it are removed."""
+        outcome = await self._call('DELETE', f'/kv-lease-end/{lease_id}', {})
+        if not isinstance(outcome, tuple):
+            return outcome
+        return interface.Written(ids.Revision(0))
+
+    @contextlib.asynccontextmanager
+    async def watch(
+        self, prefix: str, after: ids.Revision
+    ) -> collections.abc.AsyncGenerator[
+        collections.abc.AsyncIterator[interface.WatchItem]
+    ]:
+        """Watch keys below ``prefix`` for changes later than ``after``."""
+        yield self._watch(prefix, after)
+
+    async def _watch(
+        self, prefix: str, after: ids.Revision
+    ) -> collections.abc.AsyncGenerator[interface.WatchItem]:
+        revision = after
+        while True:
+            asked_at = clock.now()
+            query = {
+                'path_prefix': prefix,
+                'after': str(revision),
+                'wait_ms': str(int(WATCH_WAIT * 1000)),
+            }
+            outcome = await self._get('/kv-watch', query, WATCH_WAIT)
+            if not isinstance(outcome, tuple):
+                yield interface.WatchEnded(outcome.detail, revision)
+                return
+            status, reply = outcome
+            if status != _OK:
+                yield interface.WatchEnded(f'status {status}', revision)
+                return
+            try:
+                events = [_event(event) for event in reply['events']]
+                revision = _revision(reply)
+            except _MALFORMED as exc:
+                detail = f'malformed events: {exc!r}'
+                yield interface.WatchEnded(detail, revision)
+                return
+            for event in events:
+                yield event
+            yield interface.WatchProgress(revision, asked_at)
+
+    async def aclose(self) -> None:
+        """Close all idle connections."""
+        await self._connections.aclose()
+
+    async def _get(
+        self, path: str, query: dict[str, str], waits: float = 0.0
+    ) -> _Outcome:
+        target = f'{path}?{urllib.parse.urlencode(query, safe="/")}'
+        result = await self._connections.call('GET', target, b'', waits)
+        return _outcome(path, result)
+
+    async def _call(self, method: str, path: str, body: Json) -> _Outcome:
+        content = orjson.dumps(body)
+        return _outcome(
+            path, await self._connections.call(method, path, content)
+        )
+
+
+_MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
+
+_ANSWERED = (_OK, _NOT_FOUND, _CONFLICT, 410)
+
+
+def _outcome(path: str, result: connections.CallResult) -> _Outcome:
+    match result:
+        case connections.NotSent(detail):
+            return interface.Unavailable(detail)
+        case connections.ReplyLost(detail):
+            return interface.Unknown(detail)
+        case connections.Reply(status, raw):
+            return _decoded(path, status, raw)
+    typing.assert_never(result)
+
+
+def _decoded(path: str, status: int, raw: bytes) -> _Outcome:
+    if status not in _ANSWERED:
+        # 429 and 503 mean that nothing was done, as do refused calls.
+        return interface.Unavailable(f'{path}: status {status}')
+    try:
+        reply = orjson.loads(raw) if raw else {}
+    except ValueError as exc:
+        return interface.Unknown(f'{path}: status {status}, {exc}')
+    return status, reply if isinstance(reply, dict) else {}
+
+
+def _unavailable(
+    outcome: interface.Unavailable | interface.Unknown,
+) -> interface.Unavailable:
+    return interface.Unavailable(outcome.detail)
+
+
+def _revision(reply: Json) -> ids.Revision:
+    return ids.Revision(int(reply.get('current_rev', 0)))
+
+
+def _item(item: Json) -> interface.KeyValue:
+    lease = int(item.get('lease') or 0)
+    return interface.KeyValue(
+        key=item['key'],
+        value=base64.b64decode(item['value'], validate=True),
+        mod_revision=ids.Revision(int(item['revision'])),
+        # The store counts no writes; it only tells the first from later.
+        version=1 if item.get('created') == item['revision'] else 2,
+        lease_id=ids.LeaseId(lease) if lease else None,
+    )
+
+
+def _event(event: Json) -> interface.WatchEvent:
+    revision = ids.Revision(int(event['revision']))
+    if event.get('deleted'):
+        return interface.WatchEvent(event['key'], None, revision)
+    return interface.WatchEvent(event['key'], _item(event), revision)
+
+
+def _transaction(
+    compares: collections.abc.Sequence[interface.Compare],
+    operations: collections.abc.Sequence[interface.Put | interface.Delete],
+) -> Json:
+    puts = [op for op in operations if isinstance(op, interface.Put)]
+    return {
+        'expected_revision': [
+            {'key': compare.key, 'revision': compare.mod_revision}
+            for compare in compares
+        ],
+        'writes': [
+            {
+                'key': put.key,
+                'value': base64.b64encode(put.value).decode('ascii'),
+                'lease': put.lease_id or 0,
+            }
+            for put in puts
+        ],
+        'remove': [
+            op.key for op in operations if isinstance(op, interface.Delete)
+        ],
+    }
--- a/src/corianderloft/_internal/shared/configuration/follow.py
+++ b/src/corianderloft/_internal/shared/configuration/follow.py
@@ -81,6 +81,8 @@
                 async for event in events:
                     if isinstance(event, kv_interface.WatchEnded):
                         return False
+                    if isinstance(event, kv_interface.WatchProgress):
+                        continue
                     if not self._take(event):
                         return False
         return True
