Place prompts by reading time on lanes; tell hosts each other's loads

Change: short and long routes on engines of their own; hosts exchange what they have at each engine by datagrams; long prompts with loose targets wait at the host; a stream that ended counts as answered.

--- a/src/corianderloft/_internal/gateway/app.py
+++ b/src/corianderloft/_internal/gateway/app.py
@@ -83,14 +83,6 @@
         if isinstance(call, answers.Refusal):
             await self._refuse(caller, head, call)
             return
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_when_left, caller, nursery)
-            await self._forward(caller, call)
-            nursery.cancel_scope.cancel()
-
-    async def _forward(
-        self, caller: exchange.Exchange, call: calls.Call
-    ) -> None:
         work = forwarding.Forwarding(
             self._decisions,
             self._pool,
@@ -99,6 +91,14 @@
             caller,
             self._stop.leaving,
         )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_when_left, caller, work, nursery)
+            await self._run(call, work)
+            nursery.cancel_scope.cancel()
+
+    async def _run(
+        self, call: calls.Call, work: forwarding.Forwarding
+    ) -> None:
         result = 'caller_left'
         try:
             result = (await work.run()).value
@@ -224,6 +224,7 @@
                 'engine': work.engine,
                 'sends': work.sends,
                 'first_s': first,
+                'longest_gap_s': round(work.longest_gap, 4),
                 'total_s': round(now - job.arrived, 4),
                 'version': getattr(self._beliefs.table, 'version', None),
                 'age_s': round(self._beliefs.age(), 3),
@@ -240,7 +241,10 @@
 
 
 async def _cancel_when_left(
-    caller: exchange.Exchange, nursery: trio.Nursery
+    caller: exchange.Exchange,
+    work: forwarding.Forwarding,
+    nursery: trio.Nursery,
 ) -> None:
     await caller.wait_left()
-    nursery.cancel_scope.cancel()
+    if not work.complete:
+        nursery.cancel_scope.cancel()
--- a/src/corianderloft/_internal/gateway/dialect.py
+++ b/src/corianderloft/_internal/gateway/dialect.py
@@ -54,8 +54,8 @@
         Time until nobody waits for the answer, in seconds.
     workspace : WorkspaceId or None
         Who asks.
-    tier : Tier
-        Priority at the engine.
+    urgency : int
+        Priority at the engine; 0 goes first.
     resume_after : int or None
         Id of the last event that the caller has.
     """
@@ -63,7 +63,7 @@
     engine_id: ids.EngineId
     left: float
     workspace: ids.WorkspaceId | None
-    tier: ids.Tier
+    urgency: int
     resume_after: int | None
 
 
--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -58,8 +58,14 @@
         The request.
     caller : Exchange
         Where the answer goes.
-    closes : callable
-        Says whether the caller's connection ends with this answer.
+    closes : bool
+        Whether the caller's connection ends with this answer.
+
+    Attributes
+    ----------
+    complete : bool
+        Whether the end of the answer is on its way to the caller; the
+        caller may leave then.
     """
 
     def __init__(
@@ -81,10 +87,13 @@
         self._ran: set[engines.Key] = set()
         self._last_event = call.head.resume_after
         self._started = False
+        self.complete = False
         self._reserve: tuple[sending.Opened, bytes] | None = None
         self.sends = 0
         self.first_at: float | None = None
         self.engine = ''
+        self.longest_gap = 0.0
+        self._event_at = 0.0
         self.refusal: answers.Refusal | None = None
 
     @property
@@ -160,6 +169,7 @@
 
     async def _refuse(self, refusal: answers.Refusal) -> Result:
         self.refusal = refusal
+        self.complete = True
         headers = refusal.headers()
         if self._closes and not refusal.closes:
             headers.append((b'connection', b'close'))
@@ -249,8 +259,8 @@
         ]
         if self._closes:
             headers.append((b'connection', b'close'))
-        with trio.CancelScope(shield=True):
-            await self._caller.answer_raw(opened.status, headers, body)
+        self.complete = True
+        await self._caller.answer_raw(opened.status, headers, body)
         return Result.ANSWERED
 
     async def _relay(
@@ -282,6 +292,7 @@
         rest = cutter.rest()
         if not self._started or rest:
             await self._pass_on(opened, rest)
+        self.complete = True
         await self._caller.end_stream()
         return Result.ANSWERED
 
@@ -303,6 +314,10 @@
             await self._caller.start(opened.status, headers)
         if not events:
             return
+        now = trio.current_time()
+        if self._event_at:
+            self.longest_gap = max(self.longest_gap, now - self._event_at)
+        self._event_at = now
         await self._caller.send_events(events)
         if self._call.kind is routing.RequestKind.RESUMABLE_STREAM:
             self._note_last(events)
--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -13,6 +13,7 @@
 from corianderloft._internal.gateway import dialect
 from corianderloft._internal.gateway import following
 from corianderloft._internal.gateway import layout
+from corianderloft._internal.gateway import load_exchange
 from corianderloft._internal.gateway import membership
 from corianderloft._internal.gateway import settings
 from corianderloft._internal.gateway import side_apps
@@ -83,10 +84,13 @@
         self._beliefs.listen(self._placer)
         self._pool = engine_pool.EnginePool()
         self._stop = stopping.Stopping()
+        own = _member(cfg)
+        self._loads = load_exchange.LoadExchange(self._placer, own)
+        self._beliefs.listen(self._loads)
         self._entry = membership.Membership(
             parts.store,
             parts.places.hosts_prefix + cfg.host_id,
-            parts.places.encode_member(_member(cfg)),
+            parts.places.encode_member(own),
             self._beliefs.trouble,
         )
         self._app = app.GatewayApp(
@@ -105,6 +109,8 @@
                 follower = following.Follower(self._store, self._beliefs)
                 nursery.start_soon(follower.run)
                 nursery.start_soon(follower.drop_held)
+                nursery.start_soon(self._placer.run)
+                nursery.start_soon(self._loads.run)
                 nursery.start_soon(self._keep_entry)
                 nursery.start_soon(self._housekeeping)
                 for server in servers:
--- a/src/corianderloft/_internal/gateway/sending.py
+++ b/src/corianderloft/_internal/gateway/sending.py
@@ -156,7 +156,7 @@
                 engine_id=self._engine.engine_id,
                 left=max(0.001, job.until - trio.current_time()),
                 workspace=workspace.name if workspace else None,
-                tier=job.tier,
+                urgency=job.urgency,
                 resume_after=resume_after,
             ),
             self._call.kind,
--- a/src/corianderloft/_internal/placement/engines.py
+++ b/src/corianderloft/_internal/placement/engines.py
@@ -2,12 +2,32 @@
 
 import collections
 import dataclasses
+import math
 
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import instances
 from corianderloft._internal.models import routing
 from corianderloft._internal.placement import health
 
+READ_RATE = 42_000.0
+"""Prompt tokens that an engine reads in a second beside a running batch:
+the sheets name 56.9 in a millisecond, and each chunk of 1,024 waits for one
+step of the batch."""
+
+BASE_TIME = 0.04
+"""Time until an answer begins without anything to read, in seconds."""
+
+PACE_WEIGHT = 0.2
+"""Weight of the newest answer in the pace of an engine."""
+
+PACE_MEMORY = 4.0
+"""Time in which a pace without new answers fades, in seconds: neighbours on
+its host slow an engine for moments."""
+
+LEAST_PACE = 0.5
+MOST_PACE = 8.0
+"""Bounds of what one answer says of the pace."""
+
 Key = tuple[ids.EngineId, int]
 """A backend server and its start."""
 
@@ -26,6 +46,8 @@
         Priority.
     sent_at : float
         When it was sent, on trio's clock.
+    expected : float
+        Time after which its answer should begin, in seconds.
     started : bool
         Whether its answer has begun.
     """
@@ -34,6 +56,7 @@
     memory_tokens: int
     tier: ids.Tier
     sent_at: float
+    expected: float = 0.0
     started: bool = False
 
 
@@ -74,6 +97,9 @@
         model: routing.ModelService | None,
     ) -> None:
         self.instance = instance
+        self.serves_model = model is not None
+        self._pace = 1.0
+        self._paced_at = float('-inf')
         self.work: dict[int, Work] = {}
         self.cache = PartCache(model.memory_tokens if model else 0)
         self.health = health.Health()
@@ -105,6 +131,38 @@
         own = sum(w.memory_tokens for w in self.work.values())
         return own + sum(p.memory_tokens for p in self.peers.values())
 
+    def reading_time(self, tokens: int, now: float) -> float:
+        """Return the time until it has read what it has and ``tokens`` more.
+
+        Parameters
+        ----------
+        tokens : int
+            Prompt tokens on top.
+        now : float
+            trio's clock.
+        """
+        unread = self.unread_tokens() + tokens
+        return self.pace(now) * unread / READ_RATE
+
+    def pace(self, now: float) -> float:
+        """Return how long answers take to begin, over what was expected."""
+        faded = math.exp(-max(0.0, now - self._paced_at) / PACE_MEMORY)
+        return 1.0 + (self._pace - 1.0) * faded
+
+    def add(self, number: int, work: Work) -> None:
+        """Note a request of this host."""
+        work.expected = BASE_TIME + self.unread_tokens() / READ_RATE
+        work.expected += work.read_tokens / READ_RATE
+        self.work[number] = work
+
+    def note_started(self, work: Work, now: float) -> None:
+        """Learn from the time that an answer took to begin."""
+        ratio = (now - work.sent_at) / work.expected
+        ratio = min(MOST_PACE, max(LEAST_PACE, ratio))
+        pace = self.pace(now)
+        self._pace = pace + PACE_WEIGHT * (ratio - pace)
+        self._paced_at = now
+
     def own_load(self) -> PeerLoad:
         """Return what this host has there."""
         return PeerLoad(
--- a/src/corianderloft/_internal/placement/interface.py
+++ b/src/corianderloft/_internal/placement/interface.py
@@ -11,6 +11,10 @@
 from corianderloft._internal.models import routing
 from corianderloft._internal.placement import engines
 
+ROUTE_TIERS = 3
+"""Tiers of routes that are told apart at a backend server, whose priorities
+go to 9."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Job:
@@ -45,6 +49,16 @@
     until: float
     prompt: instances.Prompt | None = None
 
+    @property
+    def urgency(self) -> int:
+        """Priority at the backend server; 0 goes first.
+
+        The tier decides, which may be that of the workspace; among equals,
+        the tier of the route.
+        """
+        of_route = min(max(self.route.tier, 0), ROUTE_TIERS - 1)
+        return ROUTE_TIERS * self.tier + of_route
+
 
 class End(enum.Enum):
     """How a send to a backend server ended."""
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -4,6 +4,7 @@
 import itertools
 import logging
 import random
+import typing
 
 import trio
 
@@ -20,10 +21,16 @@
 )  # noqa: F401
 from corianderloft._internal.placement import engines
 from corianderloft._internal.placement import interface
+from corianderloft._internal.placement import queue
 
 logger = logging.getLogger(__name__)
 
 
+PUMP_INTERVAL = 0.008
+"""Mean wait between two looks at the queue in seconds: much shorter than
+the reading of a prompt, and random, so that hosts do not send together."""
+
+
 class Grant:
     """Permission to send one request to one backend server."""
 
@@ -37,9 +44,10 @@
     def started(self) -> None:
         """Note that the answer has begun."""
         work = self.engine.work.get(self._number)
-        if work is not None:
-            work.started = True
-        self._placer.wake()
+        if work is None or work.started:
+            return
+        work.started = True
+        self._placer.note_started(self.engine, work)
 
     def close(self, end: interface.End) -> None:
         """Note how the send ended; later calls do nothing."""
@@ -69,13 +77,15 @@
         self._domain = domain
         self._rng = rng
         self._numbers = itertools.count()
-        self._changed = trio.Event()
+        self._woken = trio.Event()
+        self._queue = queue.Queue()
         self._table: routing.RoutingTable | None = None
         self._engines: dict[engines.Key, engines.Engine] = {}
         self._listed: tuple[instances.Instance, ...] = ()
-        self._model_chooser = _make('separated_prefix')
+        self._model_chooser = _make('lanes')
         self._plain_chooser = _make('fewest_requests')
         self.retries = retries
+        self.load_changed = trio.Event()
 
     def use_table(self, table: routing.RoutingTable) -> None:
         """Take over new declarations."""
@@ -116,28 +126,86 @@
         exclude: collections.abc.Set[engines.Key] = frozenset(),
     ) -> Grant | interface.Refused:
         """Wait until a request may be sent to a backend server."""
-        patience = min(job.until, job.arrived + job.route.target / 8)
+        waiter = queue.Waiter(job, exclude, next(self._numbers))
+        self._queue.add(waiter)
+        self._pump()
+        try:
+            with trio.move_on_at(waiter.give_up_at):
+                await waiter.granted.wait()
+        except trio.Cancelled:
+            if waiter.engine is not None:
+                Grant(self, waiter.engine, waiter.number).close(
+                    interface.End.CALLER_LEFT
+                )
+            raise
+        finally:
+            self._queue.discard(waiter)
+        if waiter.engine is None:
+            return self._refused(job)
+        return Grant(self, waiter.engine, waiter.number)
+
+    def wake(self) -> None:
+        """Let waiting requests look again, soon."""
+        self._woken.set()
+
+    async def run(self) -> typing.NoReturn:
+        """Grant waiting requests as engines become free."""
         while True:
-            now = trio.current_time()
-            if now >= job.until:
-                return interface.Refused(interface.Refusal.TOO_LATE, 0.1)
-            engine = self._choose(job, exclude, now)
+            await self._woken.wait()
+            self._woken = trio.Event()
+            self._pump()
+            await trio.sleep(self._rng.uniform(0.5, 1.5) * PUMP_INTERVAL)
+
+    def _pump(self) -> None:
+        """Grant what may run now, in the order of the queue."""
+        now = trio.current_time()
+        for waiter in self._queue.in_order():
+            engine = self._choose(waiter.job, waiter.exclude, now)
             if engine is not None:
-                return self._grant(job, engine, now)
-            if now >= patience:
-                return interface.Refused(interface.Refusal.NO_BACKEND, 0.3)
-            with trio.move_on_at(patience):
-                await self._changed.wait()
+                self._queue.discard(waiter)
+                self._grant(waiter, engine, now)
 
-    def wake(self) -> None:
-        """Let waiting requests look again."""
-        self._changed.set()
-        self._changed = trio.Event()
+    def _refused(self, job: interface.Job) -> interface.Refused:
+        now = trio.current_time()
+        if now >= job.until:
+            return interface.Refused(interface.Refusal.TOO_LATE, 0.1)
+        if not any(self._live(job.service)):
+            return interface.Refused(interface.Refusal.NO_BACKEND, 0.3)
+        after = job.route.target * self._rng.uniform(0.3, 0.6)
+        return interface.Refused(interface.Refusal.OVERLOADED, after)
 
     def known_engines(self) -> collections.abc.Iterable[engines.Engine]:
         """Return what is known of each backend server."""
         return self._engines.values()
 
+    def own_loads(self) -> dict[engines.Key, engines.PeerLoad]:
+        """Return what this host has at the engines of models."""
+        return {
+            key: engine.own_load()
+            for key, engine in self._engines.items()
+            if engine.serves_model and engine.work
+        }
+
+    def use_peer_load(
+        self,
+        host_id: ids.HostId,
+        loads: collections.abc.Mapping[engines.Key, engines.PeerLoad],
+    ) -> None:
+        """Take in what another entry host has at each engine."""
+        for key, engine in self._engines.items():
+            load = loads.get(key)
+            if load is None:
+                engine.peers.pop(host_id, None)
+            else:
+                engine.peers[host_id] = load
+        self.wake()
+
+    def note_started(self, engine: engines.Engine, work: engines.Work) -> None:
+        """Learn from the time that an answer took to begin."""
+        engine.note_started(work, trio.current_time())
+        self.load_changed.set()
+        self.wake()
+
     def note_end(self, engine: engines.Engine, end: interface.End) -> None:
         """Learn from how a send ended."""
         now = trio.current_time()
@@ -163,6 +231,7 @@
                     'error_share': round(engine.health.error_share, 2),
                 },
             )
+        self.load_changed.set()
         self.wake()
 
     def _choose(
@@ -171,12 +240,7 @@
         exclude: collections.abc.Set[engines.Key],
         now: float,
     ) -> engines.Engine | None:
-        everyone = [
-            engine
-            for engine in self._engines.values()
-            if engine.instance.service == job.service
-            and engine.instance.state is states.BackendState.LIVE
-        ]
+        everyone = list(self._live(job.service))
         usable = [
             e
             for e in everyone
@@ -189,19 +253,31 @@
             interface.Scene(job, usable, everyone, model, self._domain, now)
         )
 
+    def _live(
+        self, service: ids.ServiceName
+    ) -> collections.abc.Iterator[engines.Engine]:
+        """Yield the backend servers of a service that are not leaving."""
+        return (
+            engine
+            for engine in self._engines.values()
+            if engine.instance.service == service
+            and engine.instance.state is states.BackendState.LIVE
+        )
+
     def _grant(
-        self, job: interface.Job, engine: engines.Engine, now: float
-    ) -> Grant:
-        number = next(self._numbers)
-        prompt = job.prompt
+        self, waiter: queue.Waiter, engine: engines.Engine, now: float
+    ) -> None:
+        prompt = waiter.job.prompt
         read, held = 0, 0
         if prompt is not None:
             read = prompt.tokens - engine.cache.cached_tokens(prompt)
             held = prompt.tokens + prompt.max_output // 2
             engine.cache.add(prompt)
-        engine.work[number] = engines.Work(read, held, job.tier, now)
+        work = engines.Work(read, held, waiter.job.tier, now)
+        engine.add(waiter.number, work)
         engine.health.note_sent()
-        return Grant(self, engine, number)
+        waiter.grant(engine)
+        self.load_changed.set()
 
     def _model(
         self, instance: instances.Instance
--- a/src/corianderloft/_internal/platform/headers.py
+++ b/src/corianderloft/_internal/platform/headers.py
@@ -59,7 +59,7 @@
         kind: routing.RequestKind,
     ) -> Headers:
         """Return the headers for a backend server."""
-        urgency = min(max(errand.tier, 0), words.LAST_URGENCY)
+        urgency = min(max(errand.urgency, 0), words.LAST_URGENCY)
         headers = [
             *head.passed_on,
             (words.TARGET, errand.engine_id.encode('latin-1')),
