Size the short lane by the short requests that run

Cause: a fixed part of the engines starved either chat in its bursts or ledgers between them; urgent quotes were refused while ledgers began. Change: lanes sized from the exchanged loads; the most urgent long prompt goes late rather than being refused.

--- a/src/corianderloft/_internal/gateway/load_exchange.py
+++ b/src/corianderloft/_internal/gateway/load_exchange.py
@@ -64,7 +64,7 @@
             load.start,
             load.number,
             [
-                [*key, at.requests, at.unread_tokens, at.memory_tokens]
+                [*key, *dataclasses.astuple(at)]
                 for key, at in load.loads.items()
             ],
         ]
@@ -77,9 +77,9 @@
         host_id, start, number, rows = orjson.loads(data)
         loads = {
             (ids.EngineId(engine_id), int(born)): engines.PeerLoad(
-                int(requests), int(unread), int(held)
+                *map(int, figures)
             )
-            for engine_id, born, requests, unread, held in rows
+            for engine_id, born, *figures in rows
         }
         return HostLoad(ids.HostId(host_id), str(start), int(number), loads)
     except (ValueError, TypeError):
--- a/src/corianderloft/_internal/placement/engines.py
+++ b/src/corianderloft/_internal/placement/engines.py
@@ -46,6 +46,8 @@
         Priority.
     sent_at : float
         When it was sent, on trio's clock.
+    short : bool
+        Whether its route has short prompts.
     expected : float
         Time after which its answer should begin, in seconds.
     started : bool
@@ -56,6 +58,7 @@
     memory_tokens: int
     tier: ids.Tier
     sent_at: float
+    short: bool = False
     expected: float = 0.0
     started: bool = False
 
@@ -65,6 +68,7 @@
     """What another entry host has at a backend server."""
 
     requests: int
+    short_requests: int
     unread_tokens: int
     memory_tokens: int
 
@@ -121,6 +125,11 @@
         """Return the requests there, of this host and of others."""
         return len(self.work) + sum(p.requests for p in self.peers.values())
 
+    def short_requests(self) -> int:
+        """Return the requests with short prompts there."""
+        own = sum(work.short for work in self.work.values())
+        return own + sum(p.short_requests for p in self.peers.values())
+
     def unread_tokens(self) -> int:
         """Return the prompt tokens that it has yet to read."""
         own = sum(w.read_tokens for w in self.work.values() if not w.started)
@@ -167,6 +176,7 @@
         """Return what this host has there."""
         return PeerLoad(
             requests=len(self.work),
+            short_requests=sum(work.short for work in self.work.values()),
             unread_tokens=sum(
                 w.read_tokens for w in self.work.values() if not w.started
             ),
--- a/src/corianderloft/_internal/placement/interface.py
+++ b/src/corianderloft/_internal/placement/interface.py
@@ -116,6 +116,12 @@
         Where this host stands.
     now : float
         trio's clock.
+    long : bool
+        Whether prompts of the route are long for the service.
+    tightest_long : float
+        Tightest target of its routes with long prompts, in seconds.
+    last_chance : bool
+        Whether the request is refused unless it may go now.
     """
 
     job: Job
@@ -124,6 +130,9 @@
     model: routing.ModelService | None
     own_domain: ids.FailureDomain
     now: float
+    long: bool = False
+    tightest_long: float = 0.0
+    last_chance: bool = False
 
 
 class Chooser(typing.Protocol):
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -21,7 +21,9 @@
 )  # noqa: F401
 from corianderloft._internal.placement import engines
 from corianderloft._internal.placement import interface
+from corianderloft._internal.placement import lanes as _lanes  # noqa: F401
 from corianderloft._internal.placement import queue
+from corianderloft._internal.placement import sizes
 
 logger = logging.getLogger(__name__)
 
@@ -84,6 +86,7 @@
         self._listed: tuple[instances.Instance, ...] = ()
         self._model_chooser = _make('lanes')
         self._plain_chooser = _make('fewest_requests')
+        self._sizes = sizes.RouteSizes()
         self.retries = retries
         self.load_changed = trio.Event()
 
@@ -127,6 +130,7 @@
     ) -> Grant | interface.Refused:
         """Wait until a request may be sent to a backend server."""
         waiter = queue.Waiter(job, exclude, next(self._numbers))
+        self._sizes.note(job)
         self._queue.add(waiter)
         self._pump()
         try:
@@ -140,6 +144,8 @@
             raise
         finally:
             self._queue.discard(waiter)
+        if waiter.engine is None:
+            self._try(waiter, trio.current_time(), last_chance=True)
         if waiter.engine is None:
             return self._refused(job)
         return Grant(self, waiter.engine, waiter.number)
@@ -160,10 +166,18 @@
         """Grant what may run now, in the order of the queue."""
         now = trio.current_time()
         for waiter in self._queue.in_order():
-            engine = self._choose(waiter.job, waiter.exclude, now)
-            if engine is not None:
-                self._queue.discard(waiter)
-                self._grant(waiter, engine, now)
+            self._try(waiter, now)
+
+    def _try(
+        self, waiter: queue.Waiter, now: float, last_chance: bool = False
+    ) -> None:
+        """Grant one waiting request if it may run."""
+        scene = self._scene(waiter, now, last_chance)
+        chooser = self._model_chooser if scene.model else self._plain_chooser
+        engine = chooser.choose(scene)
+        if engine is not None:
+            self._queue.discard(waiter)
+            self._grant(waiter, engine, scene)
 
     def _refused(self, job: interface.Job) -> interface.Refused:
         now = trio.current_time()
@@ -234,23 +248,27 @@
         self.load_changed.set()
         self.wake()
 
-    def _choose(
-        self,
-        job: interface.Job,
-        exclude: collections.abc.Set[engines.Key],
-        now: float,
-    ) -> engines.Engine | None:
+    def _scene(
+        self, waiter: queue.Waiter, now: float, last_chance: bool
+    ) -> interface.Scene:
+        job = waiter.job
         everyone = list(self._live(job.service))
         usable = [
             e
             for e in everyone
-            if e.key not in exclude and e.health.usable(now)
+            if e.key not in waiter.exclude and e.health.usable(now)
         ]
         service = self._table and self._table.services.get(job.service)
-        model = service.model if service else None
-        chooser = self._model_chooser if model else self._plain_chooser
-        return chooser.choose(
-            interface.Scene(job, usable, everyone, model, self._domain, now)
+        return interface.Scene(
+            job=job,
+            candidates=usable,
+            everyone=everyone,
+            model=service.model if service else None,
+            own_domain=self._domain,
+            now=now,
+            long=self._sizes.is_long(job),
+            tightest_long=self._sizes.tightest_long(job),
+            last_chance=last_chance,
         )
 
     def _live(
@@ -265,7 +283,10 @@
         )
 
     def _grant(
-        self, waiter: queue.Waiter, engine: engines.Engine, now: float
+        self,
+        waiter: queue.Waiter,
+        engine: engines.Engine,
+        scene: interface.Scene,
     ) -> None:
         prompt = waiter.job.prompt
         read, held = 0, 0
@@ -273,7 +294,9 @@
             read = prompt.tokens - engine.cache.cached_tokens(prompt)
             held = prompt.tokens + prompt.max_output // 2
             engine.cache.add(prompt)
-        work = engines.Work(read, held, waiter.job.tier, now)
+        work = engines.Work(
+            read, held, waiter.job.tier, scene.now, not scene.long
+        )
         engine.add(waiter.number, work)
         engine.health.note_sent()
         waiter.grant(engine)
--- a/src/corianderloft/_internal/placement/sizes.py
+++ b/src/corianderloft/_internal/placement/sizes.py
@@ -1,7 +1,6 @@
 """How long the prompts of each route are, learned from its requests."""
 
 from corianderloft._internal.models import ids
-from corianderloft._internal.models import instances
 from corianderloft._internal.placement import engines
 from corianderloft._internal.placement import interface
 
@@ -20,8 +19,11 @@
         self._means: dict[str, float] = {}
         self._targets: dict[ids.ServiceName, dict[str, float]] = {}
 
-    def note(self, job: interface.Job, prompt: instances.Prompt) -> None:
-        """Take in the prompt of one request."""
+    def note(self, job: interface.Job) -> None:
+        """Take in the prompt of one request, if it has one."""
+        prompt = job.prompt
+        if prompt is None:
+            return
         name = job.route.name
         mean = self._means.get(name, prompt.tokens)
         mean += SIZE_WEIGHT * (prompt.tokens - mean)
@@ -44,6 +46,8 @@
         return self._long(job.service, job.route.name)
 
     def _long(self, service: ids.ServiceName, name: str) -> bool:
+        if name not in self._means:
+            return False
         tightest = min(self._targets[service].values())
         reading = self._means[name] / engines.READ_RATE
         return reading > LONG_PART * tightest
