--- a/src/corianderloft/_internal/gateway/side_apps.py
+++ b/src/corianderloft/_internal/gateway/side_apps.py
@@ -3,7 +3,6 @@
 import collections.abc
 import typing
 
-import orjson
 
 from corianderloft._internal.gateway import stopping
 from corianderloft._internal.gateway import view
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -16,12 +16,8 @@
 from corianderloft._internal.models import routing
 from corianderloft._internal.models import states
 from corianderloft._internal.placement import budget
-from corianderloft._internal.placement import (
-    choosers as _choosers,
-)  # noqa: F401
 from corianderloft._internal.placement import engines
 from corianderloft._internal.placement import interface
-from corianderloft._internal.placement import lanes as _lanes  # noqa: F401
 from corianderloft._internal.placement import queue
 from corianderloft._internal.placement import sizes
 
--- /dev/null
+++ b/tests/lib/gateway.py
@@ -0,0 +1,293 @@
+"""A gateway host on loopback between stand-ins of the platform."""
+
+import contextlib
+import dataclasses
+import functools
+import socket
+
+import h11
+import orjson
+import trio
+
+from corianderloft._internal.gateway import host
+from corianderloft._internal.gateway import settings
+from corianderloft._internal.models import ids
+from corianderloft._internal.platform import daemon
+from corianderloft._internal.platform import headers
+from corianderloft._internal.platform import store
+from corianderloft._internal.standin import http
+from tests.lib import platform_engine
+from tests.lib import platform_store
+from tests.lib import processes
+
+HOST = 'desk.example'
+KEY = 'key-of-aswan'
+
+ROUTES = (
+    {
+        'name': 'r-look',
+        'path_prefix': '/look/',
+        'kind': 'idempotent',
+        'timeout_ms': 2000,
+        'target_latency_ms': 100,
+        'service': 'desk',
+        'attempts': 2,
+    },
+    {
+        'name': 'r-book',
+        'path_prefix': '/book/',
+        'kind': 'non_idempotent',
+        'timeout_ms': 2000,
+        'target_latency_ms': 100,
+        'service': 'desk',
+        'attempts': 1,
+    },
+    {
+        'name': 'r-chat',
+        'path_prefix': '/chat/',
+        'kind': 'streaming',
+        'timeout_ms': 3000,
+        'target_latency_ms': 250,
+        'target_gap_ms': 200,
+        'service': 'desk',
+        'attempts': 1,
+    },
+    {
+        'name': 'r-quote',
+        'path_prefix': '/quote/',
+        'kind': 'streaming',
+        'stream_resume': True,
+        'timeout_ms': 3000,
+        'target_latency_ms': 250,
+        'target_gap_ms': 100,
+        'service': 'desk',
+        'attempts': 2,
+    },
+)
+
+
+def configuration(version=1, keys=(KEY,), routes=ROUTES, **changes):
+    """Return the operator's document."""
+    document = {
+        'version': version,
+        'routes': [{'host': HOST, 'priority': 1} | r for r in routes],
+        'services': [
+            {
+                'name': 'desk',
+                'health_path': '/healthz',
+                'max_connections': 50,
+            }
+        ],
+        'limits': {
+            'max_header_bytes': 4096,
+            'max_body_bytes': 10000,
+            'header_timeout_ms': 3000,
+            'idle_timeout_ms': 5000,
+        },
+        'tenants': [{'name': 'aswan', 'api_keys': list(keys), 'priority': 0}],
+    }
+    return orjson.dumps(document | changes)
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a caller got; ``whole`` unless it was cut."""
+
+    status: int
+    headers: dict
+    body: bytes
+    whole: bool = True
+
+
+def free_port():
+    """Return a port of loopback that nobody uses."""
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return sock.getsockname()[1]
+
+
+class System:
+    """One host, its store and its engines.
+
+    Attributes
+    ----------
+    store : PlatformStore
+        The store.
+    engines : list of PlatformEngine
+        The backend servers.
+    cfg : GatewaySettings
+        Settings of the host.
+    """
+
+    def __init__(self, nursery, platform, store_port):
+        self._nursery = nursery
+        self.store = platform
+        self.store_port = store_port
+        self.engines = []
+        self.cfg = None
+        self.host_done = trio.Event()
+
+    async def add_engine(self, mode='whole', register=True, **figures):
+        """Start a backend server and register it."""
+        number = len(self.engines)
+        engine = platform_engine.PlatformEngine(f'e-{number}', mode)
+        for name, value in figures.items():
+            setattr(engine, name, value)
+        await self._nursery.start(engine.serve)
+        self.engines.append(engine)
+        if register:
+            self.register(engine)
+        return engine
+
+    def register(self, engine, state='ready', **changes):
+        """Write the entry of a backend server."""
+        entry = {
+            'service': 'desk',
+            'address': f'127.0.0.1:{engine.port}',
+            'zone': 'cairo-a',
+            'version': 'v1',
+            'slots': 8,
+            'state': state,
+            'cold_remaining_ms': 0,
+            'sequence': 1,
+            'born': 1000,
+        }
+        key = f'servers/{engine.engine_id}'
+        self.store.put(key, orjson.dumps(entry | changes))
+
+    def bounds(self):
+        """Return the promises of the deployment."""
+        return settings.Bounds(
+            key_life=3.0,
+            stop_time=4.0,
+            retry_ratio=0.2,
+            retry_slack=50.0,
+            retry_window=10.0,
+            answer_life=5.0,
+            leaving_time=2.0,
+            prefix_life=6.0,
+        )
+
+    async def start_host(self):
+        """Start the host in this process and wait until it is ready."""
+        self.cfg = settings.GatewaySettings(
+            host_id=ids.HostId('edge-1'),
+            address='127.0.0.1',
+            caller_port=free_port(),
+            ready_port=free_port(),
+            address_port=free_port(),
+            metrics_port=free_port(),
+            peer_port=free_port(),
+            failure_domain=ids.FailureDomain('cairo-a'),
+            most_files=1000,
+            bounds=self.bounds(),
+            store=settings.Store('127.0.0.1', self.store_port, 1.0),
+        )
+        parts = host.Parts(
+            cfg=self.cfg,
+            store=store.PlatformStore('127.0.0.1', self.store_port),
+            places=daemon.LAYOUT,
+            words=headers.PlatformDialect(),
+        )
+        self._nursery.start_soon(self._run_host, host.Host(parts))
+        await processes.wait_for(self.is_ready, 'the host is ready')
+
+    async def _run_host(self, gateway):
+        await gateway.run()
+        self.host_done.set()
+
+    async def is_ready(self):
+        """Return whether the readiness check says so."""
+        answer = await fetch(self.cfg.ready_port, 'GET', '/readyz')
+        return answer is not None and answer.status == 200
+
+    async def ask(self, method='GET', target='/look/1', **options):
+        """Send a request of a caller with a key."""
+        return await fetch(self.cfg.caller_port, method, target, **options)
+
+    def runs(self):
+        """Return all requests that ran, wherever they did."""
+        return [seen for engine in self.engines for seen in engine.seen]
+
+
+@contextlib.asynccontextmanager
+async def running(engines=('whole',), document=None, start=True):
+    """Give a system whose host is ready."""
+    async with trio.open_nursery() as nursery:
+        platform = platform_store.PlatformStore()
+        platform.put('op/config', document or configuration())
+        port = await nursery.start(
+            functools.partial(http.serve, platform.app(), 0)
+        )
+        system = System(nursery, platform, port)
+        for mode in engines:
+            await system.add_engine(mode)
+        if start:
+            await system.start_host()
+        yield system
+        nursery.cancel_scope.cancel()
+
+
+_numbers = iter(range(1, 10**9))
+
+
+async def fetch(
+    port,
+    method,
+    target,
+    body=b'',
+    key=KEY,
+    headers=(),
+    deadline_ms=2000,
+    host_name=HOST,
+    within=8.0,
+    stream=None,
+):
+    """Send one request; None when no connection could be made."""
+    try:
+        stream = stream or await trio.open_tcp_stream('127.0.0.1', port)
+    except OSError:
+        return None
+    fields = [
+        ('Host', host_name),
+        ('Corianderloft-Attempt-Id', f'a{next(_numbers)}'),
+        ('Corianderloft-Deadline-Ms', str(deadline_ms)),
+        *headers,
+    ]
+    if key is not None:
+        fields.append(('Authorization', f'Bearer {key}'))
+    if method != 'GET':
+        fields.append(('Content-Length', str(len(body))))
+    http1 = h11.Connection(h11.CLIENT)
+    data = http1.send(
+        h11.Request(method=method, target=target, headers=fields)
+    )
+    if body:
+        data += http1.send(h11.Data(data=body))
+    data += http1.send(h11.EndOfMessage())
+    with trio.fail_after(within):
+        async with stream:
+            await stream.send_all(data)
+            return await _read_answer(stream, http1)
+
+
+async def _read_answer(stream, http1):
+    answer = Answer(0, {}, b'', whole=False)
+    while True:
+        try:
+            event = http1.next_event()
+            if event is h11.NEED_DATA:
+                http1.receive_data(await stream.receive_some(65536))
+                continue
+        except (h11.RemoteProtocolError, trio.BrokenResourceError):
+            return answer
+        if isinstance(event, h11.Response):
+            answer.status = event.status_code
+            answer.headers = {n.decode(): v.decode() for n, v in event.headers}
+        elif isinstance(event, h11.Data):
+            answer.body += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            answer.whole = True
+            return answer
+        else:
+            return answer
--- /dev/null
+++ b/tests/lib/platform_engine.py
@@ -0,0 +1,178 @@
+"""Stand-in for a backend server of the users' platform, on raw sockets."""
+
+import dataclasses
+
+import h11
+import trio
+
+SIGNATURE = 'Corianderloft-Response-Signature'
+
+
+@dataclasses.dataclass
+class Seen:
+    """A request that ran."""
+
+    method: str
+    target: str
+    headers: dict
+    body: bytes
+
+
+class PlatformEngine:
+    """Answers as its mode says.
+
+    Attributes
+    ----------
+    mode : str
+        ``whole``, ``stream``, ``error``, ``reject``, ``hang``, ``cut``,
+        ``cut_stream``, ``unsigned``, ``twice`` or ``reset``.
+    events : int
+        Events of a stream.
+    pause : float
+        Time between two events in seconds.
+    seen : list of Seen
+        Requests that ran.
+    left : int
+        Requests whose caller left while they ran.
+    """
+
+    def __init__(self, engine_id, mode='whole'):
+        self.engine_id = engine_id
+        self.mode = mode
+        self.events = 4
+        self.pause = 0.0
+        self.cut_after = 2
+        self.seen = []
+        self.left = 0
+        self.port = 0
+
+    async def serve(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve on loopback."""
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        self.port = listeners[0].socket.getsockname()[1]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                trio.serve_listeners, self._connection, listeners
+            )
+            task_status.started(self.port)
+
+    async def _connection(self, stream):
+        http = h11.Connection(h11.SERVER)
+        try:
+            while await self._request(stream, http):
+                http.start_next_cycle()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self.left += 1
+        finally:
+            with trio.move_on_after(1) as scope:
+                scope.shield = True
+                await stream.aclose()
+
+    async def _request(self, stream, http):
+        req, body = None, b''
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(await stream.receive_some(65536))
+            elif isinstance(event, h11.Request):
+                req = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            else:
+                return False
+        headers = {n.decode().lower(): v.decode() for n, v in req.headers}
+        target = headers.get('corianderloft-target-instance')
+        if target not in (None, self.engine_id):
+            await self._answer(stream, http, headers, 421, b'', signed=False)
+            return True
+        if self.mode == 'reject':
+            headers['not-run'] = '1'
+            await self._answer(stream, http, headers, 503, b'', signed=False)
+            return True
+        self.seen.append(
+            Seen(req.method.decode(), req.target.decode(), headers, body)
+        )
+        return await self._run(stream, http, headers)
+
+    async def _run(self, stream, http, headers):
+        mode = self.mode
+        if mode == 'hang':
+            await stream.receive_some(1)
+            self.left += 1
+            return False
+        if mode == 'reset':
+            return False
+        if mode in ('stream', 'cut_stream'):
+            return await self._stream(stream, http, headers)
+        if mode == 'cut':
+            await self._answer(stream, http, headers, 200, b'part', cut=True)
+            return False
+        status = 500 if mode == 'error' else 200
+        signed = mode != 'unsigned'
+        body = f'answer of {self.engine_id}'.encode()
+        await self._answer(stream, http, headers, status, body, signed=signed)
+        if mode == 'twice':
+            wrong = dict(headers)
+            wrong['corianderloft-attempt-id'] = 'another'
+            again = h11.Connection(h11.SERVER)
+            again.receive_data(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+            again.next_event()
+            again.next_event()
+            self.mode = 'late'
+            self._late = (again, wrong)
+        elif mode == 'late':
+            self.mode = 'whole'
+        return True
+
+    async def _answer(
+        self, stream, http, headers, status, body, signed=True, cut=False
+    ):
+        if self.mode == 'late':
+            again, wrong = self._late
+            await self._send(stream, again, wrong, 200, b'stale', True, False)
+        await self._send(stream, http, headers, status, body, signed, cut)
+
+    async def _send(self, stream, http, headers, status, body, signed, cut):
+        fields = [
+            ('Content-Length', str(len(body) + (5 if cut else 0))),
+            (
+                'Corianderloft-Attempt-Id',
+                headers.get('corianderloft-attempt-id', ''),
+            ),
+            ('Corianderloft-Engine-Load', '1,0,8,100'),
+        ]
+        if signed:
+            fields.append((SIGNATURE, f'signed-by-{self.engine_id}'))
+        if 'not-run' in headers:
+            fields.append(('Corianderloft-Not-Executed', '1'))
+        data = http.send(h11.Response(status_code=status, headers=fields))
+        data += http.send(h11.Data(data=body)) or b''
+        if not cut:
+            data += http.send(h11.EndOfMessage()) or b''
+        await stream.send_all(data)
+
+    async def _stream(self, stream, http, headers):
+        first = int(headers.get('last-event-id', -1)) + 1
+        fields = [
+            ('Content-Type', 'text/event-stream'),
+            (
+                'Corianderloft-Attempt-Id',
+                headers.get('corianderloft-attempt-id', ''),
+            ),
+            (SIGNATURE, f'signed-by-{self.engine_id}'),
+        ]
+        data = http.send(h11.Response(status_code=200, headers=fields))
+        await stream.send_all(data)
+        for number in range(first, self.events):
+            cuts = self.mode == 'cut_stream' and first == 0
+            if cuts and number == self.cut_after:
+                await stream.send_all(http.send(h11.Data(data=b'id: 9')))
+                return False
+            event = f'id: {number}\ndata: token {number}\n\n'.encode()
+            await stream.send_all(http.send(h11.Data(data=event)))
+            if self.pause:
+                await trio.sleep(self.pause)
+        await stream.send_all(http.send(h11.EndOfMessage()))
+        return True
--- /dev/null
+++ b/tests/lib/platform_store.py
@@ -0,0 +1,195 @@
+"""Stand-in for the store of the users' platform, over HTTP."""
+
+import base64
+import urllib.parse
+
+import trio
+
+from corianderloft._internal.kv import interface as kv
+from corianderloft._internal.models import ids
+from corianderloft._internal.standin import http
+from tests.lib import fake_kv
+
+PAGE_ITEMS = 5
+
+
+class PlatformStore:
+    """Serves a `FakeStore` with the calls of the platform.
+
+    Attributes
+    ----------
+    down : bool
+        Every call is refused with 503.
+    lose_replies : int
+        Writes that take effect but are not answered.
+    compacted : int
+        Watches from before this revision get 410.
+    """
+
+    def __init__(self):
+        self.store = fake_kv.FakeStore()
+        self.down = False
+        self.lose_replies = 0
+        self.compacted = 0
+        self.calls = self.store.calls
+
+    def put(self, key, value, lease=None):
+        """Write a key as the operator or a backend server does."""
+        self.store.write([kv.Put(key, value, lease)])
+
+    def remove(self, key):
+        """Remove a key."""
+        self.store.write([kv.Delete(key)])
+
+    def app(self):
+        """Return the ASGI application."""
+        handlers = {
+            'GET /kv-key': self._key,
+            'GET /kv-range': self._range,
+            'GET /kv-watch': self._watch,
+            'POST /kv-txn': self._txn,
+            'POST /kv-lease': self._lease,
+            'POST /kv-keep/*': self._keep,
+            'DELETE /kv-lease-end/*': self._end,
+        }
+        return http.Routes(
+            {key: self._guarded(value) for key, value in handlers.items()}
+        )
+
+    def _guarded(self, handler):
+        async def guarded(call):
+            self.store.expire()
+            self.calls[call.path.split('/')[1]] += 1
+            if self.down:
+                await call.reply({}, 503)
+                return
+            await handler(call)
+
+        return guarded
+
+    async def _key(self, call):
+        item = self.store.items.get(_query(call)['key'])
+        if item is None:
+            await call.reply({'current_rev': self.store.revision}, 404)
+            return
+        rev = {'current_rev': self.store.revision}
+        await call.reply(_shown(item) | rev)
+
+    async def _range(self, call):
+        query = _query(call)
+        found = sorted(
+            key
+            for key in self.store.items
+            if key.startswith(query['path_prefix'])
+            and key > query.get('after', '')
+        )
+        await call.reply(
+            {
+                'items': [
+                    _shown(self.store.items[key]) for key in found[:PAGE_ITEMS]
+                ],
+                'has_more': len(found) > PAGE_ITEMS,
+                'current_rev': self.store.revision,
+            }
+        )
+
+    async def _watch(self, call):
+        query = _query(call)
+        after = int(query['after'])
+        if after < self.compacted:
+            await call.reply({}, 410)
+            return
+        until = trio.current_time() + int(query['wait_ms']) / 1000
+        while True:
+            if self.down:
+                await call.cut()
+                return
+            events = [
+                event
+                for event in self.store.events
+                if event.revision > after
+                and event.key.startswith(query['path_prefix'])
+            ]
+            if events or trio.current_time() >= until:
+                break
+            await trio.sleep(0.01)
+            self.store.expire()
+        await call.reply(
+            {
+                'events': [_shown_event(event) for event in events],
+                'current_rev': self.store.revision,
+            }
+        )
+
+    async def _txn(self, call):
+        body = call.json()
+        expected = body.get('expected_revision', [])
+        items = self.store.items
+        for row in expected:
+            item = items.get(row['key'])
+            if (item.mod_revision if item else 0) != row['revision']:
+                shown = [
+                    _shown(items[r['key']])
+                    for r in expected
+                    if r['key'] in items
+                ]
+                await call.reply({'items': shown}, 412)
+                return
+        leases = {w.get('lease') or None for w in body.get('writes', [])}
+        if leases - {None} - set(self.store.leases):
+            await call.reply({}, 404)
+            return
+        writes = [
+            kv.Put(w['key'], base64.b64decode(w['value']), w.get('lease'))
+            for w in body.get('writes', [])
+        ]
+        removals = [kv.Delete(key) for key in body.get('remove', [])]
+        self.store.write([*writes, *removals])
+        if self.lose_replies:
+            self.lose_replies -= 1
+            await call.cut()
+            return
+        await call.reply({'revision': self.store.revision})
+
+    async def _lease(self, call):
+        ttl = call.json()['ttl_ms']
+        lease = self.store.new_lease(ttl / 1000)
+        await call.reply({'lease': lease, 'ttl_ms': ttl})
+
+    async def _keep(self, call):
+        lease = ids.LeaseId(int(call.path.rpartition('/')[2]))
+        if lease not in self.store.leases:
+            await call.reply({}, 404)
+            return
+        ttl, _ = self.store.leases[lease]
+        self.store.leases[lease] = (ttl, trio.current_time() + ttl)
+        await call.reply({'ttl_ms': int(ttl * 1000)})
+
+    async def _end(self, call):
+        self.store.drop_lease(ids.LeaseId(int(call.path.rpartition('/')[2])))
+        await call.reply({})
+
+
+def _query(call):
+    pairs = urllib.parse.parse_qsl(call.query, keep_blank_values=True)
+    return dict(pairs)
+
+
+def _shown(item):
+    return {
+        'key': item.key,
+        'value': base64.b64encode(item.value).decode(),
+        'revision': item.mod_revision,
+        'created': item.mod_revision,
+        'lease': item.lease_id or 0,
+    }
+
+
+def _shown_event(event):
+    if event.item is None:
+        return {
+            'key': event.key,
+            'revision': event.revision,
+            'deleted': True,
+        }
+    return _shown(event.item)
--- /dev/null
+++ b/tests/unit/gateway/test_hosts.py
@@ -0,0 +1,126 @@
+"""A host beside the store: keys, leaving servers, its own end."""
+
+import os
+import signal
+
+import orjson
+import trio
+
+from tests.lib import gateway
+from tests.lib import processes
+
+
+async def test_a_removed_key_stops_at_once():
+    async with gateway.running() as system:
+        assert (await system.ask()).status == 200
+        system.store.put('op/config', gateway.configuration(2, keys=['new']))
+
+        async def refused():
+            return (await system.ask()).status == 401
+
+        await processes.wait_for(refused, 'the old key is refused', 2)
+        assert (await system.ask(key='new')).status == 200
+
+
+async def test_keys_stop_when_the_store_cannot_be_reached():
+    async with gateway.running() as system:
+        system.store.down = True
+
+        async def refused():
+            return (await system.ask()).status == 503
+
+        await processes.wait_for(refused, 'keys are not honoured', 5)
+        assert not await system.is_ready()
+        system.store.down = False
+        await processes.wait_for(system.is_ready, 'the host is ready', 5)
+        assert (await system.ask()).status == 200
+
+
+async def test_public_routes_outlive_the_store():
+    routes = [dict(r, public_access=True) for r in gateway.ROUTES]
+    document = gateway.configuration(routes=routes)
+    async with gateway.running(document=document) as system:
+        system.store.down = True
+        await processes.wait_for(
+            lambda: _not_ready(system), 'the host is not ready', 6
+        )
+        assert (await system.ask(key=None)).status == 200
+
+
+async def _not_ready(system):
+    return not await system.is_ready()
+
+
+async def test_a_leaving_server_gets_nothing_more():
+    async with gateway.running(('whole', 'whole')) as system:
+        leaving = system.engines[0]
+        system.register(leaving, state='draining')
+        await trio.sleep(0.5)
+        before = len(leaving.seen)
+        for _ in range(10):
+            assert (await system.ask()).status == 200
+        assert len(leaving.seen) == before
+
+
+async def test_changes_are_seen_after_the_history_is_gone():
+    async with gateway.running() as system:
+        system.store.compacted = 10**6
+        engine = await system.add_engine()
+        system.store.remove('servers/e-0')
+
+        async def moved():
+            await system.ask()
+            return engine.seen
+
+        await processes.wait_for(moved, 'the new server is used', 5)
+
+
+async def test_a_host_that_lost_its_lease_registers_again():
+    async with gateway.running() as system:
+        store = system.store.store
+        key = 'hosts/edge-1'
+        await processes.wait_for(lambda: key in store.items, 'it registers')
+        store.drop_lease(store.items[key].lease_id)
+        await processes.wait_for(lambda: key in store.items, 'once more')
+
+
+async def test_a_stream_survives_the_signal_to_stop():
+    async with gateway.running(('stream',)) as system:
+        engine = system.engines[0]
+        engine.events, engine.pause = 10, 0.1
+        async with trio.open_nursery() as nursery:
+            answers = []
+
+            async def ask():
+                answers.append(await system.ask('POST', '/chat/1'))
+
+            nursery.start_soon(ask)
+            await processes.wait_for(lambda: engine.seen, 'it runs')
+            os.kill(os.getpid(), signal.SIGTERM)
+            await processes.wait_for(
+                lambda: _not_ready(system), 'it is not ready'
+            )
+            late = await system.ask('POST', '/chat/2')
+        (answer,) = answers
+        assert answer.whole
+        assert late.whole
+        assert late.headers['connection'] == 'close'
+        assert 'hosts/edge-1' not in system.store.store.items
+        with trio.fail_after(5):
+            await system.host_done.wait()
+    assert answer.body.count(b'data: token') == 10
+
+
+async def test_sighup_ends_nothing():
+    async with gateway.running() as system:
+        os.kill(os.getpid(), signal.SIGHUP)
+        for _ in range(5):
+            assert (await system.ask()).status == 200
+
+
+async def test_an_unreadable_entry_is_passed_by():
+    async with gateway.running() as system:
+        system.store.put('servers/odd', orjson.dumps({'service': 3}))
+        system.store.put('servers/bytes', b'\xff\x00')
+        await trio.sleep(0.2)
+        assert (await system.ask()).status == 200
--- /dev/null
+++ b/tests/unit/gateway/test_requests.py
@@ -0,0 +1,192 @@
+"""What a caller gets from a gateway host, and what backend servers see."""
+
+import orjson
+import trio
+
+from tests.lib import gateway
+from tests.lib import processes
+
+
+async def test_a_request_reaches_a_server_unchanged():
+    async with gateway.running() as system:
+        answer = await system.ask(
+            'POST',
+            '/book/7?fast=1',
+            body=b'two pallets',
+            headers=[('X-Own', 'kept'), ('Corianderloft-Tenant', 'forged')],
+        )
+        (seen,) = system.runs()
+    assert answer.status == 200
+    assert answer.body == b'answer of e-0'
+    signature = answer.headers['corianderloft-response-signature']
+    assert signature == 'signed-by-e-0'
+    assert (seen.method, seen.target) == ('POST', '/book/7?fast=1')
+    assert seen.body == b'two pallets'
+    assert seen.headers['x-own'] == 'kept'
+    assert seen.headers['corianderloft-tenant'] == 'aswan'
+    assert seen.headers['corianderloft-target-instance'] == 'e-0'
+    assert 1500 <= int(seen.headers['corianderloft-deadline-ms']) <= 2000
+    assert 'authorization' not in seen.headers
+
+
+async def test_headers_that_the_system_sets_never_come_from_a_caller():
+    forged = [
+        'Corianderloft-Hold',
+        'Corianderloft-Pin-Ms',
+        'Corianderloft-Kv-Backup',
+        'Kv-From',
+        'Kv-Fetch',
+        'Corianderloft-Request-Priority',
+    ]
+    async with gateway.running() as system:
+        await system.ask(headers=[(name, '1') for name in forged])
+        (seen,) = system.runs()
+    assert not {name.lower() for name in forged} & seen.headers.keys()
+
+
+async def test_refusals_by_route_key_and_size():
+    async with gateway.running() as system:
+        unknown = await system.ask(target='/nowhere/1')
+        no_key = await system.ask(key=None)
+        wrong_key = await system.ask(key='wrong')
+        large = await system.ask('POST', '/book/1', body=b'x' * 10001)
+        assert system.runs() == []
+    statuses = [a.status for a in (unknown, no_key, wrong_key, large)]
+    assert statuses == [404, 401, 401, 413]
+
+
+async def test_a_failed_answer_is_replaced_where_it_may_be_repeated():
+    async with gateway.running(('error', 'whole')) as system:
+        answers = [await system.ask() for _ in range(6)]
+        booked = [await system.ask('POST', '/book/1') for _ in range(6)]
+        runs = system.runs()
+    assert {answer.status for answer in answers} == {200}
+    assert len([s for s in runs if s.method == 'POST']) == len(booked)
+    assert {answer.status for answer in booked} <= {200, 500}
+
+
+async def test_a_rejected_request_goes_to_another_server():
+    async with gateway.running(('reject', 'whole')) as system:
+        booked = [await system.ask('POST', '/book/1') for _ in range(6)]
+    assert {answer.status for answer in booked} == {200}
+
+
+async def test_not_run_is_said_only_when_it_is_true():
+    async with gateway.running(('reject',)) as system:
+        rejected = await system.ask('POST', '/book/1')
+        system.engines[0].mode = 'reset'
+        reset = await system.ask('POST', '/book/1')
+    assert rejected.status == 503
+    assert float(rejected.headers['retry-after']) > 0
+    assert reset.status == 502
+
+
+async def test_a_cut_or_unsigned_answer_is_never_passed_on():
+    async with gateway.running(('cut',)) as system:
+        cut = await system.ask('POST', '/book/1')
+        system.engines[0].mode = 'unsigned'
+        unsigned = await system.ask('POST', '/book/1')
+    assert [cut.status, unsigned.status] == [502, 502]
+
+
+async def test_a_second_answer_belongs_to_no_request():
+    async with gateway.running(('twice',)) as system:
+        answers = [await system.ask('POST', '/book/1') for _ in range(3)]
+    assert [answer.body for answer in answers] == [b'answer of e-0'] * 3
+
+
+async def test_another_server_at_the_address_runs_nothing():
+    async with gateway.running() as system:
+        engine = system.engines[0]
+        engine.engine_id = 'e-other'
+        answer = await system.ask('POST', '/book/1')
+        assert system.runs() == []
+    assert answer.status == 503
+
+
+async def test_a_stream_is_passed_on_whole():
+    async with gateway.running(('stream',)) as system:
+        answer = await system.ask('POST', '/chat/1')
+    assert answer.whole
+    assert answer.body.count(b'data: token') == 4
+
+
+async def test_a_cut_stream_does_not_look_complete():
+    async with gateway.running(('cut_stream',)) as system:
+        answer = await system.ask('POST', '/chat/1')
+        assert len(system.runs()) == 1
+    assert answer.status == 200
+    assert not answer.whole
+    assert answer.body.count(b'data: token') == 2
+
+
+async def test_a_stream_that_may_be_resumed_goes_on_elsewhere():
+    async with gateway.running(('cut_stream', 'cut_stream')) as system:
+        answer = await system.ask('POST', '/quote/1')
+        runs = system.runs()
+    numbers = [
+        int(line.rpartition(b' ')[2])
+        for line in answer.body.split(b'\n')
+        if line.startswith(b'data: token')
+    ]
+    assert answer.whole
+    assert numbers == [0, 1, 2, 3]
+    resumed = [r.headers.get('last-event-id') for r in runs]
+    assert sorted(resumed, key=str) == ['1', None]
+
+
+async def test_a_caller_that_left_ends_the_work_of_its_server():
+    async with gateway.running(('hang',)) as system:
+        with trio.move_on_after(0.3):
+            await system.ask('POST', '/chat/1')
+        engine = system.engines[0]
+        await processes.wait_for(lambda: engine.left, 'the server is left', 2)
+
+
+async def test_the_time_of_a_route_ends_a_request():
+    routes = [dict(r, timeout_ms=300) for r in gateway.ROUTES]
+    document = gateway.configuration(routes=routes)
+    async with gateway.running(('hang',), document) as system:
+        answer = await system.ask('POST', '/book/1')
+    assert answer.status == 504
+
+
+async def test_requests_of_one_connection_are_answered_in_turn():
+    async with gateway.running() as system:
+        stream = await trio.open_tcp_stream(
+            '127.0.0.1', system.cfg.caller_port
+        )
+        lines = ''.join(
+            f'GET /look/{n} HTTP/1.1\r\nHost: {gateway.HOST}\r\n'
+            f'Corianderloft-Attempt-Id: p{n}\r\n'
+            f'Authorization: Bearer {gateway.KEY}\r\n\r\n'
+            for n in range(3)
+        )
+        await stream.send_all(lines.encode())
+        got = b''
+        with trio.fail_after(5):
+            while got.count(b'answer of e-0') < 3:
+                got += await stream.receive_some(65536)
+    assert [s.headers['corianderloft-attempt-id'] for s in system.runs()] == [
+        'p0',
+        'p1',
+        'p2',
+    ]
+
+
+async def test_addresses_and_metrics_are_served():
+    async with gateway.running() as system:
+        await system.ask()
+
+        async def listed():
+            answer = await gateway.fetch(
+                system.cfg.address_port, 'GET', '/resolve?name=x'
+            )
+            return answer.status == 200 and orjson.loads(answer.body)
+
+        found = await processes.wait_for(listed, 'the host is listed')
+        metrics = await gateway.fetch(
+            system.cfg.metrics_port, 'GET', '/metrics'
+        )
+    assert found['addresses'] == [f'127.0.0.1:{system.cfg.caller_port}']
+    assert b'corianderloft_gateway_requests_total' in metrics.body
