Exchange loads in groups; pause between watches

Change: groups of eight with delegates, changes instead of whole loads, a pause after changes before the next watch, and a longer wait whose empty reply proves the time until its end.

--- a/src/corianderloft/_internal/gateway/following.py
+++ b/src/corianderloft/_internal/gateway/following.py
@@ -18,6 +18,10 @@
 """Mean first wait and longest wait between two tries, in seconds; short
 because keys are honoured for seconds only without the store."""
 
+EVENTS_PAUSE = 0.25
+"""Wait after changes before the next watch, in seconds: what changes soon
+after comes with the same call."""
+
 HELD_INTERVAL = 0.1
 """Time between two looks for entries that did not come back, in seconds."""
 
@@ -71,9 +75,11 @@
                     events.append(item)
                 elif isinstance(item, kv.WatchProgress):
                     self._beliefs.apply(events)
-                    events.clear()
                     self._beliefs.revision = item.revision
-                    self._beliefs.confirm(item.asked_at)
+                    self._beliefs.confirm(item.as_of)
+                    if events:
+                        await trio.sleep(spread(EVENTS_PAUSE))
+                    events.clear()
                 else:
                     logger.info(
                         'watch ended; reading the store again',
--- a/src/corianderloft/_internal/kv/interface.py
+++ b/src/corianderloft/_internal/kv/interface.py
@@ -150,13 +150,12 @@
     ----------
     revision : Revision
         Revision of the store.
-    asked_at : float
-        When the store was asked, on `clock.now`, in seconds; what it said
-        is not older.
+    as_of : float
+        A time at which that was so, on `clock.now`, in seconds.
     """
 
     revision: ids.Revision
-    asked_at: float
+    as_of: float
 
 
 Read = Found | Unavailable
--- a/src/corianderloft/_internal/placement/engines.py
+++ b/src/corianderloft/_internal/placement/engines.py
@@ -65,13 +65,22 @@
 
 @dataclasses.dataclass(frozen=True)
 class PeerLoad:
-    """What another entry host has at a backend server."""
+    """What other entry hosts have at a backend server."""
 
     requests: int
     short_requests: int
     unread_tokens: int
     memory_tokens: int
 
+    def plus(self, other: 'PeerLoad') -> 'PeerLoad':
+        """Return both together."""
+        return PeerLoad(
+            self.requests + other.requests,
+            self.short_requests + other.short_requests,
+            self.unread_tokens + other.unread_tokens,
+            self.memory_tokens + other.memory_tokens,
+        )
+
 
 class Engine:
     """One start of a backend server, as this host sees it.
@@ -109,7 +118,7 @@
         self.health = health.Health()
         self.sample: instances.LoadSample | None = None
         self.sampled_at = float('-inf')
-        self.peers: dict[ids.HostId, PeerLoad] = {}
+        self.peers: dict[str, PeerLoad] = {}
 
     @property
     def key(self) -> Key:
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -84,7 +84,7 @@
         self._plain_chooser = _make('fewest_requests')
         self._sizes = sizes.RouteSizes()
         self.retries = retries
-        self.load_changed = trio.Event()
+        self._load_changed: collections.abc.Callable[[], None] = _ignore
 
     def use_table(self, table: routing.RoutingTable) -> None:
         """Take over new declarations."""
@@ -196,24 +196,30 @@
             if engine.serves_model and engine.work
         }
 
-    def use_peer_load(
+    def on_load_change(
+        self, changed: collections.abc.Callable[[], None]
+    ) -> None:
+        """Call ``changed`` whenever the loads of this host change."""
+        self._load_changed = changed
+
+    def use_peer_loads(
         self,
-        host_id: ids.HostId,
+        source: str,
         loads: collections.abc.Mapping[engines.Key, engines.PeerLoad],
     ) -> None:
-        """Take in what another entry host has at each engine."""
+        """Take in what other entry hosts have at each engine."""
         for key, engine in self._engines.items():
             load = loads.get(key)
             if load is None:
-                engine.peers.pop(host_id, None)
+                engine.peers.pop(source, None)
             else:
-                engine.peers[host_id] = load
+                engine.peers[source] = load
         self.wake()
 
     def note_started(self, engine: engines.Engine, work: engines.Work) -> None:
         """Learn from the time that an answer took to begin."""
         engine.note_started(work, trio.current_time())
-        self.load_changed.set()
+        self._load_changed()
         self.wake()
 
     def note_end(self, engine: engines.Engine, end: interface.End) -> None:
@@ -241,7 +247,7 @@
                     'error_share': round(engine.health.error_share, 2),
                 },
             )
-        self.load_changed.set()
+        self._load_changed()
         self.wake()
 
     def _scene(
@@ -296,7 +302,7 @@
         engine.add(waiter.number, work)
         engine.health.note_sent()
         waiter.grant(engine)
-        self.load_changed.set()
+        self._load_changed()
 
     def _model(
         self, instance: instances.Instance
@@ -309,3 +315,7 @@
     factory = interface.CHOOSERS.find(name)
     assert not isinstance(factory, registry.UnknownPlugin)
     return factory()
+
+
+def _ignore() -> None:
+    """Do nothing."""
--- a/src/corianderloft/_internal/platform/store.py
+++ b/src/corianderloft/_internal/platform/store.py
@@ -25,10 +25,14 @@
 IDLE_EXPIRY = 10.0
 """Idle connections kept, and their longest idle time in seconds."""
 
-WATCH_WAIT = 2.0
+WATCH_WAIT = 2.6
 """Time for which the store holds a watch without a change, in seconds; well
 under the bound on removed keys, which a watch confirms."""
 
+WATCH_DEAF = 1.2
+"""Time for which a watch may hear nothing of changes, in seconds; the
+platform names one second."""
+
 _OK = 200
 _NOT_FOUND = 404
 _CONFLICT = 412
@@ -190,7 +194,9 @@
                 return
             for event in events:
                 yield event
-            yield interface.WatchProgress(revision, asked_at)
+            yield interface.WatchProgress(
+                revision, _as_of(asked_at, bool(events))
+            )
 
     async def aclose(self) -> None:
         """Close all idle connections."""
@@ -210,6 +216,17 @@
         )
 
 
+def _as_of(asked_at: float, changed: bool) -> float:
+    """Return a time at which nothing newer than a reply was known.
+
+    A reply without changes was held back for the whole wait; how long it
+    took to come here does not matter.
+    """
+    if changed:
+        return asked_at
+    return min(clock.now(), asked_at + WATCH_WAIT) - WATCH_DEAF
+
+
 _MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
 
 _ANSWERED = (_OK, _NOT_FOUND, _CONFLICT, 410)
--- /dev/null
+++ b/tests/unit/gateway/test_load_messages.py
@@ -0,0 +1,93 @@
+"""Loads told in datagrams, some of which are lost."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from corianderloft._internal.gateway import load_messages as messages
+from corianderloft._internal.models import ids
+from corianderloft._internal.models import members
+from corianderloft._internal.placement import engines
+from corianderloft._internal.placement import groups
+
+COUNTS = st.integers(0, 50)
+LOADS = st.dictionaries(
+    st.tuples(st.sampled_from(['e-1', 'e-2', 'e-3']), st.integers(0, 1)),
+    st.builds(engines.PeerLoad, st.integers(1, 50), COUNTS, COUNTS, COUNTS),
+)
+
+
+def member(name, domain='a'):
+    return members.Member(
+        ids.HostId(name), '127.0.0.1', 1, 2, ids.FailureDomain(domain), 's'
+    )
+
+
+def fleet(count, domains=1):
+    return [member(f'h-{n}', f'd-{n % domains}') for n in range(count)]
+
+
+@hypothesis.given(st.lists(st.tuples(LOADS, st.booleans()), min_size=1))
+def test_changes_add_up_to_the_loads(steps):
+    sender = messages.Sender(member('h-1'), messages.Scope.HOST)
+    heard = messages.Heard()
+    for number, (loads, whole) in enumerate(steps):
+        data = sender.datagram(loads, whole)
+        if data is not None:
+            heard.take(messages.decode(data), float(number))
+        assert heard.loads == loads
+
+
+def test_one_lost_datagram_loses_no_change():
+    sender = messages.Sender(member('h-1'), messages.Scope.HOST)
+    heard = messages.Heard()
+    key = ids.EngineId('e-1'), 0
+    load = engines.PeerLoad(1, 0, 10, 20)
+    assert sender.datagram({key: load}, False) is not None
+    heard.take(messages.decode(sender.datagram({key: load}, False)), 1.0)
+    assert heard.loads == {key: load}
+    assert sender.datagram({key: load}, False) is None
+
+
+def test_an_old_datagram_is_not_taken():
+    sender = messages.Sender(member('h-1'), messages.Scope.HOST)
+    key = ids.EngineId('e-1'), 0
+    first = sender.datagram({key: engines.PeerLoad(1, 0, 0, 0)}, True)
+    second = sender.datagram({}, True)
+    heard = messages.Heard()
+    assert heard.take(messages.decode(second), 1.0)
+    assert not heard.take(messages.decode(first), 2.0)
+    assert heard.loads == {}
+
+
+def test_a_small_fleet_is_one_group():
+    hosts = fleet(8, 4)
+    for own in hosts:
+        place = groups.place(own, hosts)
+        assert len(place.group) == 7
+        assert not place.is_delegate
+
+
+def test_every_host_of_a_large_fleet_is_heard_of_once():
+    hosts = fleet(61, 4)
+    places = {own.host_id: groups.place(own, hosts) for own in hosts}
+    delegates = [h for h in hosts if places[h.host_id].is_delegate]
+    covered = [
+        name.host_id
+        for delegate in delegates
+        for name in (delegate, *places[delegate.host_id].group)
+    ]
+    assert sorted(covered) == sorted(h.host_id for h in hosts)
+    for delegate in delegates:
+        assert len(places[delegate.host_id].delegates) == len(delegates) - 1
+
+
+def test_the_datagrams_of_a_host_do_not_grow_with_the_fleet():
+    for count in (61, 380):
+        hosts = fleet(count, 9)
+        plain = [
+            place
+            for place in (groups.place(own, hosts) for own in hosts)
+            if not place.is_delegate
+        ]
+        mean = sum(len(p.group) for p in plain) / len(plain)
+        assert mean <= 1.5 * groups.GROUP_SIZE
