Take over changed settings with SIGHUP and without; await a settled view

Cause: settings were read at the start only, while the platform changes them with and without a signal. Change: bounds are put in force again; a host watches once it was chosen for a second.

--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -1,5 +1,6 @@
 """Puts the parts of a gateway host together and runs them."""
 
+import collections.abc
 import dataclasses
 import logging
 import os
@@ -39,6 +40,9 @@
 HOUSEKEEPING_INTERVAL = 1.0
 """Time between two clean-ups of idle connections, in seconds."""
 
+SETTINGS_INTERVAL = 2.0
+"""Time between two looks whether the settings changed, in seconds."""
+
 SIDE_CONNECTIONS = 200
 """Connections for checks, address answers or metrics, each."""
 
@@ -57,12 +61,15 @@
         Where things lie in the store.
     words : Dialect
         Writes and reads heads.
+    reread : callable
+        Reads the settings again; None when they cannot be used.
     """
 
     cfg: settings.GatewaySettings
     store: kv.KeyValueClient
     places: layout.StoreLayout
     words: dialect.Dialect
+    reread: collections.abc.Callable[[], settings.GatewaySettings | None]
 
 
 class Host:
@@ -71,6 +78,7 @@
     def __init__(self, parts: Parts) -> None:
         cfg = parts.cfg
         self._cfg = cfg
+        self._reread = parts.reread
         self._store = parts.store
         self._beliefs = view.View(parts.places, cfg.bounds.key_life)
         self._retries = budget.RetryBudget(
@@ -113,6 +121,7 @@
                 nursery.start_soon(self._loads.run)
                 nursery.start_soon(self._keep_entry)
                 nursery.start_soon(self._housekeeping)
+                nursery.start_soon(self._watch_settings)
                 for server in servers:
                     nursery.start_soon(server.serve, stopped)
                 logger.info(
@@ -122,7 +131,7 @@
                 async for number in signals:
                     if number != signal.SIGHUP:
                         break
-                    logger.info('reload: settings are read at the start only')
+                    self._reload()
                 await self._stop.run(self._entry, self._cfg.bounds.stop_time)
                 self._pool.close()
                 nursery.cancel_scope.cancel()
@@ -138,6 +147,39 @@
                     await trio.sleep(0.05)
                 scope.cancel()
 
+    async def _watch_settings(self) -> None:
+        """Take over settings that changed without a signal."""
+        while True:
+            await trio.sleep(SETTINGS_INTERVAL)
+            self._reload(quietly=True)
+
+    def _reload(self, quietly: bool = False) -> None:
+        """Put changed bounds in force; the rest takes a restart.
+
+        Parameters
+        ----------
+        quietly : bool
+            Whether to say nothing when nothing changed.
+        """
+        cfg = self._reread()
+        if cfg is None or (quietly and cfg == self._cfg):
+            return
+        fixed = dataclasses.replace(cfg, bounds=self._cfg.bounds)
+        logger.info(
+            'settings reloaded',
+            extra={
+                'bounds_changed': cfg.bounds != self._cfg.bounds,
+                'restart_needed': fixed != self._cfg,
+            },
+        )
+        self._cfg = cfg
+        self._beliefs.use_key_life(cfg.bounds.key_life)
+        self._retries.use_bounds(
+            cfg.bounds.retry_ratio,
+            cfg.bounds.retry_slack,
+            cfg.bounds.retry_window,
+        )
+
     async def _housekeeping(self) -> None:
         while True:
             await trio.sleep(HOUSEKEEPING_INTERVAL)
--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -83,6 +83,10 @@
         """Return how old the beliefs may be, in seconds."""
         return clock.now() - self._confirmed_at
 
+    def use_key_life(self, key_life: float | None) -> None:
+        """Change how long a removed key may be honoured, in seconds."""
+        self._key_life = key_life
+
     def is_current(self) -> bool:
         """Return whether keys may be honoured on these beliefs."""
         if self.table is None:
--- a/src/corianderloft/_internal/placement/budget.py
+++ b/src/corianderloft/_internal/placement/budget.py
@@ -34,6 +34,12 @@
         self._firsts: dict[ids.ServiceName, collections.deque[float]] = {}
         self._repeats: dict[ids.ServiceName, collections.deque[float]] = {}
 
+    def use_bounds(self, ratio: float, slack: float, window: float) -> None:
+        """Change the budget; the arguments are those of the class."""
+        self._ratio = ratio
+        self._slack = slack
+        self._window = window
+
     def use_hosts(self, count: int) -> None:
         """Take over how many hosts share the budget."""
         self._hosts = max(1, count)
--- a/src/corianderloft/_internal/platform/daemon.py
+++ b/src/corianderloft/_internal/platform/daemon.py
@@ -1,5 +1,6 @@
 """Runs one host of the gateway on the users' platform."""
 
+import functools
 import logging
 import sys
 
@@ -7,6 +8,7 @@
 
 from corianderloft._internal.gateway import host
 from corianderloft._internal.gateway import layout
+from corianderloft._internal.gateway import settings as gateway_settings
 from corianderloft._internal.logs import bounded
 from corianderloft._internal.logs import handlers
 from corianderloft._internal.platform import configuration
@@ -16,6 +18,8 @@
 from corianderloft._internal.platform import store
 from corianderloft._internal.platform import words
 
+logger = logging.getLogger(__name__)
+
 EXIT_BAD_SETTINGS = 2
 
 LAYOUT = layout.StoreLayout(
@@ -31,7 +35,8 @@
 
 def main() -> int:
     """Run until the process is told to stop; return its exit code."""
-    cfg = settings.read(settings.path())
+    reader = settings.Reader(settings.path())
+    cfg = reader.read()
     if isinstance(cfg, settings.Broken):
         print(f'cannot start: {cfg}', file=sys.stderr)
         return EXIT_BAD_SETTINGS
@@ -42,11 +47,22 @@
         store=store.PlatformStore(cfg.store.address, cfg.store.port),
         places=LAYOUT,
         words=headers.PlatformDialect(),
+        reread=functools.partial(_reread, reader),
     )
     trio.run(_run, parts, handler)
     return 0
 
 
+def _reread(
+    reader: settings.Reader,
+) -> gateway_settings.GatewaySettings | None:
+    cfg = reader.read()
+    if isinstance(cfg, settings.Broken):
+        logger.error('settings not reloaded: %s', cfg)
+        return None
+    return cfg
+
+
 async def _run(parts: host.Parts, handler: bounded.BoundedHandler) -> None:
     async with trio.open_nursery() as nursery:
         nursery.start_soon(handler.run)
--- a/src/corianderloft/_internal/platform/settings.py
+++ b/src/corianderloft/_internal/platform/settings.py
@@ -42,6 +42,33 @@
         return Broken(file, f'a field is missing or malformed: {exc!r}')
 
 
+class Reader:
+    """Reads a settings file again only when it has changed.
+
+    Parameters
+    ----------
+    file : str
+        Path of the file.
+    """
+
+    def __init__(self, file: str) -> None:
+        self._file = file
+        self._seen: tuple[int, int] | None = None
+        self._last: settings.GatewaySettings | Broken | None = None
+
+    def read(self) -> settings.GatewaySettings | Broken:
+        """Return what the file says now."""
+        try:
+            status = os.stat(self._file)
+        except OSError as exc:
+            return Broken(self._file, str(exc))
+        seen = status.st_mtime_ns, status.st_size
+        if self._last is None or seen != self._seen:
+            self._seen = seen
+            self._last = read(self._file)
+        return self._last
+
+
 def _settings(data: typing.Any) -> settings.GatewaySettings:
     listen = data['listen']
     ports = data['internal_ports']
--- a/src/corianderloft/_internal/shared/configuration/watching.py
+++ b/src/corianderloft/_internal/shared/configuration/watching.py
@@ -27,6 +27,10 @@
 SETTLE_S = 1.0
 START_PATIENCE_S = 4.0
 
+CHOSEN_S = 1.0
+"""Time for which a host must be among the watchers of its view before it
+watches, in seconds: a view that is still filling names too many."""
+
 
 def rank(members: view.View) -> int:
     """Return the place of this host among the live of its domain, from 0."""
@@ -87,11 +91,17 @@
             nursery.start_soon(self._verify_loop)
             nursery.start_soon(self._start_without_peers)
 
+    async def _chosen(self) -> None:
+        """Return once this host has been a watcher for a while."""
+        since = trio.current_time()
+        while trio.current_time() - since < CHOSEN_S:
+            await trio.sleep(CHECK_S)
+            if not is_watcher(self._view):
+                since = trio.current_time()
+
     async def _watch_loop(self) -> typing.NoReturn:
         while True:
-            if not is_watcher(self._view):
-                await trio.sleep(CHECK_S)
-                continue
+            await self._chosen()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._configuration.run)
                 nursery.start_soon(self._platform.run)
--- a/tests/lib/gateway.py
+++ b/tests/lib/gateway.py
@@ -125,6 +125,7 @@
         self.store_port = store_port
         self.engines = []
         self.cfg = None
+        self.next_cfg = None
         self.host_done = trio.Event()
 
     async def add_engine(self, mode='whole', register=True, **figures):
@@ -188,6 +189,7 @@
             store=store.PlatformStore('127.0.0.1', self.store_port),
             places=daemon.LAYOUT,
             words=headers.PlatformDialect(),
+            reread=lambda: self.next_cfg or self.cfg,
         )
         self._nursery.start_soon(self._run_host, host.Host(parts))
         await processes.wait_for(self.is_ready, 'the host is ready')
--- a/tests/unit/gateway/test_hosts.py
+++ b/tests/unit/gateway/test_hosts.py
@@ -1,5 +1,6 @@
 """A host beside the store: keys, leaving servers, its own end."""
 
+import dataclasses
 import os
 import signal
 
@@ -118,6 +119,16 @@
             assert (await system.ask()).status == 200
 
 
+async def test_changed_bounds_come_in_force_with_the_signal():
+    async with gateway.running() as system:
+        bounds = dataclasses.replace(system.cfg.bounds, key_life=0.1)
+        system.next_cfg = dataclasses.replace(system.cfg, bounds=bounds)
+        os.kill(os.getpid(), signal.SIGHUP)
+        await processes.wait_for(
+            lambda: _not_ready(system), 'the shorter life is in force', 5
+        )
+
+
 async def test_an_unreadable_entry_is_passed_by():
     async with gateway.running() as system:
         system.store.put('servers/odd', orjson.dumps({'service': 3}))
--- a/tests/unit/platform/test_decoding.py
+++ b/tests/unit/platform/test_decoding.py
@@ -137,3 +137,14 @@
     assert isinstance(broken, settings.Broken)
     assert 'listen' in str(broken)
     assert isinstance(settings.read('/nowhere'), settings.Broken)
+
+
+def test_a_settings_file_is_read_again_when_it_changed(tmp_path):
+    file = tmp_path / 'settings.yaml'
+    reader = settings.Reader(str(file))
+    assert 'No such file' in str(reader.read())
+    file.write_text('node: a\n')
+    first = reader.read()
+    assert reader.read() is first
+    file.write_text('node: a longer name\n')
+    assert reader.read() is not first
