--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -145,10 +145,11 @@
         if self._in_trouble:
             return
         gone = [k for k, held in self._held.items() if held.gone_at <= now]
-        if gone:
-            for key in gone:
-                del self._held[key]
-            self._remove(gone)
+        before = self._instances.copy(), self._members.copy()
+        for key in gone:
+            del self._held[key]
+            self._remove(key)
+        self._publish(*before)
 
     def _change(
         self,
@@ -215,7 +216,7 @@
 
     def _take_removal(self, key: str) -> None:
         if not self._lapsed(key):
-            self._remove((key,))
+            self._remove(key)
             return
         gone_at = self._trouble_until + RETURN_TIME
         self._held[key] = _Held(gone_at)
@@ -234,12 +235,9 @@
             return key in self._members
         return instance.state is states.BackendState.LIVE
 
-    def _remove(self, keys: collections.abc.Iterable[str]) -> None:
-        before = self._instances.copy(), self._members.copy()
-        for key in keys:
-            self._instances.pop(key, None)
-            self._members.pop(key, None)
-        self._publish(*before)
+    def _remove(self, key: str) -> None:
+        self._instances.pop(key, None)
+        self._members.pop(key, None)
 
     def _publish(
         self,
