--- /dev/null
+++ b/bench/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the placement of prompts in virtual time."""
--- /dev/null
+++ b/bench/placement/workload.py
@@ -0,0 +1,188 @@
+"""Requests like those of the users' heavy days."""
+
+import collections.abc
+import dataclasses
+import random
+
+from corianderloft._internal.models import ids
+from corianderloft._internal.models import instances
+from corianderloft._internal.models import routing
+
+SERVICE = ids.ServiceName('drafting-desk')
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """One kind of request; figures of the users' sheets.
+
+    Attributes
+    ----------
+    route : Route
+        Its route.
+    rate : float
+        Requests a second before a burst.
+    shared : tuple of (int, int)
+        Tokens and count of each shared part.
+    own_tokens : int
+        Mean length of its own part, in tokens.
+    output : int
+        Mean answer in tokens.
+    worth, late_worth : float
+        Credit in time and late.
+    patience : float
+        Time until the caller leaves, in seconds.
+    """
+
+    route: routing.Route
+    rate: float
+    shared: tuple[tuple[int, int], ...]
+    own_tokens: int
+    output: int
+    worth: float
+    late_worth: float
+    patience: float
+
+
+def _route(
+    name: str, tier: int, target: float, gap: float, timeout: float
+) -> routing.Route:
+    return routing.Route(
+        name=name,
+        host='desk.example',
+        path_prefix=f'/{name}/',
+        kind=routing.RequestKind.STREAM,
+        tier=ids.Tier(tier),
+        timeout=timeout,
+        target=target,
+        gap_target=gap,
+        attempts=1,
+        public=True,
+        shares=(routing.Share(SERVICE, 1.0),),
+    )
+
+
+LEDGER = Kind(
+    _route('wash-history', 2, 1.2, 0.8, 4.0),
+    22.0,
+    ((2520, 4), (3780, 530)),
+    2890,
+    54,
+    1.4,
+    0.41,
+    4.0,
+)
+QUOTE = Kind(
+    _route('repair-quote', 1, 0.4, 0.3, 3.0),
+    13.7,
+    ((341, 20), (227, 219)),
+    1800,
+    24,
+    1.1,
+    0.32,
+    3.0,
+)
+CHAT = Kind(
+    _route('groom-chat', 0, 0.25, 0.2, 12.0),
+    10.3,
+    ((103, 20), (69, 249)),
+    543,
+    280,
+    5.0,
+    0.45,
+    12.0,
+)
+KINDS = (LEDGER, QUOTE, CHAT)
+
+
+@dataclasses.dataclass(frozen=True)
+class Burst:
+    """``times`` the rate of a kind, from second ``begin`` to ``end``."""
+
+    kind: Kind
+    times: float
+    begin: float
+    end: float
+
+
+HEAVY_DAY = (
+    Burst(LEDGER, 2.4, 0.5, 9.0),
+    Burst(CHAT, 2.1, 10.0, 15.0),
+    Burst(LEDGER, 2.1, 16.0, 20.0),
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """One request that comes at second ``at``."""
+
+    at: float
+    kind: Kind
+    prompt: instances.Prompt
+    output: int
+
+
+def arrivals(
+    seed: int,
+    length: float,
+    load: float = 1.0,
+    bursts: collections.abc.Sequence[Burst] = HEAVY_DAY,
+) -> list[Arrival]:
+    """Return the requests of a day, in order.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all random numbers.
+    length : float
+        Length of the day in seconds.
+    load : float
+        Factor on all rates.
+    bursts : sequence of Burst
+        What comes beyond.
+    """
+    rng = random.Random(seed)
+    made = [
+        arrival
+        for kind in KINDS
+        for arrival in _of_kind(rng, kind, length, load, bursts)
+    ]
+    return sorted(made, key=lambda a: a.at)
+
+
+def _of_kind(
+    rng: random.Random,
+    kind: Kind,
+    length: float,
+    load: float,
+    bursts: collections.abc.Sequence[Burst],
+) -> collections.abc.Iterator[Arrival]:
+    at = 0.0
+    while True:
+        times = max(
+            [
+                burst.times
+                for burst in bursts
+                if burst.kind is kind and burst.begin <= at < burst.end
+            ],
+            default=1.0,
+        )
+        at += rng.expovariate(kind.rate * load * times)
+        if at >= length:
+            return
+        yield Arrival(at, kind, _prompt(rng, kind), _spread(rng, kind.output))
+
+
+def _prompt(rng: random.Random, kind: Kind) -> instances.Prompt:
+    parts = [
+        instances.PromptPart(f'{kind.route.name}-{place}-{number}', tokens)
+        for place, (tokens, count) in enumerate(kind.shared)
+        for number in [int(count * rng.random() ** 1.3)]
+    ]
+    own = _spread(rng, kind.own_tokens)
+    parts.append(instances.PromptPart(f'own-{rng.getrandbits(48)}', own))
+    tokens = sum(part.tokens for part in parts)
+    return instances.Prompt(tokens, kind.output, tuple(parts))
+
+
+def _spread(rng: random.Random, mean: int) -> int:
+    return max(1, min(int(mean * rng.lognormvariate(-0.25, 0.7)), 5 * mean))
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -24,6 +24,10 @@
 logger = logging.getLogger(__name__)
 
 
+MODEL_CHOOSER = 'lanes'
+PLAIN_CHOOSER = 'fewest_requests'
+"""Choosers for engines of models, and for plain services."""
+
 PUMP_INTERVAL = 0.008
 """Mean wait between two looks at the queue in seconds: much shorter than
 the reading of a prompt, and random, so that hosts do not send together."""
@@ -64,6 +68,8 @@
         Budget for repeated sends.
     rng : Random
         Source of random numbers.
+    model_chooser : str
+        Name of the chooser for engines of models.
     """
 
     def __init__(
@@ -71,6 +77,7 @@
         domain: ids.FailureDomain,
         retries: budget.RetryBudget,
         rng: random.Random,
+        model_chooser: str = MODEL_CHOOSER,
     ) -> None:
         self._domain = domain
         self._rng = rng
@@ -80,8 +87,8 @@
         self._table: routing.RoutingTable | None = None
         self._engines: dict[engines.Key, engines.Engine] = {}
         self._listed: tuple[instances.Instance, ...] = ()
-        self._model_chooser = _make('lanes')
-        self._plain_chooser = _make('fewest_requests')
+        self._model_chooser = _make(model_chooser)
+        self._plain_chooser = _make(PLAIN_CHOOSER)
         self._sizes = sizes.RouteSizes()
         self.retries = retries
         self._load_changed: collections.abc.Callable[[], None] = _ignore
--- a/src/corianderloft/_internal/shared/configuration/watching.py
+++ b/src/corianderloft/_internal/shared/configuration/watching.py
@@ -28,8 +28,13 @@
 START_PATIENCE_S = 4.0
 
 CHOSEN_S = 1.0
-"""Time for which a host must be among the watchers of its view before it
-watches, in seconds: a view that is still filling names too many."""
+"""Time for which a host must be among the watchers of a view that does not
+change before it watches, in seconds: one that is still filling names too
+many."""
+
+MOST_SETTLING_S = 4.0
+"""Longest wait for a view that goes on changing, in seconds; below the time
+after which hosts without a configuration ask the service themselves."""
 
 
 def rank(members: view.View) -> int:
@@ -92,12 +97,15 @@
             nursery.start_soon(self._start_without_peers)
 
     async def _chosen(self) -> None:
-        """Return once this host has been a watcher for a while."""
-        since = trio.current_time()
-        while trio.current_time() - since < CHOSEN_S:
+        """Return once this host is a watcher of a view that has settled."""
+        settled = trio.current_time() + MOST_SETTLING_S
+        since, digest = trio.current_time(), self._view.digest()
+        while trio.current_time() < since + CHOSEN_S:
             await trio.sleep(CHECK_S)
-            if not is_watcher(self._view):
-                since = trio.current_time()
+            now = trio.current_time()
+            filling = digest != self._view.digest() and now < settled
+            if filling or not is_watcher(self._view):
+                since, digest = now, self._view.digest()
 
     async def _watch_loop(self) -> typing.NoReturn:
         while True:
