--- a/src/corianderloft/_internal/placement/engines.py
+++ b/src/corianderloft/_internal/placement/engines.py
@@ -9,7 +9,7 @@
 from corianderloft._internal.models import routing
 from corianderloft._internal.placement import health
 
-READ_RATE = 42_000.0
+READ_RATE = 38_000.0
 """Prompt tokens that an engine reads in a second beside a running batch:
 the sheets name 56.9 in a millisecond, and each chunk of 1,024 waits for one
 step of the batch."""
--- a/src/corianderloft/_internal/placement/lanes.py
+++ b/src/corianderloft/_internal/placement/lanes.py
@@ -15,12 +15,12 @@
 from corianderloft._internal.placement import hashing
 from corianderloft._internal.placement import interface
 
-SHORT_PER_ENGINE = 10
+SHORT_PER_ENGINE = 18
 """Requests with short prompts that share an engine before another one is
 taken: at the sheets' step times their tokens come twice as fast as aimed
 at, which leaves room for the reading of new prompts."""
 
-LEAST_SHARE = 0.2
+LEAST_SHARE = 0.1
 MOST_SHARE = 0.45
 """Bounds on the part of the engines that serve short prompts."""
 
@@ -42,7 +42,7 @@
 """Part of its target that a short prompt waits at an engine, before it goes
 beside long ones."""
 
-REREAD_WEIGHT = 3.0
+REREAD_WEIGHT = 10.0
 """Cost of reading a shared part again over that of waiting as long: it also
 takes the memory of another one."""
 
