Take the mean prompt of a route over all its prompts

Cause: the first prompt was taken as the mean of its route, and later ones moved it by a twentieth; a host whose first quote was short sent quotes to the chat engine for long. The new test fails without it.

--- a/src/corianderloft/_internal/placement/lanes.py
+++ b/src/corianderloft/_internal/placement/lanes.py
@@ -17,8 +17,14 @@
 
 SHORT_PER_ENGINE = 18
 """Requests with short prompts that share an engine before another one is
-taken: at the sheets' step times their tokens come twice as fast as aimed
-at, which leaves room for the reading of new prompts."""
+taken, while long prompts wait; chosen by bench/placement."""
+
+RELAXED_PER_ENGINE = 7
+"""The same while no long prompt waits."""
+
+PRESSED_WAIT = 0.15
+"""Mean time in which the other engines are done with reading, in seconds,
+from which long prompts count as waiting."""
 
 LEAST_SHARE = 0.1
 MOST_SHARE = 0.45
@@ -78,6 +84,7 @@
 
     def __init__(self) -> None:
         self._demand = 0.0
+        self._pressure = 0.0
         self._seen_at = 0.0
 
     def short_lane(
@@ -89,8 +96,12 @@
         faded = math.exp(min(0.0, self._seen_at - now) / SHRINK_TIME)
         running = sum(engine.short_requests() for engine in everyone)
         self._demand = max(running, self._demand * faded)
+        self._pressure = max(_pressure(everyone, now), self._pressure * faded)
         self._seen_at = now
-        wanted = math.ceil(self._demand / SHORT_PER_ENGINE)
+        crowd = RELAXED_PER_ENGINE + self._pressure * (
+            SHORT_PER_ENGINE - RELAXED_PER_ENGINE
+        )
+        wanted = math.ceil(self._demand / crowd)
         least = math.ceil(LEAST_SHARE * len(everyone))
         most = max(least, round(MOST_SHARE * len(everyone)))
         count = min(max(wanted, least), most)
@@ -98,6 +109,15 @@
         return ranked[:count]
 
 
+def _pressure(
+    everyone: collections.abc.Sequence[engines.Engine], now: float
+) -> float:
+    """Return how much long prompts wait, from 0 to 1."""
+    waits = [engine.reading_time(0, now) for engine in everyone]
+    mean = sum(waits) / max(1, len(waits))
+    return min(1.0, mean / PRESSED_WAIT)
+
+
 def _long(
     scene: interface.Scene,
     prompt: instances.Prompt,
--- a/src/corianderloft/_internal/placement/sizes.py
+++ b/src/corianderloft/_internal/placement/sizes.py
@@ -1,11 +1,13 @@
 """How long the prompts of each route are, learned from its requests."""
 
+import collections
+
 from corianderloft._internal.models import ids
 from corianderloft._internal.placement import engines
 from corianderloft._internal.placement import interface
 
-SIZE_WEIGHT = 0.05
-"""Weight of the newest prompt in the mean of its route."""
+SIZE_WEIGHT = 0.03
+"""Least weight of the newest prompt in the mean of its route."""
 
 LONG_PART = 0.15
 """Part of the tightest target of a service from which the reading of one
@@ -17,6 +19,7 @@
 
     def __init__(self) -> None:
         self._means: dict[str, float] = {}
+        self._counts: collections.Counter[str] = collections.Counter()
         self._targets: dict[ids.ServiceName, dict[str, float]] = {}
 
     def note(self, job: interface.Job) -> None:
@@ -25,9 +28,10 @@
         if prompt is None:
             return
         name = job.route.name
-        mean = self._means.get(name, prompt.tokens)
-        mean += SIZE_WEIGHT * (prompt.tokens - mean)
-        self._means[name] = mean
+        self._counts[name] += 1
+        weight = max(SIZE_WEIGHT, 1 / self._counts[name])
+        mean = self._means.get(name, 0.0)
+        self._means[name] = mean + weight * (prompt.tokens - mean)
         self._targets.setdefault(job.service, {})[name] = job.route.target
 
     def tightest_long(self, job: interface.Job) -> float:
--- a/tests/unit/placement/test_parts.py
+++ b/tests/unit/placement/test_parts.py
@@ -1,5 +1,7 @@
 """Budget, health, caches and queue, each by itself."""
 
+import dataclasses
+
 import hypothesis
 from hypothesis import strategies as st
 
@@ -15,6 +17,7 @@
 from corianderloft._internal.placement import interface
 from corianderloft._internal.placement import lanes
 from corianderloft._internal.placement import queue
+from corianderloft._internal.placement import sizes
 
 DESK = ids.ServiceName('desk')
 
@@ -176,3 +179,14 @@
     moved = {s for s in subjects if first(s, everyone) is not first(s, left)}
     assert moved == {s for s in subjects if first(s, everyone) is gone}
     assert 0 < len(moved) < 60
+
+
+def test_one_odd_first_prompt_does_not_decide_the_lane_of_a_route():
+    seen = sizes.RouteSizes()
+    chat, quote = job('chat'), job('quote', 1, 0.4)
+    seen.note(chat)
+    for tokens in (500, *[2400] * 9):
+        prompt = instances.Prompt(tokens, 10, (part('own', tokens),))
+        seen.note(dataclasses.replace(quote, prompt=prompt))
+    assert seen.is_long(quote)
+    assert not seen.is_long(chat)
