--- a/src/corianderloft/_internal/gateway/settings.py
+++ b/src/corianderloft/_internal/gateway/settings.py
@@ -24,11 +24,6 @@
         Length of that window in seconds.
     answer_life : float
         Longest time that callers keep an address answer, in seconds.
-    leaving_time : float
-        Time after which a leaving backend server gets nothing, in seconds.
-    prefix_life : float
-        Time that a shared part of a prompt is worth keeping after its last
-        use, in seconds.
     """
 
     key_life: float | None
@@ -37,8 +32,6 @@
     retry_slack: float
     retry_window: float
     answer_life: float
-    leaving_time: float
-    prefix_life: float
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/corianderloft/_internal/platform/daemon.py
+++ b/src/corianderloft/_internal/platform/daemon.py
@@ -40,6 +40,27 @@
     if isinstance(cfg, settings.Broken):
         print(f'cannot start: {cfg}', file=sys.stderr)
         return EXIT_BAD_SETTINGS
+    run(cfg, reader)
+    return 0
+
+
+def run(
+    cfg: gateway_settings.GatewaySettings, reader: settings.Reader
+) -> None:
+    """Run one host until it is told to stop.
+
+    Parameters
+    ----------
+    cfg : GatewaySettings
+        Settings of the process.
+    reader : Reader
+        Reads them again.
+
+    Raises
+    ------
+    OSError
+        If a port is taken or the address is not this host's.
+    """
     handler = bounded.BoundedHandler()
     handlers.use_handler(handler, logging.INFO)
     parts = host.Parts(
@@ -50,7 +71,6 @@
         reread=functools.partial(_reread, reader),
     )
     trio.run(_run, parts, handler)
-    return 0
 
 
 def _reread(
--- a/src/corianderloft/_internal/platform/settings.py
+++ b/src/corianderloft/_internal/platform/settings.py
@@ -91,17 +91,25 @@
 def _bounds(data: typing.Any) -> settings.Bounds:
     closed = data.get('fail_closed', False)
     return settings.Bounds(
-        key_life=data['revoke_ms'] / 1000 if closed else None,
-        stop_time=float(data['grace_s']),
-        retry_ratio=float(data['retry_budget_ratio']),
-        retry_slack=float(data['budget_slack']),
-        retry_window=float(data['budget_window_s']),
-        answer_life=float(data['ttl_max_s']),
-        leaving_time=data['drain_ms'] / 1000,
-        prefix_life=float(data.get('reuse_window_s', 0.0)),
+        key_life=_number(data, 'revoke_ms') / 1000 if closed else None,
+        stop_time=_number(data, 'grace_s'),
+        retry_ratio=_number(data, 'retry_budget_ratio'),
+        retry_slack=_number(data, 'budget_slack'),
+        retry_window=_number(data, 'budget_window_s'),
+        answer_life=_number(data, 'ttl_max_s'),
     )
 
 
+def _number(data: typing.Any, name: str) -> float:
+    """Return a figure that is not negative."""
+    value = data[name]
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f'bounds.{name}: {value!r} is no number')
+    if value < 0:
+        raise ValueError(f'bounds.{name}: {value!r} is negative')
+    return float(value)
+
+
 def _store(data: typing.Any) -> settings.Store:
     address, _, _ = data['address'].rpartition(':')
     return settings.Store(
--- a/tests/lib/gateway.py
+++ b/tests/lib/gateway.py
@@ -165,8 +165,6 @@
             retry_slack=50.0,
             retry_window=10.0,
             answer_life=5.0,
-            leaving_time=2.0,
-            prefix_life=6.0,
         )
 
     async def start_host(self):
--- a/tests/unit/cli/test_parser.py
+++ b/tests/unit/cli/test_parser.py
@@ -21,6 +21,8 @@
     (['serve'], exit_codes.ExitCode.USAGE),
     (['serve', 'absent.yaml'], exit_codes.ExitCode.INVALID_INPUT),
     (['serve', 'absent.yaml', '--typo=1'], exit_codes.ExitCode.USAGE),
+    (['gateway'], exit_codes.ExitCode.USAGE),
+    (['gateway', 'absent.yaml'], exit_codes.ExitCode.INVALID_INPUT),
     (['address', 'nonsense'], exit_codes.ExitCode.USAGE),
     (['address', '127.0.0.1:1'], exit_codes.ExitCode.UNAVAILABLE),
     (
