--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -21,9 +21,11 @@
 """Time after an outage of the store in which entries that lapsed meanwhile
 may come back, in seconds; the platform promises about two."""
 
-KEY_MARGIN = 0.6
-"""Part of the life of a removed key that is left for what is on its way to
-the store and back, in seconds."""
+KEY_MARGIN = 0.15
+"""Part of the life of a removed key that is left for the steps between the
+look at a key and the send, in seconds. The way of the request here needs
+none: the bound counts from when the caller sent it.
+"""
 
 
 @dataclasses.dataclass
--- a/src/corianderloft/_internal/platform/store.py
+++ b/src/corianderloft/_internal/platform/store.py
@@ -25,11 +25,11 @@
 IDLE_EXPIRY = 10.0
 """Idle connections kept, and their longest idle time in seconds."""
 
-WATCH_WAIT = 2.6
+WATCH_WAIT = 2.0
 """Time for which the store holds a watch without a change, in seconds; well
 under the bound on removed keys, which a watch confirms."""
 
-WATCH_DEAF = 1.2
+WATCH_DEAF = 1.1
 """Time for which a watch may hear nothing of changes, in seconds; the
 platform names one second."""
 
