--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,8 @@
 JOBS ?= 4
 
 .PHONY: setup test format lint types unit docs docs-check demo
-.PHONY: bench-policy bench-relay bench-control fuzz slopes capacity
+.PHONY: bench-policy bench-placement bench-relay bench-control
+.PHONY: fuzz slopes capacity soak
 
 setup: $(STAMP)
 
@@ -48,6 +49,14 @@
 bench-policy: setup
 	$(PY) -m bench.policy --seeds $(SEEDS) --workload $(WORKLOAD)
 
+bench-placement: setup
+	$(PY) -m bench.placement --seeds $(SEEDS)
+
+SOAK_SEEDS ?= fresh
+
+soak: setup
+	$(PY) -m tests.soak --seeds $(SOAK_SEEDS)
+
 bench-relay: setup
 	$(PY) -m bench.relay
 
--- a/src/corianderloft/_internal/gateway/settings.py
+++ b/src/corianderloft/_internal/gateway/settings.py
@@ -44,13 +44,10 @@
         IP number.
     port : int
         TCP port.
-    least_lease : float
-        Shortest lease that it grants, in seconds.
     """
 
     address: str
     port: int
-    least_lease: float
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/corianderloft/_internal/platform/settings.py
+++ b/src/corianderloft/_internal/platform/settings.py
@@ -112,11 +112,7 @@
 
 def _store(data: typing.Any) -> settings.Store:
     address, _, _ = data['address'].rpartition(':')
-    return settings.Store(
-        address=address,
-        port=_port(data['address']),
-        least_lease=data['min_ttl_ms'] / 1000,
-    )
+    return settings.Store(address=address, port=_port(data['address']))
 
 
 def _port(address: str) -> int:
--- /dev/null
+++ b/tests/functional/test_soak.py
@@ -0,0 +1,17 @@
+"""A short soak with fixed seeds; longer ones are run by hand."""
+
+import pytest
+import trio
+
+from tests.soak import __main__ as soak
+
+LENGTH = 5.0  # s
+
+SEEDS = (0, 3)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_promises_hold_under_faults(seed, tmp_path):
+    found, asked, served, log = trio.run(soak.play, seed, LENGTH, tmp_path)
+    assert found == [], log
+    assert served > asked / 4
--- a/tests/lib/gateway.py
+++ b/tests/lib/gateway.py
@@ -180,7 +180,7 @@
             failure_domain=ids.FailureDomain('cairo-a'),
             most_files=1000,
             bounds=self.bounds(),
-            store=settings.Store('127.0.0.1', self.store_port, 1.0),
+            store=settings.Store('127.0.0.1', self.store_port),
         )
         parts = host.Parts(
             cfg=self.cfg,
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -25,7 +25,7 @@
     ----------
     mode : str
         ``whole``, ``stream``, ``error``, ``reject``, ``hang``, ``cut``,
-        ``cut_stream``, ``unsigned``, ``twice`` or ``reset``.
+        ``cut_stream``, ``unsigned``, ``twice``, ``reset`` or ``by_path``.
     events : int
         Events of a stream.
     pause : float
@@ -97,7 +97,7 @@
         return await self._run(stream, http, headers)
 
     async def _run(self, stream, http, headers):
-        mode = self.mode
+        mode = self._mode_for(self.seen[-1].target)
         if mode == 'hang':
             await stream.receive_some(1)
             self.left += 1
@@ -126,6 +126,13 @@
             self.mode = 'whole'
         return True
 
+    def _mode_for(self, target):
+        """Return the mode; ``by_path`` streams where a stream is asked."""
+        streams = target.startswith(('/chat/', '/quote/'))
+        if self.mode == 'by_path':
+            return 'stream' if streams else 'whole'
+        return self.mode
+
     async def _answer(
         self, stream, http, headers, status, body, signed=True, cut=False
     ):
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of real hosts under faults from outside."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,155 @@
+"""``python -m tests.soak --seeds 0-49 --length 8``."""
+
+import functools
+import pathlib
+import random
+import tempfile
+import time
+
+import fire
+import trio
+
+from tests.soak import callers
+from tests.soak import faults
+from tests.soak import promises
+from tests.soak import stage as stages
+
+CALLERS = 12
+SETTLE = 1.0  # s, after the last fault
+
+
+async def play(seed, length, directory):
+    """Play one run; return the broken promises and some counts."""
+    rng = random.Random(seed)
+    stage = stages.Stage(pathlib.Path(directory))
+    noted, log = [], []
+    try:
+        async with trio.open_nursery() as nursery:
+            await stage.start(nursery)
+            _date_runs(stage)
+            watch = _Watch(stage)
+            nursery.start_soon(watch.run)
+            for number in range(CALLERS):
+                source = random.Random(seed * 1000 + number)
+                nursery.start_soon(callers.call_for_ever, stage, source, noted)
+            with trio.move_on_after(length):
+                await _inject(stage, rng, log)
+            await trio.sleep(SETTLE)
+            nursery.cancel_scope.cancel()
+    finally:
+        stage.end()
+    done = [one for one in noted if one.took]
+    known = {one.request_id for one in noted}
+    found = promises.broken(
+        done,
+        known,
+        _runs(stage),
+        watch.keys,
+        watch.drains,
+        {host.name: host.pauses for host in stage.hosts},
+    )
+    served = sum(one.status == 200 and one.whole for one in done)
+    return found, len(done), served, log
+
+
+class _Watch:
+    """Dates the changes of keys and the leaving of servers."""
+
+    def __init__(self, stage):
+        self._stage = stage
+        self.keys = [(trio.current_time(), set(stage.keys))]
+        self.drains = []
+
+    async def run(self):
+        """Look for ever."""
+        leaving = {}
+        while True:
+            now = trio.current_time()
+            if self._stage.keys != self.keys[-1][1]:
+                self.keys.append((now, set(self._stage.keys)))
+            for engine in self._stage.engines:
+                item = self._stage.store.store.items.get(
+                    f'servers/{engine.engine_id}'
+                )
+                drains = item is not None and b'draining' in item.value
+                since = leaving.get(engine.engine_id)
+                if drains and since is None:
+                    leaving[engine.engine_id] = now
+                elif not drains and since is not None:
+                    del leaving[engine.engine_id]
+                    self.drains.append((engine.engine_id, since, now))
+            await trio.sleep(0.005)
+
+
+def _date_runs(stage):
+    """Let each server note when a request ran."""
+    for engine in stage.engines:
+        engine.seen = _Dated()
+
+
+class _Dated(list):
+    def append(self, seen):
+        seen.at = trio.current_time()
+        super().append(seen)
+
+
+def _runs(stage):
+    return [
+        (seen, engine.engine_id, seen.at)
+        for engine in stage.engines
+        for seen in engine.seen
+        if 'corianderloft-attempt-id' in seen.headers
+    ]
+
+
+async def _inject(stage, rng, log):
+    """Inject faults in series that overlap."""
+    async with trio.open_nursery() as nursery:
+        while True:
+            await trio.sleep(rng.expovariate(1 / 0.5))
+            inject = rng.choice(faults.FAULTS)
+            log.append((round(trio.current_time(), 2), inject.__name__))
+            source = random.Random(rng.random())
+            nursery.start_soon(_contained, inject, stage, source)
+
+
+async def _contained(inject, stage, rng):
+    """Let a fault end as it must even when the run is over."""
+    with trio.CancelScope(shield=True):
+        await inject(stage, rng)
+
+
+def main(seeds='0-2', length=6.0, keep=''):
+    """Play seeds and print what was broken.
+
+    Parameters
+    ----------
+    seeds : str
+        First and last seed; ``fresh`` for one that was never played.
+    length : float
+        Length of each run in seconds.
+    keep : str
+        Folder for the logs of the hosts; empty keeps none.
+    """
+    if seeds == 'fresh':
+        seeds = f'{int(time.time())}-{int(time.time())}'
+    first, _, last = str(seeds).partition('-')
+    failed = []
+    for seed in range(int(first), int(last or first) + 1):
+        with tempfile.TemporaryDirectory() as made:
+            directory = pathlib.Path(keep or made) / str(seed)
+            directory.mkdir(parents=True, exist_ok=True)
+            run = functools.partial(play, seed, length, directory)
+            found, asked, served, log = trio.run(run)
+        print(f'seed {seed}: {served} of {asked} served, {len(found)} broken')
+        for line in found[:10]:
+            print(f'  {line}')
+        if found:
+            failed.append(seed)
+            print(f'  faults: {log}')
+    print(f'failed seeds: {failed}')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    raise SystemExit(fire.Fire(main, serialize=lambda _: None) or 0)
--- /dev/null
+++ b/tests/soak/stage.py
@@ -0,0 +1,172 @@
+"""Real hosts as processes, with a relay on each of their ways."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import orjson
+import trio
+import yaml
+
+from corianderloft._internal.standin import http
+from tests.lib import gateway
+from tests.lib import platform_engine
+from tests.lib import platform_store
+from tests.lib import relay
+
+ROOT = pathlib.Path(__file__).parents[2]
+STOP_S = 4
+KEY_LIFE_MS = 3000
+BOUNDS = {
+    'drain_ms': 2000,
+    'fail_closed': True,
+    'revoke_ms': KEY_LIFE_MS,
+    'grace_s': STOP_S,
+    'retry_budget_ratio': 0.2,
+    'budget_slack': 200,
+    'budget_window_s': 10,
+    'ttl_max_s': 5,
+}
+
+
+class Host:
+    """One host: its settings, its process, the relay to its store."""
+
+    def __init__(self, name, directory, store_port):
+        self.name = name
+        self.store_way = relay.TcpRelay(store_port)
+        self.port = gateway.free_port()
+        self.ready_port = gateway.free_port()
+        self.process = None
+        self.stopping = False
+        self.pauses = []
+        self._settings = directory / f'{name}.yaml'
+        self._log = directory / f'{name}.log'
+        self._ports = [gateway.free_port() for _ in range(2)]
+
+    def start(self):
+        """Start the program; it reads its settings anew."""
+        address = '127.0.0.1'
+        self._settings.write_text(
+            yaml.safe_dump(
+                {
+                    'node': self.name,
+                    'ip': address,
+                    'zone': 'cairo-a',
+                    'listen': {
+                        'front': f'{address}:{self.port}',
+                        'ready': f'{address}:{self.ready_port}',
+                        'directory': f'{address}:{self._ports[0]}',
+                    },
+                    'internal_ports': [self._ports[1], self._ports[1]],
+                    'limits': {'max_fds': 1000},
+                    'bounds': BOUNDS,
+                    'platform': {
+                        'address': f'{address}:{self.store_way.port}',
+                        'min_ttl_ms': 1000,
+                    },
+                }
+            )
+        )
+        with self._log.open('ab') as log:
+            self.process = subprocess.Popen(
+                [sys.executable, str(ROOT / 'deploy/entry_host.py')],
+                stdout=log,
+                stderr=log,
+                env=dict(os.environ, CORIANDERLOFT_CONFIG=str(self._settings)),
+            )
+        self.stopping = False
+
+    def running(self):
+        """Return whether the process lives."""
+        return self.process is not None and self.process.poll() is None
+
+    def send(self, number):
+        """Send a signal to the process, if it lives."""
+        if self.running():
+            self.process.send_signal(number)
+
+    def end(self):
+        """Kill the process and wait for it."""
+        if self.process is not None:
+            if self.running():
+                self.process.send_signal(signal.SIGCONT)
+                self.process.kill()
+            self.process.wait()
+
+
+class Stage:
+    """Store, backend servers and hosts of one run."""
+
+    def __init__(self, directory, hosts=3, engines=4):
+        self.store = platform_store.PlatformStore()
+        self.engines = [
+            platform_engine.PlatformEngine(f'e-{n}', 'by_path')
+            for n in range(engines)
+        ]
+        self.engine_ways = []
+        self.hosts = []
+        self.keys = {'key-0'}
+        self.version = 0
+        self._directory = directory
+        self._count = hosts
+
+    async def start(self, nursery):
+        """Start everything and wait until the hosts are ready."""
+        port = await nursery.start(http.serve, self.store.app(), 0)
+        for engine in self.engines:
+            await nursery.start(engine.serve)
+            way = relay.TcpRelay(engine.port)
+            await nursery.start(way.run)
+            self.engine_ways.append(way)
+        self.configure()
+        for number in range(len(self.engines)):
+            self.register(number)
+        for number in range(self._count):
+            host = Host(f'edge-{number}', self._directory, port)
+            await nursery.start(host.store_way.run)
+            self.hosts.append(host)
+            host.start()
+        for host in self.hosts:
+            await self.wait_ready(host)
+
+    def configure(self):
+        """Write a new version of the declarations."""
+        self.version += 1
+        document = gateway.configuration(self.version, sorted(self.keys))
+        self.store.put('op/config', document)
+
+    def register(self, number, state='ready'):
+        """Write the entry of a backend server."""
+        entry = {
+            'service': 'desk',
+            'address': f'127.0.0.1:{self.engine_ways[number].port}',
+            'zone': 'cairo-a',
+            'slots': 8,
+            'state': state,
+            'born': 1000,
+        }
+        name = self.engines[number].engine_id
+        self.store.put(f'servers/{name}', orjson.dumps(entry))
+
+    async def wait_ready(self, host, bound=15.0):
+        """Wait until a host says that it takes requests."""
+        with trio.move_on_after(bound):
+            while True:
+                try:
+                    answer = await gateway.fetch(
+                        host.ready_port, 'GET', '/readyz', within=1.0
+                    )
+                except (trio.TooSlowError, trio.BrokenResourceError):
+                    answer = None
+                if answer is not None and answer.status == 200:
+                    return True
+                await trio.sleep(0.05)
+        return False
+
+    def end(self):
+        """End the processes that were started here."""
+        for host in self.hosts:
+            host.end()
