--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -133,6 +133,15 @@
             await self._answer_again(stream, headers)
         await self._send(stream, http, headers, status, body, signed, cut)
 
+    async def _answer_again(self, stream, headers):
+        """Send a second answer, late, to an earlier request."""
+        again = h11.Connection(h11.SERVER)
+        again.receive_data(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+        again.next_event()
+        again.next_event()
+        wrong = headers | {'corianderloft-attempt-id': 'another'}
+        await self._send(stream, again, wrong, 200, b'stale', True, False)
+
     async def _send(self, stream, http, headers, status, body, signed, cut):
         fields = [
             ('Content-Length', str(len(body) + (5 if cut else 0))),
