--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -11,6 +11,7 @@
 from corianderloft._internal.gateway import calls
 from corianderloft._internal.gateway import dialect
 from corianderloft._internal.gateway import metrics
+from corianderloft._internal.gateway import request_log
 from corianderloft._internal.gateway import sending
 from corianderloft._internal.models import routing
 from corianderloft._internal.network import engine_pool
@@ -109,13 +110,15 @@
         if self._started:
             self._caller.abort()
             return Result.CUT
-        late = answers.Reason.TIMED_OUT
-        if not self._ran:
-            late = answers.Reason.TOO_LATE
-        return await self._refuse(answers.Refusal(late, self._pause(0.0)))
+        if self._ran:
+            return await self._refuse(
+                answers.Refusal(answers.Reason.TIMED_OUT)
+            )
+        late = answers.Refusal(answers.Reason.TOO_LATE, placer.COME_BACK)
+        return await self._refuse(late)
 
     async def _send_all(self) -> Result:
-        refusal = answers.Refusal(answers.Reason.NO_BACKEND, 0.3)
+        refusal = answers.Refusal(answers.Reason.NOT_RUN, placer.COME_BACK)
         for count in range(MOST_SENDS):
             if count and not self._may_go_on():
                 break
@@ -150,10 +153,7 @@
             return True
         grant.close(interface.End.CALLER_LEFT)
         metrics.count_repeat_refused(job.service)
-        logger.warning(
-            'request not sent again: the retry budget is used up',
-            extra={'request_id': job.request_id, 'sends': self.sends},
-        )
+        request_log.repeat_refused(job, self.sends)
         return False
 
     async def _give_up(self, refusal: answers.Refusal) -> Result:
@@ -185,7 +185,7 @@
         end = interface.End.CALLER_LEFT
         # Until the server says otherwise, a request that left may have run.
         self._ran.add(engine.key)
-        self._log_send(engine)
+        request_log.sent(self._call.job, engine, self.sends)
         try:
             outcome = await self._within_silence(send, grant)
             if isinstance(outcome, Result):
@@ -194,7 +194,7 @@
             end = outcome.end
             if not outcome.may_have_run:
                 self._ran.discard(engine.key)
-            self._log_failure(engine, outcome)
+            request_log.send_failed(self._call.job, engine, outcome)
             return None
         except trio.Cancelled:
             if trio.current_time() >= self._call.job.until:
@@ -330,47 +330,3 @@
             return
         if last is not None:
             self._last_event = last
-
-    def _pause(self, least: float) -> float:
-        return max(least, 0.1)
-
-    def _log_send(self, engine: engines.Engine) -> None:
-        job = self._call.job
-        sample = engine.sample
-        now = trio.current_time()
-        logger.info(
-            'request sent',
-            extra={
-                'request_id': job.request_id,
-                'engine': engine.engine_id,
-                'send': self.sends,
-                'tier': job.tier,
-                'requests_there': engine.requests(),
-                'unread_tokens': engine.unread_tokens(),
-                'reported': (
-                    None
-                    if sample is None
-                    else f'{sample.running},{sample.waiting}'
-                ),
-                'reported_age_s': (
-                    None
-                    if sample is None
-                    else round(now - engine.sampled_at, 2)
-                ),
-            },
-        )
-
-    def _log_failure(
-        self, engine: engines.Engine, failed: sending.Failed
-    ) -> None:
-        metrics.count_send_failed(failed.end)
-        logger.warning(
-            'send failed',
-            extra={
-                'request_id': self._call.job.request_id,
-                'engine': engine.engine_id,
-                'end': failed.end.value,
-                'may_have_run': failed.may_have_run,
-                'cause': failed.detail,
-            },
-        )
--- /dev/null
+++ b/src/corianderloft/_internal/gateway/request_log.py
@@ -0,0 +1,59 @@
+"""Log lines of the decisions that touch one request."""
+
+import logging
+
+import trio
+
+from corianderloft._internal.gateway import metrics
+from corianderloft._internal.gateway import sending
+from corianderloft._internal.placement import engines
+from corianderloft._internal.placement import interface
+
+logger = logging.getLogger(__name__)
+
+
+def sent(job: interface.Job, engine: engines.Engine, number: int) -> None:
+    """Log a send, with what was known of the backend server."""
+    sample = engine.sample
+    reported, age = None, None
+    if sample is not None:
+        reported = f'{sample.running},{sample.waiting}'
+        age = round(trio.current_time() - engine.sampled_at, 2)
+    logger.info(
+        'request sent',
+        extra={
+            'request_id': job.request_id,
+            'engine': engine.engine_id,
+            'send': number,
+            'tier': job.tier,
+            'requests_there': engine.requests(),
+            'unread_tokens': engine.unread_tokens(),
+            'reported': reported,
+            'reported_age_s': age,
+        },
+    )
+
+
+def send_failed(
+    job: interface.Job, engine: engines.Engine, failed: sending.Failed
+) -> None:
+    """Count and log a send that brought no answer."""
+    metrics.count_send_failed(failed.end)
+    logger.warning(
+        'send failed',
+        extra={
+            'request_id': job.request_id,
+            'engine': engine.engine_id,
+            'end': failed.end.value,
+            'may_have_run': failed.may_have_run,
+            'cause': failed.detail,
+        },
+    )
+
+
+def repeat_refused(job: interface.Job, sends: int) -> None:
+    """Log that a request was not sent again."""
+    logger.warning(
+        'request not sent again: the retry budget is used up',
+        extra={'request_id': job.request_id, 'sends': sends},
+    )
--- a/src/corianderloft/_internal/network/engine_connection.py
+++ b/src/corianderloft/_internal/network/engine_connection.py
@@ -5,7 +5,6 @@
 request that they name, and the connection reads on.
 """
 
-import collections.abc
 import dataclasses
 import enum
 import socket
@@ -28,6 +27,11 @@
 """Probes, a second apart, without which a connection counts as dead."""
 
 
+IDLE_MARGIN = 0.6
+"""Part of the idle time of a backend server in which a connection to it is
+used again; the rest covers what is on its way."""
+
+
 class BreakKind(enum.Enum):
     """How a connection failed."""
 
@@ -242,11 +246,6 @@
         return Broken(kind, self._sent, str(detail))
 
 
-IDLE_MARGIN = 0.6
-"""Part of the idle time of a backend server in which a connection to it is
-used again; the rest covers what is on its way."""
-
-
 async def connect(
     address: str, port: int, within: float
 ) -> EngineConnection | Broken:
@@ -286,9 +285,3 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, SILENT_IDLE)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, SILENT_PROBES)
-
-
-Connected = collections.abc.Callable[
-    [str, int, float],
-    collections.abc.Awaitable[EngineConnection | Broken],
-]
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -28,6 +28,15 @@
 PLAIN_CHOOSER = 'fewest_requests'
 """Choosers for engines of models, and for plain services."""
 
+COME_BACK = 0.3
+"""Wait that is asked of callers where nothing says when there is room, in
+seconds; about the life of a short outage of a backend server."""
+
+COME_BACK_PARTS = (0.3, 0.6)
+"""Bounds of the wait that is asked of callers when engines have too much to
+read, in targets: they are done with that much by then, and callers do not
+return together."""
+
 PUMP_INTERVAL = 0.008
 """Mean wait between two looks at the queue in seconds: much shorter than
 the reading of a prompt, and random, so that hosts do not send together."""
@@ -185,16 +194,12 @@
     def _refused(self, job: interface.Job) -> interface.Refused:
         now = trio.current_time()
         if now >= job.until:
-            return interface.Refused(interface.Refusal.TOO_LATE, 0.1)
+            return interface.Refused(interface.Refusal.TOO_LATE, COME_BACK)
         if not any(self._live(job.service)):
-            return interface.Refused(interface.Refusal.NO_BACKEND, 0.3)
-        after = job.route.target * self._rng.uniform(0.3, 0.6)
+            return interface.Refused(interface.Refusal.NO_BACKEND, COME_BACK)
+        after = job.route.target * self._rng.uniform(*COME_BACK_PARTS)
         return interface.Refused(interface.Refusal.OVERLOADED, after)
 
-    def known_engines(self) -> collections.abc.Iterable[engines.Engine]:
-        """Return what is known of each backend server."""
-        return self._engines.values()
-
     def own_loads(self) -> dict[engines.Key, engines.PeerLoad]:
         """Return what this host has at the engines of models."""
         return {
--- a/src/corianderloft/_internal/platform/daemon.py
+++ b/src/corianderloft/_internal/platform/daemon.py
@@ -8,9 +8,11 @@
 
 from corianderloft._internal.gateway import host
 from corianderloft._internal.gateway import layout
+from corianderloft._internal.gateway import metrics
 from corianderloft._internal.gateway import settings as gateway_settings
 from corianderloft._internal.logs import bounded
 from corianderloft._internal.logs import handlers
+from corianderloft._internal.metrics import registry
 from corianderloft._internal.platform import configuration
 from corianderloft._internal.platform import entries
 from corianderloft._internal.platform import headers
@@ -63,6 +65,7 @@
     """
     handler = bounded.BoundedHandler()
     handlers.use_handler(handler, logging.INFO)
+    registry.on_collect(lambda: metrics.set_dropped_lines(handler.dropped))
     parts = host.Parts(
         cfg=cfg,
         store=store.PlatformStore(cfg.store.address, cfg.store.port),
--- a/src/corianderloft/_internal/platform/words.py
+++ b/src/corianderloft/_internal/platform/words.py
@@ -32,6 +32,5 @@
 INSTANCES_PREFIX = 'servers/'
 HOSTS_PREFIX = 'hosts/'
 
-DEFAULT_URGENCY = 5
 LAST_URGENCY = 9
 """Priorities of an engine run from 0, the first, to 9."""
