Do not cancel what goes to a caller half way

The request counted as failed, went to a second server, and its connection hung: later requests on it got no answer. Change: sends to callers are shielded; the kernel's bound on stalls ends those to callers that read nothing. A message to a caller that left is dropped.

--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -260,7 +260,8 @@
         if self._closes:
             headers.append((b'connection', b'close'))
         self.complete = True
-        await self._caller.answer_raw(opened.status, headers, body)
+        with trio.CancelScope(shield=True):
+            await self._caller.answer_raw(opened.status, headers, body)
         return Result.ANSWERED
 
     async def _relay(
@@ -270,7 +271,12 @@
         grant: placer.Grant,
         silence: trio.CancelScope,
     ) -> Result | sending.Failed:
-        """Pass a stream on, whole events at a time."""
+        """Pass a stream on, whole events at a time.
+
+        What goes to the caller is shielded: a send that is cancelled half
+        way would leave the connection in a state that nobody knows. A
+        caller that reads nothing is cut by the server's bound on stalls.
+        """
         if not opened.head.signed:
             return sending.Failed(
                 interface.End.BROKEN, True, 'a stream without signature'
@@ -288,12 +294,15 @@
             events = cutter.feed(data)
             if events:
                 grant.started()
-                await self._pass_on(opened, events)
+                with trio.CancelScope(shield=True):
+                    await self._pass_on(opened, events)
         rest = cutter.rest()
         if not self._started or rest:
-            await self._pass_on(opened, rest)
+            with trio.CancelScope(shield=True):
+                await self._pass_on(opened, rest)
         self.complete = True
-        await self._caller.end_stream()
+        with trio.CancelScope(shield=True):
+            await self._caller.end_stream()
         return Result.ANSWERED
 
     def _gap_bound(self) -> float:
--- a/src/corianderloft/_internal/network/exchange.py
+++ b/src/corianderloft/_internal/network/exchange.py
@@ -2,13 +2,17 @@
 
 import collections.abc
 import dataclasses
+import logging
 import typing
 
+from hypercorn import utils as hypercorn_utils
 import orjson
 import trio
 
 from corianderloft._internal.network import inbound
 
+logger = logging.getLogger(__name__)
+
 JSON = b'application/json'
 EVENT_STREAM = b'text/event-stream'
 
@@ -67,7 +71,7 @@
         ],
     ) -> None:
         self._receive = receive
-        self._send = send
+        self._send_message = send
         self._connection: inbound.Connection | None = scope.get(
             'state', {}
         ).get(inbound.CONNECTION_STATE)
@@ -79,6 +83,13 @@
         self.started = False
         self._chunked = scope['http_version'] == '1.1'
 
+    async def _send(self, message: Message) -> None:
+        """Send a message, or nothing once the caller has left."""
+        try:
+            await self._send_message(message)
+        except hypercorn_utils.UnexpectedMessageError as exc:
+            logger.debug('the caller left before the end: %s', exc)
+
     def header(self, name: bytes) -> str | None:
         """Return the first header called ``name`` (lower case), or None."""
         value = next((v for n, v in self.headers if n == name), None)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -63,7 +63,11 @@
     until = one.sent_at + one.took
     paused = any(since < until and end > one.sent_at for since, end in pauses)
     if one.gave_up and not paused:
-        yield f'{one.request_id}: no final answer in {one.took:.1f} s'
+        yield (
+            f'{one.request_id}: no final answer in {one.took:.1f} s from '
+            f'{one.host} (process {one.process}), sent at {one.sent_at:.2f}; '
+            f'pauses {pauses}'
+        )
 
 
 def _refused_wrongly(one):
--- a/tests/unit/gateway/test_requests.py
+++ b/tests/unit/gateway/test_requests.py
@@ -3,6 +3,7 @@
 import orjson
 import trio
 
+from corianderloft._internal.network import exchange
 from tests.lib import gateway
 from tests.lib import processes
 
@@ -135,6 +136,27 @@
     assert sorted(resumed, key=str) == ['1', None]
 
 
+async def test_a_host_that_is_slow_at_the_end_of_a_stream_ends_it(
+    monkeypatch,
+):
+    """Soak seed 31: a host was paused before the end of a stream.
+
+    Its bound on silent servers ran out meanwhile and cancelled the end.
+    """
+    end = exchange.Exchange.end_stream
+
+    async def slow_end(self):
+        await trio.sleep(0.6)
+        await end(self)
+
+    monkeypatch.setattr(exchange.Exchange, 'end_stream', slow_end)
+    async with gateway.running(('stream', 'stream')) as system:
+        answer = await system.ask('POST', '/quote/1', within=4.0)
+        assert len(system.runs()) == 1
+    assert answer.whole
+    assert answer.body.count(b'data: token') == 4
+
+
 async def test_a_caller_that_left_ends_the_work_of_its_server():
     async with gateway.running(('hang',)) as system:
         with trio.move_on_after(0.3):
