--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -173,7 +173,9 @@
         headers = refusal.headers()
         if self._closes and not refusal.closes:
             headers.append((b'connection', b'close'))
-        await self._caller.answer_raw(refusal.status, headers, refusal.body())
+        body = refusal.body()
+        with trio.CancelScope(shield=True):
+            await self._caller.answer_raw(refusal.status, headers, body)
         return Result.REFUSED
 
     async def _send_once(self, grant: placer.Grant) -> Result | None:
