Reserve the ports of tests for as long as they run

Cause: the soak took a free port, let it go and gave its number to a host that started seconds later. The same held for a relay between a cut and its end, and for every test that used free_port.

Ruled out: load; the log of the host said Errno 98.

--- a/tests/lib/gateway.py
+++ b/tests/lib/gateway.py
@@ -3,7 +3,6 @@
 import contextlib
 import dataclasses
 import functools
-import socket
 
 import h11
 import orjson
@@ -18,6 +17,7 @@
 from corianderloft._internal.standin import http
 from tests.lib import platform_engine
 from tests.lib import platform_store
+from tests.lib import ports
 from tests.lib import processes
 
 HOST = 'desk.example'
@@ -99,13 +99,6 @@
     whole: bool = True
 
 
-def free_port():
-    """Return a port of loopback that nobody uses."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
-
-
 class System:
     """One host, its store and its engines.
 
@@ -172,11 +165,11 @@
         self.cfg = settings.GatewaySettings(
             host_id=ids.HostId('edge-1'),
             address='127.0.0.1',
-            caller_port=free_port(),
-            ready_port=free_port(),
-            address_port=free_port(),
-            metrics_port=free_port(),
-            peer_port=free_port(),
+            caller_port=ports.reserve(),
+            ready_port=ports.reserve(),
+            address_port=ports.reserve(),
+            metrics_port=ports.reserve(),
+            peer_port=ports.reserve(),
             failure_domain=ids.FailureDomain('cairo-a'),
             most_files=1000,
             bounds=self.bounds(),
--- a/tests/lib/relay.py
+++ b/tests/lib/relay.py
@@ -6,6 +6,8 @@
 
 import trio
 
+from tests.lib import ports
+
 CHUNK_BYTES = 65536
 LOOPBACK = '127.0.0.1'
 
@@ -67,7 +69,7 @@
     """
 
     def __init__(self, target_port: int) -> None:
-        self.port = 0
+        self.port = ports.reserve()
         self.to_server = Direction()
         self.to_client = Direction()
         self.accepted = 0
@@ -108,7 +110,6 @@
                 listeners = await trio.open_tcp_listeners(
                     self.port, host=LOOPBACK
                 )
-                self.port = listeners[0].socket.getsockname()[1]
                 task_status.started()
                 task_status = trio.TASK_STATUS_IGNORED
                 with trio.CancelScope() as self._accepting:
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -14,6 +14,7 @@
 from tests.lib import gateway
 from tests.lib import platform_engine
 from tests.lib import platform_store
+from tests.lib import ports
 from tests.lib import relay
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -37,14 +38,14 @@
     def __init__(self, name, directory, store_port):
         self.name = name
         self.store_way = relay.TcpRelay(store_port)
-        self.port = gateway.free_port()
-        self.ready_port = gateway.free_port()
+        self.port = ports.reserve()
+        self.ready_port = ports.reserve()
         self.process = None
         self.stopping = False
         self.pauses = []
         self._settings = directory / f'{name}.yaml'
         self._log = directory / f'{name}.log'
-        self._ports = [gateway.free_port() for _ in range(2)]
+        self._ports = [ports.reserve() for _ in range(2)]
 
     def start(self):
         """Start the program; it reads its settings anew."""
@@ -130,7 +131,8 @@
             self.hosts.append(host)
             host.start()
         for host in self.hosts:
-            await self.wait_ready(host)
+            if not await self.wait_ready(host):
+                raise RuntimeError(f'{host.name} did not get ready')
 
     def configure(self):
         """Write a new version of the declarations."""
