Let watches wait by the bounds of the deployment

Cause: a watch waited 2 s on every deployment. Where removed keys may be honoured for 3 s only, the confirmation of the keys (1.1 s old when it comes) was older than that before the next one came, and calm hosts refused requests for want of current keys.

Change: gateway/watch_pace.py decides from the bounds how long the next watch may wait: it is noticed to be lost before the deployment counts as settled, and answers while the keys are honoured. The pause after changes is a quarter of the tightest bound on changes, 0.5 s at most (0.25 s before), so that more changes come with one call.

test_a_leaving_server_gets_nothing_more waited 0.5 s for what the deployment bounds at 2 s; it waits for the bound now.

--- a/src/corianderloft/_internal/gateway/following.py
+++ b/src/corianderloft/_internal/gateway/following.py
@@ -1,12 +1,15 @@
 """Keeps the beliefs of this host in step with the store."""
 
+import collections.abc
 import logging
 import random
 import typing
 
 import trio
 
+from corianderloft._internal.gateway import settings
 from corianderloft._internal.gateway import view
+from corianderloft._internal.gateway import watch_pace
 from corianderloft._internal.kv import backoff
 from corianderloft._internal.kv import interface as kv
 from corianderloft._internal.utils import clock
@@ -18,10 +21,6 @@
 """Mean first wait and longest wait between two tries, in seconds; short
 because keys are honoured for seconds only without the store."""
 
-EVENTS_PAUSE = 0.25
-"""Wait after changes before the next watch, in seconds: what changes soon
-after comes with the same call."""
-
 HELD_INTERVAL = 0.1
 """Time between two looks for entries that did not come back, in seconds."""
 
@@ -38,10 +37,18 @@
         The store.
     beliefs : View
         Beliefs to keep.
+    bounds : callable
+        Returns the bounds in force.
     """
 
-    def __init__(self, store: kv.KeyValueClient, beliefs: view.View) -> None:
+    def __init__(
+        self,
+        store: kv.KeyValueClient,
+        beliefs: view.View,
+        bounds: collections.abc.Callable[[], settings.Bounds],
+    ) -> None:
         self._store = store
+        self._bounds = bounds
         self._beliefs = beliefs
         self._backoff = backoff.Backoff(FIRST_PAUSE, LONGEST_PAUSE)
 
@@ -68,7 +75,7 @@
     async def _watch(self) -> None:
         events: list[kv.WatchEvent] = []
         async with self._store.watch(
-            WHOLE_STORE, self._beliefs.revision
+            WHOLE_STORE, self._beliefs.revision, self._longest_wait
         ) as items:
             async for item in items:
                 if isinstance(item, kv.WatchEvent):
@@ -78,7 +85,7 @@
                     self._beliefs.revision = item.revision
                     self._beliefs.confirm(item.as_of)
                     if events:
-                        await trio.sleep(spread(EVENTS_PAUSE))
+                        await self._pause()
                     events.clear()
                 else:
                     logger.info(
@@ -86,6 +93,12 @@
                         extra={'cause': item.detail},
                     )
 
+    def _longest_wait(self) -> float:
+        return watch_pace.longest_wait(self._bounds(), self._beliefs)
+
+    async def _pause(self) -> None:
+        await trio.sleep(spread(watch_pace.pause(self._bounds())))
+
 
 def spread(seconds: float) -> float:
     """Return a wait around ``seconds``, so that hosts do not act at once."""
--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -114,7 +114,9 @@
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
             async with trio.open_nursery() as nursery:
-                follower = following.Follower(self._store, self._beliefs)
+                follower = following.Follower(
+                    self._store, self._beliefs, lambda: self._cfg.bounds
+                )
                 nursery.start_soon(follower.run)
                 nursery.start_soon(follower.drop_held)
                 nursery.start_soon(self._placer.run)
--- a/src/corianderloft/_internal/gateway/settings.py
+++ b/src/corianderloft/_internal/gateway/settings.py
@@ -24,6 +24,15 @@
         Length of that window in seconds.
     answer_life : float
         Longest time that callers keep an address answer, in seconds.
+    settled_time : float
+        Time after a disturbance from which the bounds hold again, in
+        seconds; infinite where none is named.
+    drain_time : float
+        Longest time in which a backend server that leaves still gets
+        requests, in seconds; infinite where none is named.
+    apply_time : float
+        Longest time until declarations are in force, in seconds; infinite
+        where none is named.
     """
 
     key_life: float | None
@@ -32,6 +41,9 @@
     retry_slack: float
     retry_window: float
     answer_life: float
+    settled_time: float
+    drain_time: float
+    apply_time: float
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/corianderloft/_internal/kv/etcd.py
+++ b/src/corianderloft/_internal/kv/etcd.py
@@ -143,7 +143,10 @@
 
     @contextlib.asynccontextmanager
     async def watch(
-        self, prefix: str, after: ids.Revision
+        self,
+        prefix: str,
+        after: ids.Revision,
+        wait: interface.Wait | None = None,
     ) -> collections.abc.AsyncGenerator[
         collections.abc.AsyncIterator[interface.WatchItem]
     ]:
--- a/src/corianderloft/_internal/kv/interface.py
+++ b/src/corianderloft/_internal/kv/interface.py
@@ -165,6 +165,10 @@
 WatchItem = WatchEvent | WatchProgress | WatchEnded
 
 
+Wait = collections.abc.Callable[[], float]
+"""Returns how long the next call may wait for a change, in seconds."""
+
+
 class KeyValueClient(typing.Protocol):
     """Typed calls on the platform's key-value service."""
 
@@ -193,14 +197,15 @@
         """End a lease; keys bound to it are removed."""
 
     def watch(
-        self, prefix: str, after: ids.Revision
+        self, prefix: str, after: ids.Revision, wait: Wait | None = None
     ) -> contextlib.AbstractAsyncContextManager[
         collections.abc.AsyncIterator[WatchItem]
     ]:
         """Watch keys below ``prefix`` for changes later than ``after``.
 
         The iterator ends after one `WatchEnded`. Services that are asked
-        again and again also yield `WatchProgress`.
+        again and again also yield `WatchProgress`; ``wait`` says how long
+        each call may wait for a change.
         """
 
 
--- a/src/corianderloft/_internal/metrics/kv_calls.py
+++ b/src/corianderloft/_internal/metrics/kv_calls.py
@@ -64,7 +64,10 @@
 
     @contextlib.asynccontextmanager
     async def watch(
-        self, prefix: str, after: ids.Revision
+        self,
+        prefix: str,
+        after: ids.Revision,
+        wait: interface.Wait | None = None,
     ) -> collections.abc.AsyncIterator[
         collections.abc.AsyncIterator[interface.WatchItem]
     ]:
@@ -72,7 +75,7 @@
         _calls['watch', 'opened'] += 1
         _watches['open'] += 1
         try:
-            async with self._client.watch(prefix, after) as items:
+            async with self._client.watch(prefix, after, wait) as items:
                 yield items
         finally:
             _watches['open'] -= 1
--- a/src/corianderloft/_internal/platform/settings.py
+++ b/src/corianderloft/_internal/platform/settings.py
@@ -1,6 +1,7 @@
 """The settings file that the platform writes for a process."""
 
 import dataclasses
+import math
 import os
 import typing
 
@@ -97,9 +98,17 @@
         retry_slack=_number(data, 'budget_slack'),
         retry_window=_number(data, 'budget_window_s'),
         answer_life=_number(data, 'ttl_max_s'),
+        settled_time=_milliseconds(data, 'stable_ms'),
+        drain_time=_milliseconds(data, 'drain_ms'),
+        apply_time=_milliseconds(data, 'config_apply_ms'),
     )
 
 
+def _milliseconds(data: typing.Any, name: str) -> float:
+    """Return a bound in seconds; infinite where none is named."""
+    return _number(data, name) / 1000 if name in data else math.inf
+
+
 def _number(data: typing.Any, name: str) -> float:
     """Return a figure that is not negative."""
     value = data[name]
--- a/src/corianderloft/_internal/platform/store.py
+++ b/src/corianderloft/_internal/platform/store.py
@@ -26,8 +26,8 @@
 """Idle connections kept, and their longest idle time in seconds."""
 
 WATCH_WAIT = 2.0
-"""Time for which the store holds a watch without a change, in seconds; well
-under the bound on removed keys, which a watch confirms."""
+"""Time for which the store holds a watch without a change, in seconds, for
+callers that name none."""
 
 WATCH_DEAF = 1.1
 """Time for which a watch may hear nothing of changes, in seconds; the
@@ -159,25 +159,28 @@
 
     @contextlib.asynccontextmanager
     async def watch(
-        self, prefix: str, after: ids.Revision
+        self,
+        prefix: str,
+        after: ids.Revision,
+        wait: interface.Wait | None = None,
     ) -> collections.abc.AsyncGenerator[
         collections.abc.AsyncIterator[interface.WatchItem]
     ]:
         """Watch keys below ``prefix`` for changes later than ``after``."""
-        yield self._watch(prefix, after)
+        yield self._watch(prefix, after, wait or _default_wait)
 
     async def _watch(
-        self, prefix: str, after: ids.Revision
+        self, prefix: str, after: ids.Revision, next_wait: interface.Wait
     ) -> collections.abc.AsyncGenerator[interface.WatchItem]:
         revision = after
         while True:
-            asked_at = clock.now()
+            asked_at, wait = clock.now(), next_wait()
             query = {
                 'path_prefix': prefix,
                 'after': str(revision),
-                'wait_ms': str(int(WATCH_WAIT * 1000)),
+                'wait_ms': str(int(wait * 1000)),
             }
-            outcome = await self._get('/kv-watch', query, WATCH_WAIT)
+            outcome = await self._get('/kv-watch', query, wait)
             if not isinstance(outcome, tuple):
                 yield interface.WatchEnded(outcome.detail, revision)
                 return
@@ -195,7 +198,7 @@
             for event in events:
                 yield event
             yield interface.WatchProgress(
-                revision, _as_of(asked_at, bool(events))
+                revision, _as_of(asked_at, wait, bool(events))
             )
 
     async def aclose(self) -> None:
@@ -216,7 +219,7 @@
         )
 
 
-def _as_of(asked_at: float, changed: bool) -> float:
+def _as_of(asked_at: float, wait: float, changed: bool) -> float:
     """Return a time at which nothing newer than a reply was known.
 
     A reply without changes was held back for the whole wait; how long it
@@ -224,7 +227,11 @@
     """
     if changed:
         return asked_at
-    return min(clock.now(), asked_at + WATCH_WAIT) - WATCH_DEAF
+    return min(clock.now(), asked_at + wait) - WATCH_DEAF
+
+
+def _default_wait() -> float:
+    return WATCH_WAIT
 
 
 _MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
--- a/tests/lib/fake_kv.py
+++ b/tests/lib/fake_kv.py
@@ -201,7 +201,7 @@
         return kv.Written(ids.Revision(self.store.revision))
 
     @contextlib.asynccontextmanager
-    async def watch(self, prefix, after):
+    async def watch(self, prefix, after, wait=None):
         self.store.calls['watch'] += 1
         yield self._events(prefix, after)
 
--- a/tests/lib/gateway.py
+++ b/tests/lib/gateway.py
@@ -158,6 +158,9 @@
             retry_slack=50.0,
             retry_window=10.0,
             answer_life=5.0,
+            settled_time=3.0,
+            drain_time=2.0,
+            apply_time=2.0,
         )
 
     async def start_host(self):
@@ -223,6 +226,9 @@
 
 _numbers = iter(range(1, 10**9))
 
+sent_ids = set()
+"""Ids of all requests that `fetch` sent."""
+
 
 async def fetch(
     port,
@@ -241,9 +247,11 @@
         stream = stream or await trio.open_tcp_stream('127.0.0.1', port)
     except OSError:
         return None
+    request_id = f'a{next(_numbers)}'
+    sent_ids.add(request_id)
     fields = [
         ('Host', host_name),
-        ('Corianderloft-Attempt-Id', f'a{next(_numbers)}'),
+        ('Corianderloft-Attempt-Id', request_id),
         ('Corianderloft-Deadline-Ms', str(deadline_ms)),
         *headers,
     ]
--- a/tests/unit/gateway/test_hosts.py
+++ b/tests/unit/gateway/test_hosts.py
@@ -56,7 +56,7 @@
     async with gateway.running(('whole', 'whole')) as system:
         leaving = system.engines[0]
         system.register(leaving, state='draining')
-        await trio.sleep(0.5)
+        await trio.sleep(system.bounds().drain_time)
         before = len(leaving.seen)
         for _ in range(10):
             assert (await system.ask()).status == 200
--- /dev/null
+++ b/tests/unit/gateway/test_watch_pace.py
@@ -0,0 +1,68 @@
+"""How long a watch waits, for deployments with other bounds."""
+
+import dataclasses
+import math
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from corianderloft._internal.gateway import settings
+from corianderloft._internal.gateway import view
+from corianderloft._internal.gateway import watch_pace
+
+BOUNDS = settings.Bounds(
+    key_life=5.0,
+    stop_time=8.0,
+    retry_ratio=0.2,
+    retry_slack=50.0,
+    retry_window=10.0,
+    answer_life=5.0,
+    settled_time=3.0,
+    drain_time=2.0,
+    apply_time=2.0,
+)
+
+
+@dataclasses.dataclass
+class _Beliefs:
+    """Beliefs of a given age."""
+
+    seconds: float
+
+    def age(self):
+        return self.seconds
+
+
+def wait(age, **changes):
+    bounds = dataclasses.replace(BOUNDS, **changes)
+    return watch_pace.longest_wait(bounds, _Beliefs(age))
+
+
+def test_a_lost_watch_is_noticed_before_bounds_hold_again():
+    assert wait(1.1) + watch_pace.LOST_TIME <= BOUNDS.settled_time
+    assert wait(1.1, settled_time=4.0) > wait(1.1)
+
+
+@hypothesis.given(
+    key_life=strategies.floats(2.3, 60.0), age=strategies.floats(0.0, 60.0)
+)
+def test_keys_are_confirmed_before_they_end(key_life, age):
+    honoured = key_life - view.KEY_MARGIN
+    hypothesis.assume(age < honoured - watch_pace.RETRY_TIME - 0.2)
+    assert age + wait(age, key_life=key_life) < honoured
+
+
+def test_an_overdue_confirmation_asks_at_once_but_not_without_end():
+    assert wait(60.0) == watch_pace.LEAST_WAIT
+
+
+def test_without_bounds_a_watch_waits_long():
+    long = wait(math.inf, key_life=None, settled_time=math.inf)
+    assert long == watch_pace.LONGEST_WAIT
+
+
+@pytest.mark.parametrize('drain_time', [0.8, 2.0, 30.0])
+def test_a_change_is_read_well_within_the_tightest_bound(drain_time):
+    bounds = dataclasses.replace(BOUNDS, drain_time=drain_time)
+    assert 1.2 * watch_pace.pause(bounds) <= 0.3 * drain_time
