--- a/src/corianderloft/_internal/placement/health.py
+++ b/src/corianderloft/_internal/placement/health.py
@@ -63,6 +63,11 @@
         """Note an end that says nothing about the server."""
         self._trying = False
 
+    @property
+    def suspected(self) -> bool:
+        """Whether it failed and has not answered since."""
+        return self._ejections > 0
+
     def ejected(self, now: float) -> bool:
         """Return whether it is kept out just now."""
         return now < self._ejected_until
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import itertools
-import logging
 import random
 import typing
 
@@ -16,14 +15,12 @@
 from corianderloft._internal.models import routing
 from corianderloft._internal.models import states
 from corianderloft._internal.placement import budget
+from corianderloft._internal.placement import decision_log
 from corianderloft._internal.placement import engines
 from corianderloft._internal.placement import interface
 from corianderloft._internal.placement import queue
 from corianderloft._internal.placement import sizes
 
-logger = logging.getLogger(__name__)
-
-
 MODEL_CHOOSER = 'lanes'
 PLAIN_CHOOSER = 'fewest_requests'
 """Choosers for engines of models, and for plain services."""
@@ -159,7 +156,10 @@
         if waiter.engine is None:
             self._try(waiter, trio.current_time(), last_chance=True)
         if waiter.engine is None:
-            return self._refused(job)
+            refused = self._refused(job)
+            live = list(self._live(job.service))
+            decision_log.refused(waiter, refused, live, len(self._queue))
+            return refused
         return Grant(self, waiter.engine, waiter.number)
 
     def wake(self) -> None:
@@ -237,6 +237,7 @@
     def note_end(self, engine: engines.Engine, end: interface.End) -> None:
         """Learn from how a send ended."""
         now = trio.current_time()
+        suspected = engine.health.suspected
         match end:
             case interface.End.COMPLETE | interface.End.NOT_RUN:
                 engine.health.note_answer(False)
@@ -251,14 +252,9 @@
             case _:
                 engine.health.note_nothing()
         if engine.health.ejected(now):
-            logger.warning(
-                'backend server ejected',
-                extra={
-                    'engine': engine.engine_id,
-                    'end': end.value,
-                    'error_share': round(engine.health.error_share, 2),
-                },
-            )
+            decision_log.ejected(engine, end)
+        if suspected and not engine.health.suspected:
+            decision_log.in_use_again(engine, end)
         self._load_changed()
         self.wake()
 
--- a/src/corianderloft/_internal/placement/queue.py
+++ b/src/corianderloft/_internal/placement/queue.py
@@ -61,6 +61,9 @@
     def __init__(self) -> None:
         self._waiters: dict[int, Waiter] = {}
 
+    def __len__(self) -> int:
+        return len(self._waiters)
+
     def add(self, waiter: Waiter) -> None:
         """Let a request wait."""
         self._waiters[waiter.number] = waiter
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -12,6 +12,7 @@
 
 @pytest.mark.parametrize('seed', SEEDS)
 def test_promises_hold_under_faults(seed, tmp_path):
-    found, asked, served, log = trio.run(soak.play, seed, LENGTH, tmp_path)
-    assert found == [], log
-    assert served > asked / 4
+    script = soak.faults_for(LENGTH)
+    played = trio.run(soak.play, seed, tmp_path, script)
+    assert played.broken == [], played.log
+    assert played.served > len(played.noted) / 4
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,5 +1,6 @@
 """``python -m tests.soak --seeds 0-49 --length 8``."""
 
+import dataclasses
 import functools
 import pathlib
 import random
@@ -9,6 +10,7 @@
 import fire
 import trio
 
+from tests.lib import gateway
 from tests.soak import callers
 from tests.soak import faults
 from tests.soak import promises
@@ -18,9 +20,45 @@
 SETTLE = 1.0  # s, after the last fault
 
 
-async def play(seed, length, directory):
-    """Play one run; return the broken promises and some counts."""
-    rng = random.Random(seed)
+@dataclasses.dataclass
+class Played:
+    """One run, as it was seen from outside.
+
+    Attributes
+    ----------
+    broken : list of str
+        A line for each broken promise.
+    noted : list of Noted
+        Requests that ended, as their callers saw them.
+    runs : list of (Seen, str, float)
+        Requests that ran, with server and time.
+    log : list
+        Faults, as the script noted them.
+    """
+
+    broken: list
+    noted: list
+    runs: list
+    log: list
+
+    @property
+    def served(self):
+        """Number of requests with a whole answer and status 200."""
+        return sum(one.status == 200 and one.whole for one in self.noted)
+
+
+async def play(seed, directory, script):
+    """Play one run.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of callers and script.
+    directory : Path
+        Holds settings and logs of the hosts.
+    script : coroutine function
+        Injects faults; takes the stage, a random source and a log.
+    """
     stage = stages.Stage(pathlib.Path(directory))
     noted, log = [], []
     try:
@@ -32,24 +70,32 @@
             for number in range(CALLERS):
                 source = random.Random(seed * 1000 + number)
                 nursery.start_soon(callers.call_for_ever, stage, source, noted)
-            with trio.move_on_after(length):
-                await _inject(stage, rng, log)
+            await script(stage, random.Random(seed), log)
             await trio.sleep(SETTLE)
             nursery.cancel_scope.cancel()
     finally:
         stage.end()
     done = [one for one in noted if one.took]
-    known = {one.request_id for one in noted}
-    found = promises.broken(
+    runs = _runs(stage)
+    broken = promises.broken(
         done,
-        known,
-        _runs(stage),
+        {one.request_id for one in noted} | gateway.sent_ids,
+        runs,
         watch.keys,
         watch.drains,
         {host.name: host.pauses for host in stage.hosts},
     )
-    served = sum(one.status == 200 and one.whole for one in done)
-    return found, len(done), served, log
+    return Played(broken, done, runs, log)
+
+
+def faults_for(length):
+    """Return a script that injects random faults for so many seconds."""
+
+    async def script(stage, rng, log):
+        with trio.move_on_after(length):
+            await _inject(stage, rng, log)
+
+    return script
 
 
 class _Watch:
@@ -139,14 +185,17 @@
         with tempfile.TemporaryDirectory() as made:
             directory = pathlib.Path(keep or made) / str(seed)
             directory.mkdir(parents=True, exist_ok=True)
-            run = functools.partial(play, seed, length, directory)
-            found, asked, served, log = trio.run(run)
-        print(f'seed {seed}: {served} of {asked} served, {len(found)} broken')
-        for line in found[:10]:
+            run = functools.partial(play, seed, directory, faults_for(length))
+            played = trio.run(run)
+        print(
+            f'seed {seed}: {played.served} of {len(played.noted)} served, '
+            f'{len(played.broken)} broken'
+        )
+        for line in played.broken[:10]:
             print(f'  {line}')
-        if found:
+        if played.broken:
             failed.append(seed)
-            print(f'  faults: {log}')
+            print(f'  faults: {played.log}')
     print(f'failed seeds: {failed}')
     return 1 if failed else 0
 
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -48,7 +48,9 @@
         self._ports = [ports.reserve() for _ in range(2)]
 
     def start(self):
-        """Start the program; it reads its settings anew."""
+        """Start the program, unless a fault that overlaps has done so."""
+        if self.running():
+            return
         address = '127.0.0.1'
         self._settings.write_text(
             yaml.safe_dump(
--- a/tests/unit/cli/test_parser.py
+++ b/tests/unit/cli/test_parser.py
@@ -23,6 +23,9 @@
     (['serve', 'absent.yaml', '--typo=1'], exit_codes.ExitCode.USAGE),
     (['gateway'], exit_codes.ExitCode.USAGE),
     (['gateway', 'absent.yaml'], exit_codes.ExitCode.INVALID_INPUT),
+    (['trace'], exit_codes.ExitCode.USAGE),
+    (['trace', 'r-1'], exit_codes.ExitCode.USAGE),
+    (['trace', 'r-1', 'absent'], exit_codes.ExitCode.INVALID_INPUT),
     (['address', 'nonsense'], exit_codes.ExitCode.USAGE),
     (['address', '127.0.0.1:1'], exit_codes.ExitCode.UNAVAILABLE),
     (
