Ask the store less often where the bounds leave room

The host waits for the signal to stop with an event and compares its entries only when one is dropped.

--- a/src/corianderloft/_internal/gateway/following.py
+++ b/src/corianderloft/_internal/gateway/following.py
@@ -97,9 +97,11 @@
         return watch_pace.longest_wait(self._bounds(), self._beliefs)
 
     async def _pause(self) -> None:
-        await trio.sleep(spread(watch_pace.pause(self._bounds())))
+        pause = watch_pace.pause(self._bounds(), self._beliefs)
+        await trio.sleep(spread(pause))
 
 
 def spread(seconds: float) -> float:
     """Return a wait around ``seconds``, so that hosts do not act at once."""
-    return random.uniform(0.8, 1.2) * seconds
+    part = watch_pace.SPREAD
+    return random.uniform(1 - part, 1 + part) * seconds
--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -145,8 +145,7 @@
         with trio.CancelScope() as scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._entry.run)
-                while not self._stop.leaving:
-                    await trio.sleep(0.05)
+                await self._stop.wait_leaving()
                 scope.cancel()
 
     async def _watch_settings(self) -> None:
--- a/src/corianderloft/_internal/gateway/stopping.py
+++ b/src/corianderloft/_internal/gateway/stopping.py
@@ -30,18 +30,25 @@
 
     Attributes
     ----------
-    leaving : bool
-        Whether connections are closed after their next answer.
     refusing : bool
         Whether new requests are turned away.
     """
 
     def __init__(self) -> None:
-        self.leaving = False
+        self._told = trio.Event()
         self.refusing = False
         self._inflight = 0
         self._last_request = float('-inf')
 
+    @property
+    def leaving(self) -> bool:
+        """Whether connections are closed after their next answer."""
+        return self._told.is_set()
+
+    async def wait_leaving(self) -> None:
+        """Wait until the process is told to stop."""
+        await self._told.wait()
+
     @contextlib.contextmanager
     def request(self) -> collections.abc.Iterator[None]:
         """Count one request while it is served."""
@@ -65,7 +72,7 @@
             Time until the process is killed, in seconds.
         """
         began = trio.current_time()
-        self.leaving = True
+        self._told.set()
         logger.info('stopping', extra={'inflight': self._inflight})
         with trio.move_on_after(stop_time - KILL_MARGIN):
             await entry.leave()
--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -147,6 +147,8 @@
         if self._in_trouble:
             return
         gone = [k for k, held in self._held.items() if held.gone_at <= now]
+        if not gone:
+            return
         before = self._instances.copy(), self._members.copy()
         for key in gone:
             del self._held[key]
--- a/src/corianderloft/_internal/gateway/watch_pace.py
+++ b/src/corianderloft/_internal/gateway/watch_pace.py
@@ -21,14 +21,21 @@
 """Life of keys that is left when a watch answers, in seconds: enough to read
 the store once after a connection to it was cut."""
 
-PAUSE_PART = 0.25
-"""Part of the tightest bound on changes that passes between two watches.
-The store may keep a change from a watch for half of that bound."""
+DEAF_TIME = 1.1
+"""Time for which the store may keep a change from a watch, in seconds; the
+platform names one second."""
 
-LONGEST_PAUSE = 0.5
+STEP_TIME = 0.3
+"""Time from the answer of a watch until a change is in force, in seconds: the
+store may be 60 times slower than the 4 ms of an answer."""
+
+LONGEST_PAUSE = 1.5
 """Longest pause between two watches in seconds; changes that come within it
 come with one call."""
 
+SPREAD = 0.2
+"""Part by which pauses differ, so that hosts do not ask together."""
+
 
 def longest_wait(bounds: settings.Bounds, beliefs: view.View) -> float:
     """Return how long the next watch may wait, in seconds.
@@ -43,7 +50,15 @@
     return max(LEAST_WAIT, wait)
 
 
-def pause(bounds: settings.Bounds) -> float:
-    """Return the pause after a change, in seconds."""
+def pause(bounds: settings.Bounds, beliefs: view.View) -> float:
+    """Return the mean pause after a change, in seconds.
+
+    A change that comes at its start is in force within the tightest bound,
+    and the keys are honoured until the watch after it answers.
+    """
     tightest = min(bounds.drain_time, bounds.apply_time)
-    return min(LONGEST_PAUSE, PAUSE_PART * tightest)
+    longest = min(LONGEST_PAUSE, tightest - DEAF_TIME - STEP_TIME)
+    if bounds.key_life is not None:
+        left = bounds.key_life - view.KEY_MARGIN - beliefs.age()
+        longest = min(longest, left - RETRY_TIME - LEAST_WAIT)
+    return max(0.0, longest / (1 + SPREAD))
