Keep to the shortest lease and the time to stop of any deployment

Cause: the lease of a host's entry was 3 s whatever the settings say of the shortest one, so on a deployment that grants none below 6 s no host ever registered. Requests were taken for 3 s after SIGTERM and the process ended 0.6 s before the kill, figures that fit 8 s: with 2 s until the kill nothing was ever turned away and what had come last was cut.

Change: the lease is as long as the settings ask, and renewed at a third of its life. The times of a stop are also parts of the time until the kill; nothing changes where that is 8 s. tests/functional/test_unlike_deployments.py plays real hosts with other sizes and bounds; the checks of the soak take the bounds of the deployment.

--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -100,6 +100,7 @@
             parts.places.hosts_prefix + cfg.host_id,
             parts.places.encode_member(own),
             self._beliefs.trouble,
+            cfg.store.least_lease,
         )
         self._app = app.GatewayApp(
             self._beliefs, self._placer, self._pool, parts.words, self._stop
--- a/src/corianderloft/_internal/gateway/membership.py
+++ b/src/corianderloft/_internal/gateway/membership.py
@@ -16,8 +16,8 @@
 """Life of the entry of a host that is gone, in seconds: callers that are
 sent to it lose a second each until then."""
 
-RENEW_INTERVAL = 1.0
-"""Time between two renewals, in seconds; two may be lost."""
+RENEW_PART = 1 / 3
+"""Part of the life of a lease between two renewals; two may be lost."""
 
 RETRY_INTERVAL = 0.3
 """Wait after a call that failed, in seconds."""
@@ -39,6 +39,8 @@
         The entry.
     failed : callable
         Told why a call failed.
+    least_lease : float
+        Shortest life of a lease that the store grants, in seconds.
     """
 
     def __init__(
@@ -47,11 +49,13 @@
         key: str,
         value: bytes,
         failed: collections.abc.Callable[[str], None],
+        least_lease: float = 0.0,
     ) -> None:
         self._store = store
         self._key = key
         self._value = value
         self._failed = failed
+        self._life = max(LEASE_TIME, least_lease)
         self._lease: ids.LeaseId | None = None
 
     async def run(self) -> typing.NoReturn:
@@ -75,7 +79,7 @@
         self._lease = None
 
     async def _register(self) -> None:
-        granted = await self._store.grant_lease(LEASE_TIME)
+        granted = await self._store.grant_lease(self._life)
         if not isinstance(granted, kv.LeaseGranted):
             await self._pause(granted.detail)
             return
@@ -89,7 +93,7 @@
             'entry of this host written',
             extra={'key': self._key, 'revision': written.revision},
         )
-        await trio.sleep(following.spread(RENEW_INTERVAL))
+        await self._wait()
 
     async def _renew(self, lease: ids.LeaseId) -> None:
         renewed = await self._store.renew_lease(lease)
@@ -99,7 +103,10 @@
         elif isinstance(renewed, kv.Unavailable):
             await self._pause(renewed.detail)
         else:
-            await trio.sleep(following.spread(RENEW_INTERVAL))
+            await self._wait()
+
+    async def _wait(self) -> None:
+        await trio.sleep(following.spread(RENEW_PART * self._life))
 
     async def _pause(self, detail: str) -> None:
         self._failed(detail)
--- a/src/corianderloft/_internal/gateway/settings.py
+++ b/src/corianderloft/_internal/gateway/settings.py
@@ -56,10 +56,13 @@
         IP number.
     port : int
         TCP port.
+    least_lease : float
+        Shortest life of a lease that it grants, in seconds.
     """
 
     address: str
     port: int
+    least_lease: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/corianderloft/_internal/gateway/stopping.py
+++ b/src/corianderloft/_internal/gateway/stopping.py
@@ -11,15 +11,20 @@
 logger = logging.getLogger(__name__)
 
 ACCEPT_TIME = 3.0
-"""Time after the signal in which requests are still served, in seconds:
-callers learn of other hosts within it."""
+ACCEPT_PART = 0.375
+"""Time after the signal in which requests are still served, in seconds and as
+part of the time until the kill, whichever is shorter: callers learn of other
+hosts within it, and what came last has the rest to end."""
 
 QUIET_TIME = 2.0
-"""Least time between the signal and the end, in seconds, as callers that
-know only this host still come."""
+QUIET_PART = 0.25
+"""Least time between the signal and the end, in seconds and as part of the
+time until the kill, as callers that know only this host still come."""
 
 KILL_MARGIN = 0.6
-"""Time before the kill at which the process ends in any case, in seconds."""
+KILL_PART = 0.1
+"""Time before the kill at which the process ends in any case, in seconds and
+as part of the time until the kill, whichever is shorter."""
 
 LOOK_INTERVAL = 0.1
 """Time between two looks whether anything is in flight, in seconds."""
@@ -72,13 +77,16 @@
             Time until the process is killed, in seconds.
         """
         began = trio.current_time()
+        accept = min(ACCEPT_TIME, ACCEPT_PART * stop_time)
+        quiet = min(QUIET_TIME, QUIET_PART * stop_time)
+        margin = min(KILL_MARGIN, KILL_PART * stop_time)
         self._told.set()
         logger.info('stopping', extra={'inflight': self._inflight})
-        with trio.move_on_after(stop_time - KILL_MARGIN):
+        with trio.move_on_after(stop_time - margin):
             await entry.leave()
-            while not self._quiet(began):
+            while not self._quiet(began, quiet):
                 await trio.sleep(LOOK_INTERVAL)
-                if trio.current_time() - began >= ACCEPT_TIME:
+                if trio.current_time() - began >= accept:
                     self.refusing = True
         self.refusing = True
         logger.info(
@@ -89,8 +97,8 @@
             },
         )
 
-    def _quiet(self, began: float) -> bool:
+    def _quiet(self, began: float, least: float) -> bool:
         now = trio.current_time()
-        if self._inflight or now - began < QUIET_TIME:
+        if self._inflight or now - began < least:
             return False
-        return now - self._last_request >= QUIET_TIME / 4
+        return now - self._last_request >= least / 4
--- a/src/corianderloft/_internal/platform/settings.py
+++ b/src/corianderloft/_internal/platform/settings.py
@@ -113,15 +113,20 @@
     """Return a figure that is not negative."""
     value = data[name]
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise ValueError(f'bounds.{name}: {value!r} is no number')
+        raise ValueError(f'{name}: {value!r} is no number')
     if value < 0:
-        raise ValueError(f'bounds.{name}: {value!r} is negative')
+        raise ValueError(f'{name}: {value!r} is negative')
     return float(value)
 
 
 def _store(data: typing.Any) -> settings.Store:
     address, _, _ = data['address'].rpartition(':')
-    return settings.Store(address=address, port=_port(data['address']))
+    shortest = _number(data, 'min_ttl_ms') if 'min_ttl_ms' in data else 0.0
+    return settings.Store(
+        address=address,
+        port=_port(data['address']),
+        least_lease=shortest / 1000,
+    )
 
 
 def _port(address: str) -> int:
--- /dev/null
+++ b/tests/functional/test_unlike_deployments.py
@@ -0,0 +1,72 @@
+"""Real hosts in deployments of other sizes and bounds."""
+
+import signal
+
+import pytest
+import trio
+
+from tests.lib import processes
+from tests.soak import __main__ as soak
+from tests.soak import promises
+from tests.soak import stage as stages
+
+APPLY_TIME = 2.0  # s, until a new key is known everywhere
+SHORT = stages.BOUNDS | {
+    'stable_ms': 1000,
+    'drain_ms': 1200,
+    'config_apply_ms': 1200,
+    'grace_s': 2.0,
+    'revoke_ms': 2500,
+}
+OPEN = {
+    name: value
+    for name, value in stages.BOUNDS.items()
+    if name not in ('fail_closed', 'drain_ms')
+}
+
+DEPLOYMENTS = {
+    'one host and one server': {'hosts': 1, 'engines': 1},
+    'ten hosts': {'hosts': 10, 'engines': 2},
+    'short bounds': {'bounds': SHORT},
+    'keys outlive the store': {'bounds': OPEN | {'drain_ms': 2000}},
+    'long leases only': {'min_ttl_ms': 6000},
+}
+
+
+async def changes(stage, rng, log):
+    """Change keys, drain a server and restart a host, one after another."""
+    log.append(trio.current_time())
+    stage.keys = {'key-new'}
+    stage.configure()
+    await trio.sleep(1.0)
+    if len(stage.engines) > 1:
+        stage.register(0, 'draining')
+    host = stage.hosts[0]
+    host.send(signal.SIGTERM)
+    await processes.wait_for(lambda: not host.running(), 'the host has ended')
+    log.append(host.process.returncode)
+    host.start()
+    assert await stage.wait_ready(host)
+    stage.register(0)
+    members = [k for k in stage.store.store.items if k.startswith('hosts/')]
+    log.append(len(members))
+
+
+@pytest.mark.parametrize('name', DEPLOYMENTS)
+def test_changes_cut_and_lose_nothing(name, tmp_path):
+    deployment = DEPLOYMENTS[name]
+    played = trio.run(lambda: soak.play(2, tmp_path, changes, **deployment))
+    assert played.broken == []
+    changed_at, code, members = played.log
+    assert code == 0
+    assert members >= deployment.get('hosts', 3) - 1
+    ran = {
+        seen.headers['corianderloft-attempt-id'] for seen, _, _ in played.runs
+    }
+    cut = {one.request_id for one in played.noted if not one.whole}
+    assert not cut & ran
+    stale = [one for one in played.noted if b'stale_keys' in one.body]
+    assert stale == []
+    in_force = changed_at + APPLY_TIME + promises.SLACK
+    unknown = [one for one in played.noted if one.status == 401]
+    assert all(one.sent_at < in_force for one in unknown)
--- a/tests/lib/platform_store.py
+++ b/tests/lib/platform_store.py
@@ -24,6 +24,8 @@
         Writes that take effect but are not answered.
     compacted : int
         Watches from before this revision get 410.
+    min_ttl_ms : int
+        Leases for less are refused.
     """
 
     def __init__(self):
@@ -31,6 +33,7 @@
         self.down = False
         self.lose_replies = 0
         self.compacted = 0
+        self.min_ttl_ms = 0
         self.calls = self.store.calls
 
     def put(self, key, value, lease=None):
@@ -153,6 +156,9 @@
 
     async def _lease(self, call):
         ttl = call.json()['ttl_ms']
+        if ttl < self.min_ttl_ms:
+            await call.reply({}, 400)
+            return
         lease = self.store.new_lease(ttl / 1000)
         await call.reply({'lease': lease, 'ttl_ms': ttl})
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -47,7 +47,7 @@
         return sum(one.status == 200 and one.whole for one in self.noted)
 
 
-async def play(seed, directory, script):
+async def play(seed, directory, script, **deployment):
     """Play one run.
 
     Parameters
@@ -58,8 +58,10 @@
         Holds settings and logs of the hosts.
     script : coroutine function
         Injects faults; takes the stage, a random source and a log.
+    **deployment
+        Sizes and bounds, as of `stage.Stage`.
     """
-    stage = stages.Stage(pathlib.Path(directory))
+    stage = stages.Stage(pathlib.Path(directory), **deployment)
     noted, log = [], []
     try:
         async with trio.open_nursery() as nursery:
@@ -84,6 +86,7 @@
         watch.keys,
         watch.drains,
         {host.name: host.pauses for host in stage.hosts},
+        stage.bounds,
     )
     return Played(broken, done, runs, log)
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -5,12 +5,11 @@
 
 NOT_RUN = (408, 421, 429, 503)
 STREAMS = ('/chat/', '/quote/')
-KEY_LIFE = 3.0  # s, as the settings of the hosts say
 SLACK = 1.0  # s, for a busy machine
 TOKEN = re.compile(rb'data: token (\d+)\n\n')
 
 
-def broken(noted, known, runs, key_changes, drains, pauses):
+def broken(noted, known, runs, key_changes, drains, pauses, bounds):
     """Return a line for each promise that was broken.
 
     Parameters
@@ -27,7 +26,11 @@
         Servers that were leaving, from and until when.
     pauses : dict
         When each host was paused, from and until.
+    bounds : dict
+        Bounds of the deployment, as in the settings of the hosts.
     """
+    key_life = bounds['revoke_ms'] / 1000
+    drain_time = bounds['drain_ms'] / 1000
     by_id = collections.defaultdict(list)
     for seen, engine, at in runs:
         by_id[seen.headers.get('corianderloft-attempt-id')].append(
@@ -38,9 +41,9 @@
         ran = by_id.get(one.request_id, [])
         found += _of_request(one, ran)
         found += _of_patience(one, pauses[one.host])
-        found += _of_keys(one, ran, key_changes)
+        found += _of_keys(one, ran, key_changes, key_life)
     found += [f'{name}: nobody sent it' for name in by_id.keys() - known]
-    return [*found, *_of_drains(runs, drains)]
+    return [*found, *_of_drains(runs, drains, drain_time)]
 
 
 def _of_request(one, ran):
@@ -89,19 +92,19 @@
         yield f'{one.request_id}: events {numbers}'
 
 
-def _of_keys(one, ran, key_changes):
+def _of_keys(one, ran, key_changes, key_life):
     times = [since for since, _ in key_changes] + [float('inf')]
     valid = [n for n, (_, keys) in enumerate(key_changes) if one.key in keys]
     if not ran or not valid:
         return
     late = one.sent_at - times[valid[-1] + 1]
-    if late > KEY_LIFE + SLACK:
+    if late > key_life + SLACK:
         yield f'{one.request_id}: ran {late:.1f} s after its key was removed'
 
 
-def _of_drains(runs, drains):
+def _of_drains(runs, drains, drain_time):
     for seen, engine, at in runs:
         for name, since, until in drains:
-            if engine == name and since + 2.0 + SLACK < at < until:
+            if engine == name and since + drain_time + SLACK < at < until:
                 request_id = seen.headers.get('corianderloft-attempt-id')
                 yield f'{request_id}: reached {name} while it was leaving'
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -35,8 +35,10 @@
 class Host:
     """One host: its settings, its process, the relay to its store."""
 
-    def __init__(self, name, directory, store_port):
+    def __init__(self, name, directory, store_port, bounds, min_ttl_ms):
         self.name = name
+        self._bounds = bounds
+        self._min_ttl_ms = min_ttl_ms
         self.store_way = relay.TcpRelay(store_port)
         self.port = ports.reserve()
         self.ready_port = ports.reserve()
@@ -65,10 +67,10 @@
                     },
                     'internal_ports': [self._ports[1], self._ports[1]],
                     'limits': {'max_fds': 1000},
-                    'bounds': BOUNDS,
+                    'bounds': self._bounds,
                     'platform': {
                         'address': f'{address}:{self.store_way.port}',
-                        'min_ttl_ms': 1000,
+                        'min_ttl_ms': self._min_ttl_ms,
                     },
                 }
             )
@@ -103,8 +105,12 @@
 class Stage:
     """Store, backend servers and hosts of one run."""
 
-    def __init__(self, directory, hosts=3, engines=4):
+    def __init__(
+        self, directory, hosts=3, engines=4, bounds=BOUNDS, min_ttl_ms=1000
+    ):
+        self.bounds = bounds
         self.store = platform_store.PlatformStore()
+        self.store.min_ttl_ms = min_ttl_ms
         self.engines = [
             platform_engine.PlatformEngine(f'e-{n}', 'by_path')
             for n in range(engines)
@@ -128,7 +134,13 @@
         for number in range(len(self.engines)):
             self.register(number)
         for number in range(self._count):
-            host = Host(f'edge-{number}', self._directory, port)
+            host = Host(
+                f'edge-{number}',
+                self._directory,
+                port,
+                self.bounds,
+                self.store.min_ttl_ms,
+            )
             await nursery.start(host.store_way.run)
             self.hosts.append(host)
             host.start()
