--- a/tests/lib/gateway.py
+++ b/tests/lib/gateway.py
@@ -66,6 +66,19 @@
 )
 
 
+BOUNDS = settings.Bounds(
+    key_life=3.0,
+    stop_time=4.0,
+    retry_ratio=0.2,
+    retry_slack=50.0,
+    retry_window=10.0,
+    answer_life=5.0,
+    settled_time=3.0,
+    drain_time=2.0,
+    apply_time=2.0,
+)
+
+
 def configuration(version=1, keys=(KEY,), routes=ROUTES, **changes):
     """Return the operator's document."""
     document = {
@@ -151,17 +164,7 @@
 
     def bounds(self):
         """Return the promises of the deployment."""
-        return settings.Bounds(
-            key_life=3.0,
-            stop_time=4.0,
-            retry_ratio=0.2,
-            retry_slack=50.0,
-            retry_window=10.0,
-            answer_life=5.0,
-            settled_time=3.0,
-            drain_time=2.0,
-            apply_time=2.0,
-        )
+        return BOUNDS
 
     async def start_host(self):
         """Start the host in this process and wait until it is ready."""
--- a/tests/unit/gateway/test_watch_pace.py
+++ b/tests/unit/gateway/test_watch_pace.py
@@ -7,21 +7,11 @@
 from hypothesis import strategies
 import pytest
 
-from corianderloft._internal.gateway import settings
 from corianderloft._internal.gateway import view
 from corianderloft._internal.gateway import watch_pace
+from tests.lib import gateway
 
-BOUNDS = settings.Bounds(
-    key_life=5.0,
-    stop_time=8.0,
-    retry_ratio=0.2,
-    retry_slack=50.0,
-    retry_window=10.0,
-    answer_life=5.0,
-    settled_time=3.0,
-    drain_time=2.0,
-    apply_time=2.0,
-)
+BOUNDS = dataclasses.replace(gateway.BOUNDS, key_life=5.0)
 
 
 @dataclasses.dataclass
