Keep a third of the life of keys for the time without the store

Cause: since watches wait longer keys were up to 4.1 s old before they were confirmed, of 4.85 s.

Change: 0.35 of the life of keys is left whenever a watch answers (0.75 s before).

--- a/src/corianderloft/_internal/gateway/watch_pace.py
+++ b/src/corianderloft/_internal/gateway/watch_pace.py
@@ -4,6 +4,8 @@
 itself, so calls grow with the hosts and with the changes.
 """
 
+import math
+
 from corianderloft._internal.gateway import settings
 from corianderloft._internal.gateway import view
 
@@ -17,9 +19,9 @@
 """Time after the wait from which a watch counts as lost, in seconds; as in
 the client of the store."""
 
-RETRY_TIME = 0.75
-"""Life of keys that is left when a watch answers, in seconds: enough to read
-the store once after a connection to it was cut."""
+KEYS_LEFT_PART = 0.35
+"""Part of the life of keys that is left whenever a watch answers: callers are
+served for that long, and mostly longer, when the store goes away."""
 
 DEAF_TIME = 1.1
 """Time for which the store may keep a change from a watch, in seconds; the
@@ -44,10 +46,7 @@
     again, and one that answers confirms the keys while they are honoured.
     """
     wait = min(LONGEST_WAIT, bounds.settled_time - LOST_TIME)
-    if bounds.key_life is not None:
-        left = bounds.key_life - view.KEY_MARGIN - beliefs.age()
-        wait = min(wait, left - RETRY_TIME)
-    return max(LEAST_WAIT, wait)
+    return max(LEAST_WAIT, min(wait, _time_to_confirm(bounds, beliefs)))
 
 
 def pause(bounds: settings.Bounds, beliefs: view.View) -> float:
@@ -57,8 +56,17 @@
     and the keys are honoured until the watch after it answers.
     """
     tightest = min(bounds.drain_time, bounds.apply_time)
-    longest = min(LONGEST_PAUSE, tightest - DEAF_TIME - STEP_TIME)
-    if bounds.key_life is not None:
-        left = bounds.key_life - view.KEY_MARGIN - beliefs.age()
-        longest = min(longest, left - RETRY_TIME - LEAST_WAIT)
+    longest = min(
+        LONGEST_PAUSE,
+        tightest - DEAF_TIME - STEP_TIME,
+        _time_to_confirm(bounds, beliefs) - LEAST_WAIT,
+    )
     return max(0.0, longest / (1 + SPREAD))
+
+
+def _time_to_confirm(bounds: settings.Bounds, beliefs: view.View) -> float:
+    """Return the time until the keys have to be confirmed, in seconds."""
+    if bounds.key_life is None:
+        return math.inf
+    oldest = (1 - KEYS_LEFT_PART) * bounds.key_life - view.KEY_MARGIN
+    return oldest - beliefs.age()
