--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -88,6 +88,12 @@
         """Return whether the process lives."""
         return self.process is not None and self.process.poll() is None
 
+    def logged(self, message, field):
+        """Return the values of a field in all log lines with a message."""
+        lines = self._log.read_bytes().splitlines()
+        entries = [orjson.loads(line) for line in lines if line[:1] == b'{']
+        return [e[field] for e in entries if e['message'] == message]
+
     def send(self, number):
         """Send a signal to the process, if it lives."""
         if self.running():
@@ -182,6 +188,11 @@
                 await trio.sleep(0.05)
         return False
 
+    async def serves(self, host, key):
+        """Return whether a host serves a request with a key."""
+        answer = await gateway.fetch(host.port, 'GET', '/look/1', key=key)
+        return answer is not None and answer.status == 200
+
     def end(self):
         """End the processes that were started here."""
         for host in self.hosts:
