Split the start of the shared state and the news of hosts into files

Change: shared/start.py starts the shared state; membership/news.py holds what is passed on, membership/pace.py the figures with unit and source.

--- a/bench/control/node.py
+++ b/bench/control/node.py
@@ -18,7 +18,7 @@
 from corianderloft._internal.settings import root
 from corianderloft._internal.shared import interface
 from corianderloft._internal.shared.peers import transport
-from corianderloft._internal.shared import state
+from corianderloft._internal.shared import start
 
 COSTS_S = 1.0
 PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
@@ -79,7 +79,7 @@
     )
     async with trio.open_nursery() as nursery:
         shared = await nursery.start(
-            state.run_shared, settings, etcd.EtcdClient(settings.kv), host
+            start.run_shared, settings, etcd.EtcdClient(settings.kv), host
         )
         write_line(peer_port=shared.live_hosts()[0].peer_port)
         nursery.start_soon(report_costs)
--- a/src/corianderloft/_internal/entry/daemon.py
+++ b/src/corianderloft/_internal/entry/daemon.py
@@ -14,7 +14,7 @@
 from corianderloft._internal.models import ids
 from corianderloft._internal.settings import root
 from corianderloft._internal.shared import interface as shared_interface
-from corianderloft._internal.shared import state
+from corianderloft._internal.shared import start
 from corianderloft._internal.utils import tasks
 
 
@@ -92,7 +92,7 @@
     own = describe(settings, sockets)
     async with trio.open_nursery() as nursery:
         shared = await nursery.start(
-            state.run_shared, settings, make_kv(settings), own
+            start.run_shared, settings, make_kv(settings), own
         )
         async with trio.open_nursery() as serving:
             await serving.start(
--- a/src/corianderloft/_internal/shared/membership/detector.py
+++ b/src/corianderloft/_internal/shared/membership/detector.py
@@ -17,32 +17,15 @@
 from corianderloft._internal.models import states
 from corianderloft._internal.shared import interface
 from corianderloft._internal.shared.membership import knowledge
+from corianderloft._internal.shared.membership import news
+from corianderloft._internal.shared.membership import pace
 from corianderloft._internal.shared.membership import probes
-from corianderloft._internal.shared.membership import rumors
 from corianderloft._internal.shared.membership import view
 from corianderloft._internal.shared.peers import messages
 from corianderloft._internal.shared.peers import transport
 
 logger = logging.getLogger(__name__)
 
-PERIOD_S = 1.0
-PROBE_TIMEOUT_S = 0.4
-HELPERS = 3
-HELPED_TIMEOUT_S = 0.8
-SUSPICION_S = 3.0
-TICK_S = 0.5
-PAUSE_S = 1.5
-LOST_PROBE_EVERY = 5
-FANOUT = 6
-PUSHES_PER_SECOND = 5.0
-PUSH_BURST = 20.0
-COALESCE_S = 0.01
-JOIN_S = 5.0
-JOIN_PEERS = 3
-JOIN_PAUSE_S = 0.5
-DISAGREEMENTS = 3
-VIEW_FETCH_PAUSE_S = 5.0
-
 CHANGES = registry.counter(
     'member_changes', 'Changes of the state of a host as seen here.'
 )
@@ -80,19 +63,15 @@
         self._known = known
         self._seeds = set(seeds)
         self._rng = rng
-        self._questions = probes.Questions(HELPED_TIMEOUT_S + PROBE_TIMEOUT_S)
-        self._members_rumored: rumors.RumorQueue[ids.HostId] = (
-            rumors.RumorQueue()
-        )
-        self._notes: dict[ids.EngineId, float] = {}
-        self._notes_rumored: rumors.RumorQueue[ids.EngineId] = (
-            rumors.RumorQueue()
+        self._questions = probes.Questions(
+            pace.HELPED_TIMEOUT_S + pace.PROBE_TIMEOUT_S
         )
+        self._news = news.News(members)
         self._started = trio.current_time()
-        self._members_rumored.add(members.own.host_id)
+        self._news.add_host(members.own.host_id)
         self._push = trio.Event()
         self._disagreements = 0
-        self._last_view_fetch = -VIEW_FETCH_PAUSE_S
+        self._last_view_fetch = -pace.VIEW_FETCH_PAUSE_S
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -169,7 +148,7 @@
         if known is None or known.incarnation < message.incarnation:
             self._start(self._fetch_view, source)
         elif known.state is states.HostState.DEAD:
-            self._members_rumored.add(known.host_id)
+            self._news.add_host(known.host_id)
 
     async def _answer_ping(
         self, source: messages.Address, message: messages.Datagram
@@ -189,7 +168,7 @@
         self, source: messages.Address, message: messages.Datagram
     ) -> None:
         target = self.view.get(message.target)
-        if target and await self._ask(target, PROBE_TIMEOUT_S):
+        if target and await self._ask(target, pace.PROBE_TIMEOUT_S):
             await self._send(
                 source,
                 messages.DatagramKind.ACK,
@@ -213,32 +192,34 @@
     async def _probe_loop(self) -> typing.NoReturn:
         turn = 0
         while True:
-            await trio.sleep(PERIOD_S * self._rng.uniform(0.9, 1.1))
+            await trio.sleep(pace.PERIOD_S * self._rng.uniform(0.9, 1.1))
             target = self.targets.next()
             if target:
                 self._start(self._probe, target)
             turn += 1
-            if turn % LOST_PROBE_EVERY == 0:
+            if turn % pace.LOST_PROBE_EVERY == 0:
                 self._start(self._probe_lost)
 
     async def _probe(self, target: interface.Host) -> None:
         """Probe a member; suspect it when nobody gets an answer."""
         started = trio.current_time()
-        if await self._ask(target, PROBE_TIMEOUT_S):
+        if await self._ask(target, pace.PROBE_TIMEOUT_S):
             return
         sequence, question = self._questions.ask(target.host_id)
-        for helper in self.targets.sample(HELPERS, target.host_id):
+        for helper in self.targets.sample(pace.HELPERS, target.host_id):
             await self._send(
                 _address(helper),
                 messages.DatagramKind.PING_REQUEST,
                 target.host_id,
                 sequence,
             )
-        with trio.move_on_after(HELPED_TIMEOUT_S):
+        with trio.move_on_after(pace.HELPED_TIMEOUT_S):
             await question.answered.wait()
         self._questions.close(sequence)
         took = trio.current_time() - started
-        paused = took > PROBE_TIMEOUT_S + HELPED_TIMEOUT_S + TICK_S
+        paused = (
+            took > pace.PROBE_TIMEOUT_S + pace.HELPED_TIMEOUT_S + pace.TICK_S
+        )
         if not question.answered.is_set() and not paused:
             self._merge(
                 dataclasses.replace(target, state=states.HostState.SUSPECT)
@@ -252,8 +233,8 @@
         """
         target = self.targets.lost()
         if target:
-            self._members_rumored.add(target.host_id)
-            await self._ask(target, PROBE_TIMEOUT_S)
+            self._news.add_host(target.host_id)
+            await self._ask(target, pace.PROBE_TIMEOUT_S)
         known = {_address(host) for host in self.view.everyone()}
         strangers = sorted(self._seeds - known)
         if strangers:
@@ -262,62 +243,63 @@
     async def _suspicion_loop(self) -> typing.NoReturn:
         last = trio.current_time()
         while True:
-            await trio.sleep(TICK_S)
+            await trio.sleep(pace.TICK_S)
             now = trio.current_time()
-            if now - last > PAUSE_S:
+            if now - last > pace.PAUSE_S:
                 self.view.shift_times(now - last)
             last = now
-            for host in self.view.suspects_since(now - SUSPICION_S):
+            for host in self.view.suspects_since(now - pace.SUSPICION_S):
                 self._merge(
                     dataclasses.replace(host, state=states.HostState.DEAD)
                 )
             self.view.forget(now)
 
     async def _push_loop(self) -> typing.NoReturn:
-        allowance = PUSH_BURST
+        allowance = pace.PUSH_BURST
         last = trio.current_time()
         while True:
             await self._push.wait()
-            await trio.sleep(COALESCE_S)
+            await trio.sleep(pace.COALESCE_S)
             self._push = trio.Event()
             now = trio.current_time()
             allowance = min(
-                PUSH_BURST, allowance + (now - last) * PUSHES_PER_SECOND
+                pace.PUSH_BURST,
+                allowance + (now - last) * pace.PUSHES_PER_SECOND,
             )
             last = now
             if allowance < 1:
-                await trio.sleep(1 / PUSHES_PER_SECOND)
+                await trio.sleep(1 / pace.PUSHES_PER_SECOND)
                 self._push.set()
                 continue
             allowance -= 1
-            for host in self.targets.sample(FANOUT):
+            for host in self.targets.sample(pace.FANOUT):
                 await self._send(
                     _address(host), messages.DatagramKind.NEWS, host.host_id
                 )
 
     async def _join_loop(self) -> typing.NoReturn:
         """Ask seeds for the view until a peer is known."""
-        pause = JOIN_PAUSE_S
+        pause = pace.JOIN_PAUSE_S
         while True:
             if not self.targets.sample(1):
                 seeds = list(self._seeds - {self._peers.address})
                 self._rng.shuffle(seeds)
-                for seed in seeds[:JOIN_PEERS]:
+                for seed in seeds[: pace.JOIN_PEERS]:
                     await self._fetch_view(seed, force=True)
                     await self._ping_seed(seed)
             self.joined = True
             await trio.sleep(self._rng.uniform(0.5, 1.5) * pause)
-            pause = min(VIEW_FETCH_PAUSE_S, pause * 1.5)
+            pause = min(pace.VIEW_FETCH_PAUSE_S, pause * 1.5)
 
     async def _ping_seed(self, seed: messages.Address) -> None:
-        self._members_rumored.add(self.view.own.host_id)
+        self._news.add_host(self.view.own.host_id)
         await self._send(seed, messages.DatagramKind.PING, ids.HostId(''))
 
     async def _fetch_view(
         self, source: messages.Address, force: bool = False
     ) -> None:
         now = trio.current_time()
-        if not force and now - self._last_view_fetch < VIEW_FETCH_PAUSE_S:
+        if not force and now - self._last_view_fetch < pace.VIEW_FETCH_PAUSE_S:
             return
         self._last_view_fetch = now
         fetched = await self._peers.fetch(
@@ -338,36 +320,35 @@
             self._disagreements = 0
             return
         self._disagreements += 1
-        if self._disagreements >= DISAGREEMENTS:
+        if self._disagreements >= pace.DISAGREEMENTS:
             self._disagreements = 0
             self._start(self._fetch_view, source)
 
-    def _merge(self, news: interface.Host) -> None:
+    def _merge(self, heard: interface.Host) -> None:
         now = trio.current_time()
-        joining = now - self._started < JOIN_S
-        merged = self.view.merge(news, now, joining)
+        joining = now - self._started < pace.JOIN_S
+        merged = self.view.merge(heard, now, joining)
         if merged is view.Merged.OLD:
             return
         if merged is view.Merged.REPLACED:
-            logger.error('host %s was replaced by another', news.host_id)
-        CHANGES.inc({'state': news.state.value})
-        self._tell(news.host_id)
+            logger.error('host %s was replaced by another', heard.host_id)
+        CHANGES.inc({'state': heard.state.value})
+        self._tell(heard.host_id)
 
     def _hear_of_double(self, message: messages.Datagram) -> None:
-        joining = trio.current_time() - self._started < JOIN_S
+        joining = trio.current_time() - self._started < pace.JOIN_S
         if message.incarnation > self.view.own.incarnation and not joining:
             self.view.replaced = True
             self._known.members_changed()
 
     def _tell(self, host_id: ids.HostId) -> None:
-        self._members_rumored.add(host_id)
+        self._news.add_host(host_id)
         self._known.members_changed()
         self.spread()
 
     def _take_note(self, note: messages.BackendNote) -> None:
         if self._known.backend_leaving(note.engine_id, note.age):
-            self._notes[note.engine_id] = trio.current_time() - note.age
-            self._notes_rumored.add(note.engine_id)
+            self._news.add_note(note)
             self.spread()
 
     async def _send(
@@ -378,11 +359,6 @@
         sequence: int = 0,
     ) -> None:
         fleet = len(self.view.everyone())
-        now = trio.current_time()
-        told = (
-            self._host(host_id)
-            for host_id in self._members_rumored.take(fleet)
-        )
         message = messages.Datagram(
             kind,
             self.view.own.host_id,
@@ -393,19 +369,11 @@
             self._known.platform_revision(),
             self._known.verified_age(),
             self.view.digest(),
-            tuple(host for host in told if host),
-            tuple(
-                messages.BackendNote(engine_id, now - self._notes[engine_id])
-                for engine_id in self._notes_rumored.take(fleet)
-            ),
+            self._news.take_hosts(fleet),
+            self._news.take_notes(fleet),
         )
         await self._peers.send(to, message)
 
-    def _host(self, host_id: ids.HostId) -> interface.Host | None:
-        if host_id == self.view.own.host_id:
-            return self.view.own
-        return self.view.get(host_id)
-
     def _start(
         self,
         task: typing.Callable[..., typing.Awaitable[typing.Any]],
--- a/src/corianderloft/_internal/shared/state.py
+++ b/src/corianderloft/_internal/shared/state.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import dataclasses
-import logging
 import random
 import typing
 
@@ -13,7 +12,6 @@
 from corianderloft._internal.models import catalog
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import states
-from corianderloft._internal.settings import peers as peer_settings
 from corianderloft._internal.settings import root
 from corianderloft._internal.shared import backend_list
 from corianderloft._internal.shared.claims import claims
@@ -31,14 +29,9 @@
 from corianderloft._internal.shared import mirror
 from corianderloft._internal.shared.orders import engine_http
 from corianderloft._internal.shared.orders import services
-from corianderloft._internal.shared.peers import codec
-from corianderloft._internal.shared.peers import keys
 from corianderloft._internal.shared.peers import messages
 from corianderloft._internal.shared.peers import transport
 from corianderloft._internal.shared import platform_lists
-from corianderloft._internal.utils import tasks
-
-logger = logging.getLogger(__name__)
 
 LEAVE_SPREAD_S = 2.0
 SEED_PAUSE_S = 1.0
@@ -357,54 +350,6 @@
         self._changed = trio.Event()
 
 
-async def run_shared(
-    settings: root.Settings,
-    kv: kv_interface.KeyValueClient,
-    host: interface.Host,
-    *,
-    task_status: tasks.TaskStatus[
-        interface.SharedState
-    ] = trio.TASK_STATUS_IGNORED,
-) -> typing.NoReturn:
-    """Run the shared state of one host until cancelled.
-
-    Parameters
-    ----------
-    settings : Settings
-        Settings of the host.
-    kv : KeyValueClient
-        The platform's key-value service.
-    host : Host
-        This host, with the port that callers use; the port for peers is
-        bound here, from the section ``peers``. Its incarnation
-        names this start.
-    task_status : TaskStatus
-        Receives the `interface.SharedState`.
-    """
-    if settings.peers.keys == peer_settings.DEFAULT_KEYS:
-        logger.warning(
-            'peers.keys is not set: anybody who reaches the port for peers'
-            ' can speak as a host'
-        )
-    ring = keys.KeyRing(
-        [(key.key_id, key.secret.encode()) for key in settings.peers.keys]
-    )
-    peers = await transport.open_transport(
-        host.address, settings.peers.port, codec.Codec(ring)
-    )
-    own = dataclasses.replace(
-        host,
-        incarnation=incarnations.begin(host.incarnation),
-        peer_port=peers.address.port,
-    )
-    state = HostSharedState(
-        settings, kv, own, peers, random.Random()  # noqa: S311
-    )
-    task_status.started(state)
-    await state.run()
-    raise RuntimeError('the shared state of the host ended')
-
-
 def _parse_address(text: str) -> messages.Address:
     ip, _, port = text.rpartition(':')
     return messages.Address(ip, int(port))
--- a/tests/unit/shared/test_state_thin.py
+++ b/tests/unit/shared/test_state_thin.py
@@ -12,7 +12,7 @@
 from corianderloft._internal.shared import changes
 from corianderloft._internal.shared.configuration import edit
 from corianderloft._internal.shared import interface
-from corianderloft._internal.shared import state
+from corianderloft._internal.shared import start
 from tests.lib import fake_kv
 
 HOST = interface.Host('h1', 1, '127.0.0.1', 80, 81, 'fd-1')
@@ -26,7 +26,7 @@
 @pytest.fixture
 async def shared(client, nursery):
     settings = root.Settings(host={'host_id': 'h1'})
-    return await nursery.start(state.run_shared, settings, client, HOST)
+    return await nursery.start(start.run_shared, settings, client, HOST)
 
 
 def put(client, key, value):
