Start a host of the gateway without pydantic and the etcd client

Cause: the package kv imported its etcd client so that the client registered itself, and with it the settings of our own interface and pydantic. Each start of a host of the gateway paid for it.

Change: whoever looks a client up by name imports its module.

--- a/src/corianderloft/_internal/declarations/plugin_names.py
+++ b/src/corianderloft/_internal/declarations/plugin_names.py
@@ -7,13 +7,14 @@
 from corianderloft._internal.decisions import plugins
 from corianderloft._internal.kernel import registry
 from corianderloft._internal import kv
+from corianderloft._internal.kv import etcd as _etcd
 from corianderloft._internal.settings import root
 from corianderloft._internal.utils import checking
 
 __all__ = ['DEFAULT', 'check_settings', 'check_template']
 
-# The dispatcher's module imports all plug-ins, which register themselves.
-_LOADED = (_dispatcher,)
+# These modules import all plug-ins, which register themselves.
+_LOADED = (_dispatcher, _etcd)
 
 DEFAULT = 'default'
 """Stands in a template for the plug-in that the settings name."""
--- a/src/corianderloft/_internal/kv/__init__.py
+++ b/src/corianderloft/_internal/kv/__init__.py
@@ -1,6 +1,8 @@
-"""Client of the platform's key-value service."""
+"""Clients of the platform's key-value service.
+
+The clients are plug-ins; whoever looks one up by name imports its module.
+"""
 
-from corianderloft._internal.kv import etcd as _etcd  # noqa: F401
 from corianderloft._internal.kv.interface import CLIENTS
 from corianderloft._internal.kv.interface import KeyValueClient
 
