Ask a lost store less often, and the host of the group meanwhile

Cause: while the store was away each host read it four times a second and renewed its lease three times; refused calls count like others. At 380 hosts that is 1,500 reads a second against a store that is to recover.

Ruled out: the watches.

Change: pauses between reads grow to a second, and three times that for a host that can ask the host of its group meanwhile, each 0.3 s; it hears from that one although the store refuses it. A lease is tried again after 0.6 s.

--- a/src/corianderloft/_internal/gateway/following.py
+++ b/src/corianderloft/_internal/gateway/following.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import enum
 import logging
 import random
 import typing
@@ -23,9 +24,17 @@
 logger = logging.getLogger(__name__)
 
 FIRST_PAUSE = 0.05
-LONGEST_PAUSE = 0.5
+LONGEST_PAUSE = 1.0
 """Mean first wait and longest wait between two tries, in seconds; short
-because keys are honoured for seconds only without the store."""
+because keys are honoured for seconds only without the store, but a store that
+refuses everybody is asked by the whole fleet."""
+
+FOLLOWER_PAUSES = 3
+"""How many times longer a host waits that can ask another one meanwhile."""
+
+ASK_AGAIN_INTERVAL = 0.3
+"""Time between two questions to the host of the group while the store is
+lost, in seconds: that host reads the store about twice a second then."""
 
 AVOID_TIME = 3.0
 """Mean time for which a host watches the store itself after the one that it
@@ -39,6 +48,14 @@
 """Prefix of one watch over everything, as each waiting watch is a call."""
 
 
+class Heard(enum.Enum):
+    """How a time of hearing of changes ended."""
+
+    EVERYTHING = 'another source is better, and no change was missed'
+    A_PART = 'the source was lost; changes may be missing'
+    NOTHING = 'the source told nothing'
+
+
 class Follower(listener.Listener):
     """Hears of changes, from the store or from another host.
 
@@ -76,6 +93,7 @@
         self._own = own
         self._place = groups.place(own, (own,))
         self._avoid_until = float('-inf')
+        self._refused = False
         self._backoff = backoff.Backoff(FIRST_PAUSE, LONGEST_PAUSE)
         self.log = change_log.ChangeLog()
 
@@ -96,17 +114,19 @@
     async def run(self) -> typing.NoReturn:
         """Follow until cancelled."""
         while True:
-            await trio.sleep(self._backoff.next_delay())
+            await self._wait_to_read()
             asked_at = clock.now()
             found = await self._store.get_prefix(WHOLE_STORE)
             if isinstance(found, kv.Unavailable):
+                self._refused = True
                 self._beliefs.trouble(found.detail)
                 continue
+            self._refused = False
             self._beliefs.confirm(asked_at)
             self._beliefs.load(found)
             self._backoff.reset()
             self.log.begin(found.revision, asked_at)
-            while await self._hear():
+            while await self._hear() is Heard.EVERYTHING:
                 pass
 
     async def drop_held(self) -> typing.NoReturn:
@@ -115,18 +135,32 @@
             await trio.sleep(HELD_INTERVAL)
             self._beliefs.drop_held()
 
-    async def _hear(self) -> bool:
-        """Hear of changes until the source is lost or another is better.
+    async def _wait_to_read(self) -> None:
+        """Wait before the next read; ask the host of the group meanwhile.
 
-        Returns
-        -------
-        bool
-            Whether no change was missed; else the store has to be read.
+        The store may refuse this host and serve that one.
         """
+        pause = self._backoff.next_delay()
+        delegate = self._place.delegate
+        if delegate is None or not self._refused:
+            await trio.sleep(pause)
+            return
+        until = trio.current_time() + FOLLOWER_PAUSES * pause
+        while trio.current_time() + ASK_AGAIN_INTERVAL < until:
+            await trio.sleep(ASK_AGAIN_INTERVAL)
+            if await self._follow(delegate) is not Heard.NOTHING:
+                return
+        await trio.sleep_until(until)
+
+    async def _hear(self) -> Heard:
+        """Hear of changes until the source is lost or another is better."""
         delegate = self._delegate()
         if delegate is None:
             return await self._watch()
-        return await self._follow(delegate)
+        heard = await self._follow(delegate)
+        if heard is not Heard.EVERYTHING:
+            self._avoid_until = trio.current_time() + spread(AVOID_TIME)
+        return heard
 
     def _delegate(self) -> members.Member | None:
         """Return the host to follow; None to watch the store."""
@@ -134,7 +168,7 @@
             return None
         return self._place.delegate
 
-    async def _watch(self) -> bool:
+    async def _watch(self) -> Heard:
         async with self._store.watch(
             WHOLE_STORE, self._beliefs.revision, self._longest_wait
         ) as items:
@@ -146,7 +180,7 @@
                     self._take(events, item)
                     self.log.note(events, item)
                     if self._delegate() is not None:
-                        return True
+                        return Heard.EVERYTHING
                     if events:
                         await self._pause()
                     events.clear()
@@ -156,12 +190,12 @@
                         extra={'cause': item.detail},
                     )
         self.log.end()
-        return False
+        return Heard.A_PART
 
-    async def _follow(self, delegate: members.Member) -> bool:
+    async def _follow(self, delegate: members.Member) -> Heard:
         """Hear of changes from another host."""
-        logger.info('following a host', extra={'host': delegate.host_id})
         self.log.end()
+        heard = Heard.NOTHING
         events: list[kv.WatchEvent] = []
         items = peer_changes.watch(delegate, self._beliefs.revision)
         async with contextlib.aclosing(items):
@@ -169,14 +203,21 @@
                 if isinstance(item, kv.WatchEvent):
                     events.append(item)
                 elif isinstance(item, kv.WatchProgress):
+                    if heard is Heard.NOTHING:
+                        logger.info(
+                            'following a host',
+                            extra={'host': delegate.host_id},
+                        )
+                        heard = Heard.A_PART
                     self._take(events, item)
                     events.clear()
-                    if self._delegate() != delegate:
+                    if self._place.delegate != delegate:
                         # The log here holds only what the store told.
-                        return self._delegate() is not None
+                        followed = self._delegate() is not None
+                        return Heard.EVERYTHING if followed else Heard.A_PART
                 else:
-                    self._note_lost(delegate, item.detail)
-        return False
+                    self._log_lost(delegate, item.detail, heard)
+        return heard
 
     def _take(
         self,
@@ -188,9 +229,13 @@
         beliefs.revision = max(beliefs.revision, progress.revision)
         beliefs.confirm(progress.as_of)
 
-    def _note_lost(self, delegate: members.Member, cause: str) -> None:
-        self._avoid_until = trio.current_time() + spread(AVOID_TIME)
-        logger.info(
+    def _log_lost(
+        self, delegate: members.Member, cause: str, heard: Heard
+    ) -> None:
+        # While the store refuses this host, the other is asked repeatedly.
+        again = heard is Heard.NOTHING and self._refused
+        logger.log(
+            logging.DEBUG if again else logging.INFO,
             'the host followed is lost; reading the store',
             extra={
                 'host': delegate.host_id,
--- a/src/corianderloft/_internal/gateway/membership.py
+++ b/src/corianderloft/_internal/gateway/membership.py
@@ -19,8 +19,9 @@
 RENEW_PART = 1 / 3
 """Part of the life of a lease between two renewals; two may be lost."""
 
-RETRY_INTERVAL = 0.3
-"""Wait after a call that failed, in seconds."""
+RETRY_INTERVAL = 0.6
+"""Wait after a call that failed, in seconds: three tries before the lease
+lapses, and a store that is away is not asked more often than it must be."""
 
 LEAVE_TIME = 1.0
 """Longest time for the entry to be removed, in seconds."""
--- a/tests/unit/gateway/test_following.py
+++ b/tests/unit/gateway/test_following.py
@@ -56,11 +56,12 @@
     def __init__(self):
         self.reads = 0
         self.watches = 0
+        self.down = False
 
     async def get_prefix(self, prefix):
         await trio.sleep(0)
         self.reads += 1
-        return kv.Found(10, ())
+        return kv.Unavailable('refused') if self.down else kv.Found(10, ())
 
     @contextlib.asynccontextmanager
     async def watch(self, prefix, after, wait):
@@ -210,3 +211,54 @@
     await _run(followed, 1)
     followed.follower.note_store_failure('refused')
     assert followed.beliefs.troubles == ['refused']
+
+
+async def _lose_the_store(scene, fleet, seconds=30):
+    """Let a host hear for a second, then refuse all its reads."""
+    scene.peers.silent = True
+
+    async def refuse_later():
+        await trio.sleep(1)
+        scene.store.down = True
+        scene.store.reads = 0
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(refuse_later)
+        scene.store.watch = _lost_watch(scene.store)
+        await _run(scene, seconds, fleet)
+
+
+def _lost_watch(store):
+    @contextlib.asynccontextmanager
+    async def watch(prefix, after, wait):
+        yield _ended(after)
+
+    async def _ended(after):
+        await trio.sleep(1)
+        yield kv.WatchEnded('refused', after)
+
+    return watch
+
+
+async def test_hosts_of_a_small_fleet_ask_a_lost_store_seldom(scene):
+    small = _scene(scene.peers, FLEET[0])
+    await _lose_the_store(small, FLEET[: groups.ONE_GROUP])
+    assert 20 <= small.store.reads <= 90
+
+
+async def test_hosts_that_follow_ask_a_lost_store_more_seldom(scene):
+    await _lose_the_store(scene, FLEET)
+    assert 10 <= scene.store.reads <= 35
+
+
+async def test_a_host_that_the_store_refuses_hears_from_its_group(scene):
+    async def answer_later():
+        await trio.sleep(8)
+        scene.peers.items = (kv.WatchProgress(14, 3.5),)
+        scene.peers.silent = False
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(answer_later)
+        await _lose_the_store(scene, FLEET)
+    assert scene.beliefs.revision == 14
+    assert scene.store.reads <= 20
