Refuse a question between hosts with a huge wait

Cause: read as a newcomer; an integer of 400 digits as wait raised OverflowError in the handler instead of a refusal (test red before). Comments on the pace of watches speak of large fleets too.

--- a/src/corianderloft/_internal/gateway/change_server.py
+++ b/src/corianderloft/_internal/gateway/change_server.py
@@ -31,7 +31,7 @@
         self._log = log
 
     async def serve(self, asked: exchange.Exchange) -> None:
-        """Answer when there are changes, or when none are confirmed anew."""
+        """Answer once there are changes, or the store said that none came."""
         received_at = clock.now()
         question = _question(asked.query)
         if question is None:
@@ -58,6 +58,6 @@
     try:
         after = ids.Revision(int(fields['after']))
         wait = int(fields['wait_ms']) / 1000
-    except (KeyError, ValueError):
+    except (KeyError, ValueError, OverflowError):
         return None
     return after, min(MOST_WAIT, max(0.0, wait))
--- a/src/corianderloft/_internal/gateway/watch_pace.py
+++ b/src/corianderloft/_internal/gateway/watch_pace.py
@@ -1,7 +1,8 @@
 """How long the store may hold a watch back, and how often it is asked.
 
-Answers the load on the store: each watch is a call, and every host asks for
-itself, so calls grow with the hosts and with the changes.
+Answers the load on the store: each watch is a call, of every host in a small
+fleet and of one host of each group in a large one, so calls grow with those
+and with the changes.
 """
 
 import math
@@ -40,7 +41,8 @@
 
 FOLLOWED_PAUSE = 1.0
 """Longest pause between two watches of a host that others follow, in
-seconds."""
+seconds: a third of the 3 s in which large deployments want a change in force.
+"""
 
 
 def longest_wait(
--- a/tests/unit/gateway/test_peer_changes.py
+++ b/tests/unit/gateway/test_peer_changes.py
@@ -15,6 +15,7 @@
 from tests.lib import gateway
 from tests.lib import ports
 
+HUGE_WAIT = f'/changes?after=1&wait_ms={10**400}'
 LIMITS = serving.ServerLimits(20, 4096, 5.0, 5.0)
 
 
@@ -113,7 +114,8 @@
 
 
 @pytest.mark.parametrize(
-    'target', ('/changes', '/changes?after=x&wait_ms=1', '/changes?after=1')
+    'target',
+    ('/changes', '/changes?after=x&wait_ms=1', '/changes?after=1', HUGE_WAIT),
 )
 async def test_a_malformed_question_is_refused(target):
     app, _ = followed()
