Let the soak play a large fleet, in which hosts follow others

Change: make soak SOAK_FLEET=large plays fourteen hosts with the bounds of large deployments; test_large_fleet uses the same figures.

--- a/Makefile
+++ b/Makefile
@@ -53,9 +53,10 @@
 	$(PY) -m bench.placement --seeds $(SEEDS)
 
 SOAK_SEEDS ?= fresh
+SOAK_FLEET ?= small
 
 soak: setup
-	$(PY) -m tests.soak --seeds $(SOAK_SEEDS)
+	$(PY) -m tests.soak --seeds $(SOAK_SEEDS) --fleet $(SOAK_FLEET)
 
 bench-relay: setup
 	$(PY) -m bench.relay
--- a/tests/functional/test_large_fleet.py
+++ b/tests/functional/test_large_fleet.py
@@ -11,18 +11,13 @@
 from tests.soak import promises
 from tests.soak import stage as stages
 
-HOSTS = 14
+HOSTS = stages.LARGE_FLEET
 SETTLE = 3.0  # s
 CALM = 6.0  # s
 WATCHES = 2  # most watches a second of one host
 DELEGATES = 2  # groups of eight hosts at most
 
-BOUNDS = stages.BOUNDS | {
-    'revoke_ms': 5000,
-    'drain_ms': 3000,
-    'config_apply_ms': 3000,
-    'stable_ms': 4000,
-}
+BOUNDS = stages.LARGE_BOUNDS
 APPLY_TIME = BOUNDS['config_apply_ms'] / 1000
 
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -16,6 +16,10 @@
 from tests.soak import promises
 from tests.soak import stage as stages
 
+FLEETS = {
+    'small': {},
+    'large': {'hosts': stages.LARGE_FLEET, 'bounds': stages.LARGE_BOUNDS},
+}
 CALLERS = 12
 SETTLE = 1.0  # s, after the last fault
 LOOK_INTERVAL = 0.005  # s, between two looks at keys and servers
@@ -193,7 +197,7 @@
         await inject(stage, rng)
 
 
-def main(seeds='0-2', length=6.0, keep=''):
+def main(seeds='0-2', length=6.0, keep='', fleet='small'):
     """Play seeds and print what was broken.
 
     Parameters
@@ -204,7 +208,10 @@
         Length of each run in seconds.
     keep : str
         Folder for the logs of the hosts; empty keeps none.
+    fleet : str
+        ``small``, or ``large``: hosts follow others there.
     """
+    deployment = FLEETS[fleet]
     if seeds == 'fresh':
         seeds = f'{int(time.time())}-{int(time.time())}'
     first, _, last = str(seeds).partition('-')
@@ -213,8 +220,10 @@
         with tempfile.TemporaryDirectory() as made:
             directory = pathlib.Path(keep or made) / str(seed)
             directory.mkdir(parents=True, exist_ok=True)
-            run = functools.partial(play, seed, directory, faults_for(length))
-            played = trio.run(run)
+            script = faults_for(length)
+            played = trio.run(
+                functools.partial(play, seed, directory, script, **deployment)
+            )
         print(
             f'seed {seed}: {played.served} of {len(played.noted)} served, '
             f'{len(played.broken)} broken'
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -31,6 +31,14 @@
     'ttl_max_s': 5,
 }
 
+LARGE_FLEET = 14  # hosts, more than the twelve that each watch the store
+LARGE_BOUNDS = BOUNDS | {
+    'revoke_ms': 5000,
+    'drain_ms': 3000,
+    'config_apply_ms': 3000,
+    'stable_ms': 4000,
+}
+
 
 class Host:
     """One host: its settings, its process, the relay to its store."""
