Log what arrived and the shared prompt parts of a failed send

The lines could not tell repeats of one request, new requests with one prompt part, and overload apart. 'send failed' now has 'received' (nothing, head, content) and 'parts'. No logic is changed.

--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -223,7 +223,9 @@
             outcome = result.outcome
             if not result.may_have_run:
                 self._may_have_run_on.discard(engine.key)
-            request_log.send_failed(self._request.job, engine, result)
+            request_log.send_failed(
+                self._request.job, engine, result, attempt.progress
+            )
             return None
         except trio.Cancelled:
             if trio.current_time() >= self._request.job.deadline:
--- a/src/corianderloft/_internal/gateway/request_log.py
+++ b/src/corianderloft/_internal/gateway/request_log.py
@@ -35,9 +35,15 @@
 
 
 def send_failed(
-    job: interface.Job, engine: engines.Engine, failure: sending.SendFailure
+    job: interface.Job,
+    engine: engines.Engine,
+    failure: sending.SendFailure,
+    progress: sending.Progress,
 ) -> None:
-    """Count and log a send that failed."""
+    """Count and log a send that failed.
+
+    The shared parts of the prompt relate failures of different requests.
+    """
     metrics.count_send_failed(failure.outcome)
     logger.warning(
         'send failed',
@@ -47,6 +53,8 @@
             'end': failure.outcome.value,
             'may_have_run': failure.may_have_run,
             'cause': failure.detail,
+            'received': progress.value,
+            'parts': _shared_part_ids(job),
         },
     )
 
@@ -57,3 +65,8 @@
         'request not sent again: the retry budget is used up',
         extra={'request_id': job.request_id, 'sends': sends},
     )
+
+
+def _shared_part_ids(job: interface.Job) -> list[str]:
+    prompt = job.prompt
+    return [] if prompt is None else [p.part_id for p in prompt.shared_parts]
--- a/src/corianderloft/_internal/gateway/sending.py
+++ b/src/corianderloft/_internal/gateway/sending.py
@@ -1,6 +1,7 @@
 """A single attempt to send a request to one backend server."""
 
 import dataclasses
+import enum
 
 import trio
 
@@ -24,6 +25,14 @@
 waiting for the response to this one."""
 
 
+class Progress(enum.Enum):
+    """How much of the response to a request arrived."""
+
+    NOTHING = 'nothing'
+    HEAD = 'head'
+    CONTENT = 'content'
+
+
 @dataclasses.dataclass(frozen=True)
 class SendFailure:
     """The attempt did not yield a usable response.
@@ -72,6 +81,11 @@
         The backend server.
     request : RoutedRequest
         The request.
+
+    Attributes
+    ----------
+    progress : Progress
+        How much of the response arrived.
     """
 
     def __init__(
@@ -87,6 +101,7 @@
         self._request = request
         self._conn: engine_connection.EngineConnection | None = None
         self._fully_read = False
+        self.progress = Progress.NOTHING
 
     async def open(
         self, resume_after: int | None
@@ -123,6 +138,8 @@
         if isinstance(part, engine_connection.ConnectionFailure):
             return _as_send_failure(part)
         self._fully_read = part is None
+        if part:
+            self.progress = Progress.CONTENT
         return part
 
     async def read_all(self) -> bytes | SendFailure:
@@ -187,6 +204,7 @@
         if response_head.load is not None:
             self._engine.record_sample(response_head.load, trio.current_time())
         if response_head.request_id in (None, self._request.head.request_id):
+            self.progress = Progress.HEAD
             return ReceivedHead(head.status, response_head)
         failure = await conn.skip_response(MAX_RESPONSE_BYTES)
         return None if failure is None else _as_send_failure(failure)
--- a/src/corianderloft/_internal/models/instances.py
+++ b/src/corianderloft/_internal/models/instances.py
@@ -68,6 +68,11 @@
     max_output: int
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Parts that other requests may share."""
+        return self.parts[:-1]
+
     @property
     def unshared_tokens(self) -> int:
         """Tokens of the part that is specific to the request or session."""
--- /dev/null
+++ b/tests/unit/gateway/test_request_log.py
@@ -0,0 +1,18 @@
+"""Log lines about the sends of a request."""
+
+from tests.lib import gateway
+
+
+async def test_failed_sends_name_the_shared_parts_and_what_arrived(caplog):
+    caplog.set_level('INFO')
+    headers = [
+        ('Corianderloft-Token-Usage', '900,80'),
+        ('Corianderloft-Prefix-Hash', 'a1:500,b2:300,c3:100'),
+    ]
+    async with gateway.running(('reset',)) as system:
+        await system.request('POST', '/chat/1', headers=headers)
+        system.engines[0].mode = 'cut_stream'
+        await system.request('POST', '/chat/1', headers=headers)
+    failed = [r for r in caplog.records if r.message == 'send failed']
+    assert [r.parts for r in failed] == [['a1', 'b2']] * 2
+    assert [r.received for r in failed] == ['nothing', 'content']
