--- a/tests/lib/gateway.py
+++ b/tests/lib/gateway.py
@@ -138,6 +138,7 @@
         self.cfg = None
         self.next_cfg = None
         self.host_done = trio.Event()
+        self._host_scope = trio.CancelScope()
 
     async def add_engine(self, mode='whole', register=True, **attributes):
         """Start a backend server and register it."""
@@ -171,10 +172,13 @@
         """Return the bounds of the deployment."""
         return BOUNDS
 
-    async def start_host(self):
-        """Start the host in this process and wait until it is ready."""
+    async def start_host(self, host_id='edge-1'):
+        """Start a host in this process and wait until it is ready.
+
+        Requests go to the host that was started last.
+        """
         self.cfg = settings.GatewaySettings(
-            host_id=ids.HostId('edge-1'),
+            host_id=ids.HostId(host_id),
             address='127.0.0.1',
             caller_port=ports.reserve(),
             ready_port=ports.reserve(),
@@ -194,12 +198,20 @@
             decode_domain=address_query.decode_domain,
             read_settings=lambda: self.next_cfg or self.cfg,
         )
-        self._nursery.start_soon(self._run_host, host.Host(dependencies))
+        self._host_scope = trio.CancelScope()
+        self._nursery.start_soon(
+            self._run_host, host.Host(dependencies), self._host_scope
+        )
         await processes.wait_for(self.is_ready, 'the host is ready')
 
-    async def _run_host(self, gateway):
-        await gateway.run()
-        self.host_done.set()
+    def kill_host(self):
+        """End the host that was started last, without a shutdown."""
+        self._host_scope.cancel()
+
+    async def _run_host(self, gateway, scope):
+        with scope:
+            await gateway.run()
+            self.host_done.set()
 
     async def is_ready(self):
         """Return whether the readiness check succeeds."""
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -50,6 +50,9 @@
     endless_pause : float
         Delay after each piece of an endless response in seconds. Without
         one, the pieces are sent in bulk.
+    crash_part : str
+        ID of a prompt part. The server crashes when it begins a response to a
+        request with this part.
     sent_bytes : int
         Bytes of endless responses sent so far.
     events : int
@@ -74,6 +77,8 @@
         self.disconnects = 0
         self.endless_kind = 'junk'
         self.endless_pause = 0.0
+        self.crash_part = ''
+        self._scope = trio.CancelScope()
         self.sent_bytes = 0
         self._duplicate_response_due = set()
         self.port = 0
@@ -82,11 +87,17 @@
         """Serve on a loopback port."""
         listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
         self.port = listeners[0].socket.getsockname()[1]
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                trio.serve_listeners, self._connection, listeners
-            )
-            task_status.started(self.port)
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    trio.serve_listeners, self._connection, listeners
+                )
+                task_status.started(self.port)
+
+    @property
+    def crashed(self):
+        """Whether the server has ended."""
+        return self._scope.cancel_called
 
     async def _connection(self, stream):
         http = h11.Connection(h11.SERVER)
@@ -220,6 +231,11 @@
         ]
         data = http.send(h11.Response(status_code=200, headers=fields))
         await stream.send_all(data)
+        if self.crash_part and self.crash_part in headers.get(
+            'corianderloft-prefix-hash', ''
+        ):
+            self._scope.cancel()
+            return False
         for number in range(first, self.events):
             truncates = self.mode == 'cut_stream' and first == 0
             if truncates and number == self.cut_after:
