Tell a response that ends early from one that is malformed

Cause: h11 raises the same error for bytes that are no response and for a connection that ends before or within one. A crash of a backend server was logged as 'malformed', against docs/OPERATIONS.md, and the two could not be handled differently. Callers saw no difference.

Change: an error after the end of the stream is 'closed'. The test failed before: both causes were 'malformed'.

--- a/src/corianderloft/_internal/network/engine_connection.py
+++ b/src/corianderloft/_internal/network/engine_connection.py
@@ -95,6 +95,7 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._sent = False
+        self._ended = False
         self._placeholder_request: h11.Request | None = None
         self.idle_since = 0.0
         self.idle_limit: float | None = None
@@ -224,7 +225,7 @@
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as exc:
-                return self._failure(FailureKind.MALFORMED, exc)
+                return self._failure(self._protocol_failure(), exc)
             if event is h11.PAUSED:
                 return self._failure(
                     FailureKind.MALFORMED, 'bytes after its end'
@@ -237,10 +238,15 @@
                 data = await self._stream.receive_some(MAX_RECEIVE_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
                 return self._failure(FailureKind.RESET, exc)
+            self._ended = not data
             try:
                 self._http.receive_data(data)
             except h11.RemoteProtocolError as exc:
-                return self._failure(FailureKind.MALFORMED, exc)
+                return self._failure(self._protocol_failure(), exc)
+
+    def _protocol_failure(self) -> FailureKind:
+        """Tell a response that ends early from one that is malformed."""
+        return FailureKind.CLOSED if self._ended else FailureKind.MALFORMED
 
     def _update_idle_limit(self, res: h11.Response) -> None:
         for name, value in res.headers:
--- a/tests/unit/gateway/test_request_log.py
+++ b/tests/unit/gateway/test_request_log.py
@@ -16,3 +16,13 @@
     failed = [r for r in caplog.records if r.message == 'send failed']
     assert [r.parts for r in failed] == [['a1', 'b2']] * 2
     assert [r.received for r in failed] == ['nothing', 'content']
+
+
+async def test_a_response_that_ends_early_is_logged_as_closed(caplog):
+    caplog.set_level('INFO')
+    async with gateway.running(('reset',)) as system:
+        await system.request('POST', '/book/1')
+        system.engines[0].mode = 'cut'
+        await system.request('POST', '/book/1')
+    failed = [r for r in caplog.records if r.message == 'send failed']
+    assert [r.cause.split(':')[0] for r in failed] == ['closed'] * 2
