Refuse requests with a prompt part that crashes backend servers

Callers of all routes saw cut streams and 502: each request with the part took down a server with all that ran there.

Cause: no decision looked at what crashed servers had in common; the class is a request that harms its server, new each time, so neither retry budgets nor ejections of servers stop it.

Change: placement/crash_evidence.py counts crashes against the shared parts of the requests whose response had no content yet. Complete responses clear their parts. Three crashed servers without one: requests with the part get 503, with a Retry-After of the time that the quarantine lasts. Parts that always crash together are refused only together, so sound requests of the same session are served. A lost connection counts as a crash only if the server accepts no new one; such a server is ejected at once (end 'crashed'). A request with a part that crashed two servers is not sent again.

Ruled out: 4xx (the requests are proper), refusing by key, route or first part (sound requests share them), counting each broken request (one crash breaks many).

--- a/bench/placement/decision.py
+++ b/bench/placement/decision.py
@@ -113,8 +113,8 @@
 def _job(number: int) -> interface.Job:
     kind = workload.LEDGER
     parts = (
-        instances.PromptPart(f'shared-{number}', 6300),
-        instances.PromptPart(f'own-{number}', 2890),
+        instances.PromptPart(ids.PromptPartId(f'shared-{number}'), 6300),
+        instances.PromptPart(ids.PromptPartId(f'own-{number}'), 2890),
     )
     now = trio.current_time()
     return interface.Job(
--- a/bench/placement/workload.py
+++ b/bench/placement/workload.py
@@ -248,12 +248,18 @@
 
 def _prompt(rng: random.Random, kind: Kind) -> instances.Prompt:
     parts = [
-        instances.PromptPart(f'{kind.route.name}-{index}-{variant}', tokens)
+        instances.PromptPart(
+            ids.PromptPartId(f'{kind.route.name}-{index}-{variant}'), tokens
+        )
         for index, (tokens, count) in enumerate(kind.shared)
         for variant in [int(count * rng.random() ** 1.3)]
     ]
     own = _random_length(rng, kind.own_tokens)
-    parts.append(instances.PromptPart(f'own-{rng.getrandbits(48)}', own))
+    parts.append(
+        instances.PromptPart(
+            ids.PromptPartId(f'own-{rng.getrandbits(48)}'), own
+        )
+    )
     tokens = sum(part.tokens for part in parts)
     return instances.Prompt(tokens, kind.output, tuple(parts))
 
--- a/src/corianderloft/_internal/gateway/refusals.py
+++ b/src/corianderloft/_internal/gateway/refusals.py
@@ -19,6 +19,7 @@
     NO_BACKEND = 'no_backend'
     OVERLOADED = 'overloaded'
     TOO_LATE = 'too_late'
+    CRASHES_BACKENDS = 'crashes_backends'
     RETRY_BUDGET = 'retry_budget'
     NOT_RUN = 'not_run'
     OUTCOME_UNKNOWN = 'outcome_unknown'
@@ -36,6 +37,7 @@
     Reason.NO_BACKEND: 503,
     Reason.OVERLOADED: 503,
     Reason.TOO_LATE: 503,
+    Reason.CRASHES_BACKENDS: 503,
     Reason.RETRY_BUDGET: 503,
     Reason.NOT_RUN: 503,
     Reason.OUTCOME_UNKNOWN: 502,
--- a/src/corianderloft/_internal/gateway/request_log.py
+++ b/src/corianderloft/_internal/gateway/request_log.py
@@ -6,6 +6,7 @@
 
 from corianderloft._internal.gateway import metrics
 from corianderloft._internal.gateway import sending
+from corianderloft._internal.models import ids
 from corianderloft._internal.placement import engines
 from corianderloft._internal.placement import interface
 
@@ -59,6 +60,20 @@
     )
 
 
+def quarantined(
+    job: interface.Job, part_id: ids.PromptPartId, remaining_s: float
+) -> None:
+    """Log that a request is refused since its prompt crashes servers."""
+    logger.warning(
+        'request not sent: its prompt crashes backend servers',
+        extra={
+            'request_id': job.request_id,
+            'part': part_id,
+            'retry_after_s': round(remaining_s, 1),
+        },
+    )
+
+
 def retry_refused(job: interface.Job, sends: int) -> None:
     """Log that the retry budget did not allow another send."""
     logger.warning(
--- a/src/corianderloft/_internal/gateway/sending.py
+++ b/src/corianderloft/_internal/gateway/sending.py
@@ -45,11 +45,14 @@
         Whether the backend server may have run the request.
     detail : str
         Cause, for the log.
+    disconnected : bool
+        Whether the server ended the connection.
     """
 
     outcome: interface.AttemptOutcome
     may_have_run: bool
     detail: str
+    disconnected: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -151,6 +154,17 @@
         self._fully_read = True
         return body
 
+    async def server_is_gone(self) -> bool:
+        """Return whether the server accepts no connections any more."""
+        instance = self._engine.instance
+        conn = await engine_connection.connect(
+            instance.address, instance.port, CONNECT_TIMEOUT_S
+        )
+        if isinstance(conn, engine_connection.ConnectionFailure):
+            return True
+        conn.close()
+        return False
+
     def close(self) -> None:
         """Pool the connection after a complete response, or close it."""
         conn, self._conn = self._conn, None
@@ -217,6 +231,11 @@
     engine_connection.FailureKind.CONNECT_TIMEOUT,
 )
 
+_DISCONNECTED = (
+    engine_connection.FailureKind.RESET,
+    engine_connection.FailureKind.CLOSED,
+)
+
 
 def _as_send_failure(
     failure: engine_connection.ConnectionFailure,
@@ -227,7 +246,10 @@
         )
     detail = f'{failure.kind.value}: {failure.detail}'
     return SendFailure(
-        interface.AttemptOutcome.BROKEN, failure.may_have_run, detail
+        interface.AttemptOutcome.BROKEN,
+        failure.may_have_run,
+        detail,
+        failure.kind in _DISCONNECTED,
     )
 
 
--- a/src/corianderloft/_internal/models/ids.py
+++ b/src/corianderloft/_internal/models/ids.py
@@ -18,6 +18,7 @@
 Revision = typing.NewType('Revision', int)
 FencingNumber = typing.NewType('FencingNumber', int)
 LeaseId = typing.NewType('LeaseId', int)
+PromptPartId = typing.NewType('PromptPartId', str)
 
 Tier = typing.NewType('Tier', int)
 """Priority of a class; 0 is the highest."""
--- a/src/corianderloft/_internal/models/instances.py
+++ b/src/corianderloft/_internal/models/instances.py
@@ -45,7 +45,7 @@
 class PromptPart:
     """A part of a prompt that several requests may share."""
 
-    part_id: str
+    part_id: ids.PromptPartId
     tokens: int
 
 
--- a/src/corianderloft/_internal/placement/interface.py
+++ b/src/corianderloft/_internal/placement/interface.py
@@ -71,6 +71,7 @@
     NOT_RUN = 'not_run'
     NOT_CONNECTED = 'not_connected'
     BROKEN = 'broken'
+    CRASHED = 'crashed'
     SILENT = 'silent'
     CALLER_LEFT = 'caller_left'
     TIMED_OUT = 'timed_out'
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -15,6 +15,7 @@
 from corianderloft._internal.models import routing
 from corianderloft._internal.models import states
 from corianderloft._internal.placement import budget
+from corianderloft._internal.placement import crash_evidence
 from corianderloft._internal.placement import decision_log
 from corianderloft._internal.placement import engine_model
 from corianderloft._internal.placement import engines
@@ -83,6 +84,13 @@
         Source of random numbers.
     model_chooser : str
         Name of the chooser for model engines.
+
+    Attributes
+    ----------
+    retries : RetryBudget
+        Retry budget.
+    crashes : CrashEvidence
+        Prompt parts on which backend servers crash.
     """
 
     def __init__(
@@ -108,6 +116,7 @@
         self._meters: dict[ids.ServiceName, lane_demand.DemandMeter] = {}
         self._peer_demands: dict[str, Demands] = {}
         self.retries = retries
+        self.crashes = crash_evidence.CrashEvidence()
         self._on_load_change: collections.abc.Callable[[], None] = _do_nothing
 
     def use_table(self, table: routing.RoutingTable) -> None:
@@ -318,7 +327,10 @@
                 engine.health.record_answer(False)
             case interface.AttemptOutcome.ERROR_ANSWER:
                 engine.health.record_answer(True)
-            case interface.AttemptOutcome.NOT_CONNECTED:
+            case (
+                interface.AttemptOutcome.NOT_CONNECTED
+                | interface.AttemptOutcome.CRASHED
+            ):
                 engine.health.record_unreachable(now)
             case interface.AttemptOutcome.SILENT:
                 engine.health.record_timeout(now)
--- a/src/corianderloft/_internal/platform/headers.py
+++ b/src/corianderloft/_internal/platform/headers.py
@@ -1,6 +1,7 @@
 """Headers of requests and responses in the platform's format."""
 
 from corianderloft._internal.gateway import dialect
+from corianderloft._internal.models import ids
 from corianderloft._internal.models import instances
 from corianderloft._internal.models import routing
 from corianderloft._internal.platform import names
@@ -144,7 +145,9 @@
     if not all(name and tokens.isdigit() for name, _, tokens in entries):
         return ()
     return tuple(
-        instances.PromptPart(name.decode('latin-1'), int(tokens))
+        instances.PromptPart(
+            ids.PromptPartId(name.decode('latin-1')), int(tokens)
+        )
         for name, _, tokens in entries
     )
 
