Report prompt parts that crash backend servers to the other hosts

Each host sees the crash of its own request only, so a fleet of N hosts needed three crashes on one of them.

Change: gateway/crash_messages.py sends the evidence in the datagrams of the load exchange, within the group, between delegates, and from delegates to their groups. Sets of crashed servers are merged by union, so repeats and reordering do no harm.

--- /dev/null
+++ b/src/corianderloft/_internal/gateway/crash_messages.py
@@ -0,0 +1,149 @@
+"""Datagrams in which hosts report prompt parts that crash backend servers.
+
+They travel beside the loads: from a host to its group, from the delegate of a
+group to those of other groups, and from each delegate to its own group.
+"""
+
+import collections.abc
+import enum
+import typing
+
+import orjson
+import trio
+
+from corianderloft._internal.gateway import load_messages
+from corianderloft._internal.models import ids
+from corianderloft._internal.placement import crash_evidence
+from corianderloft._internal.placement import engines
+
+MAX_PARTS_PER_DATAGRAM = 32
+"""Parts in one datagram; the rest goes into the next ones."""
+
+_SCOPES_OF_OWN = (load_messages.Scope.HOST, load_messages.Scope.GROUP)
+"""Scopes in which a host sends what it found itself."""
+
+_NEXT_SCOPE = {
+    load_messages.Scope.HOST: load_messages.Scope.GROUP,
+    load_messages.Scope.GROUP: load_messages.Scope.REST,
+}
+"""Scope in which a delegate passes a report on, by the scope it came in."""
+
+
+class Received(enum.Enum):
+    """What a datagram changed."""
+
+    NEWS = 'news'
+    NOTHING_NEW = 'nothing_new'
+    MALFORMED = 'malformed'
+
+
+def is_crash_datagram(data: bytes) -> bool:
+    """Tell datagrams with crashes from those with loads."""
+    return data.startswith(b'{')
+
+
+class CrashReports:
+    """Sends and receives the evidence on prompt parts.
+
+    Parameters
+    ----------
+    evidence : CrashEvidence
+        Evidence as known to this host.
+    on_change : callable
+        Called when there is something to send.
+    """
+
+    def __init__(
+        self,
+        evidence: crash_evidence.CrashEvidence,
+        on_change: collections.abc.Callable[[], None],
+    ) -> None:
+        self._evidence = evidence
+        self._on_change = on_change
+        self._pending: dict[
+            load_messages.Scope, dict[ids.PromptPartId, int]
+        ] = {scope: {} for scope in load_messages.Scope}
+        evidence.set_change_listener(self._note_own)
+
+    def next_datagram(
+        self, scope: load_messages.Scope, full: bool
+    ) -> bytes | None:
+        """Return the next datagram, or None if there is nothing to send.
+
+        Parameters
+        ----------
+        scope : Scope
+            Whom it goes to.
+        full : bool
+            Whether to repeat the parts whose requests are refused, for hosts
+            that have started since.
+        """
+        pending = self._pending[scope]
+        part_ids = list(pending)[:MAX_PARTS_PER_DATAGRAM]
+        for part_id in part_ids:
+            pending[part_id] -= 1
+            if not pending[part_id]:
+                del pending[part_id]
+        if pending:
+            self._on_change()
+        if full:
+            harmful = self._evidence.harmful_parts(trio.current_time())
+            part_ids += harmful[-MAX_PARTS_PER_DATAGRAM:]
+        reports = map(self._evidence.report, dict.fromkeys(part_ids))
+        rows = [_row(report) for report in reports if report is not None]
+        if not rows:
+            return None
+        return orjson.dumps({'scope': scope.value, 'parts': rows})
+
+    def receive(self, data: bytes) -> Received:
+        """Use a datagram and pass its news on."""
+        try:
+            message = orjson.loads(data)
+            scope = load_messages.Scope(message['scope'])
+            reports = [decode_row(row) for row in message['parts']]
+        except (ValueError, TypeError, KeyError):
+            return Received.MALFORMED
+        now = trio.current_time()
+        news = [
+            report.part_id
+            for report in reports
+            if self._evidence.merge(report, now)
+        ]
+        if scope in _NEXT_SCOPE:
+            for part_id in news:
+                self._note(_NEXT_SCOPE[scope], part_id)
+        return Received.NEWS if news else Received.NOTHING_NEW
+
+    def _note_own(self, part_id: ids.PromptPartId) -> None:
+        for scope in _SCOPES_OF_OWN:
+            self._note(scope, part_id)
+        self._on_change()
+
+    def _note(
+        self, scope: load_messages.Scope, part_id: ids.PromptPartId
+    ) -> None:
+        self._pending[scope][part_id] = load_messages.SENDS_PER_CHANGE
+
+
+def _row(report: crash_evidence.CrashReport) -> list[object]:
+    return [report.part_id, sorted(report.crashed), sorted(report.cleared)]
+
+
+def decode_row(row: typing.Any) -> crash_evidence.CrashReport:
+    """Return the report of a row.
+
+    Raises
+    ------
+    ValueError, TypeError
+        If the row is malformed.
+    """
+    part_id, crashed, cleared = row
+    return crash_evidence.CrashReport(
+        ids.PromptPartId(str(part_id)), _keys(crashed), _keys(cleared)
+    )
+
+
+def _keys(pairs: typing.Any) -> frozenset[engines.Key]:
+    return frozenset(
+        (ids.EngineId(str(engine_id)), int(born)) for engine_id, born in pairs
+    )
--- a/src/corianderloft/_internal/gateway/load_exchange.py
+++ b/src/corianderloft/_internal/gateway/load_exchange.py
@@ -15,6 +15,7 @@
 
 import trio
 
+from corianderloft._internal.gateway import crash_messages
 from corianderloft._internal.gateway import load_messages as messages
 from corianderloft._internal.models import listener
 from corianderloft._internal.models import members
@@ -73,6 +74,9 @@
         self._malformed_count = 0
         self._next_sums_at = float('-inf')
         request_placer.set_load_listener(self._mark_changed)
+        self._crashes = crash_messages.CrashReports(
+            request_placer.crashes, self._mark_changed
+        )
 
     def use_members(
         self, current: collections.abc.Sequence[members.Member]
@@ -115,8 +119,24 @@
         await self._send_to(
             sock, scopes.HOST, own, demands, assignment.group, full
         )
+        await self._send_crashes(sock, scopes.HOST, assignment.group, full)
         if assignment.is_delegate:
             await self._send_sums(sock, own, demands, full)
+            await self._send_crashes(
+                sock, scopes.GROUP, assignment.delegates, full
+            )
+            await self._send_crashes(sock, scopes.REST, assignment.group, full)
+
+    async def _send_crashes(
+        self,
+        sock: trio.socket.SocketType,
+        scope: messages.Scope,
+        recipients: collections.abc.Sequence[members.Member],
+        full: bool,
+    ) -> None:
+        data = self._crashes.next_datagram(scope, full)
+        if data is not None:
+            await _send_datagram(sock, data, recipients)
 
     async def _send_sums(
         self,
@@ -161,13 +181,8 @@
         full: bool,
     ) -> None:
         data = self._builders[scope].next_datagram(loads, demands, full)
-        if data is None:
-            return
-        for member in recipients:
-            try:
-                await sock.sendto(data, (member.address, member.peer_port))
-            except OSError as exc:
-                logger.debug('load not sent to %s: %s', member.host_id, exc)
+        if data is not None:
+            await _send_datagram(sock, data, recipients)
 
     async def _receive(self, sock: trio.socket.SocketType) -> typing.NoReturn:
         while True:
@@ -176,12 +191,22 @@
             except OSError as exc:
                 logger.debug('receiving a load datagram failed: %s', exc)
                 continue
+            if crash_messages.is_crash_datagram(data):
+                self._apply_crashes(data)
+                continue
             message = messages.decode(data)
             if message is None:
                 self._log_malformed()
             else:
                 self._apply(message)
 
+    def _apply_crashes(self, data: bytes) -> None:
+        received = self._crashes.receive(data)
+        if received is crash_messages.Received.MALFORMED:
+            self._log_malformed()
+        elif received is crash_messages.Received.NEWS:
+            self._mark_changed()
+
     def _apply(self, message: messages.Message) -> None:
         source = message.source
         received = self._received.setdefault(source, messages.ReceivedLoads())
@@ -234,6 +259,18 @@
             )
 
 
+async def _send_datagram(
+    sock: trio.socket.SocketType,
+    data: bytes,
+    recipients: collections.abc.Sequence[members.Member],
+) -> None:
+    for member in recipients:
+        try:
+            await sock.sendto(data, (member.address, member.peer_port))
+        except OSError as exc:
+            logger.debug('datagram not sent to %s: %s', member.host_id, exc)
+
+
 def _sum(
     parts: collections.abc.Iterable[collections.abc.Mapping[K, V]],
 ) -> dict[K, V]:
