Keep prompt parts that crash backend servers in the store

What the hosts had learned ended with them, and the next requests crashed servers again.

The host that sees a complete response with the part removes the entry. Two calls a part; nothing is read or watched in addition.

--- a/src/corianderloft/_internal/gateway/crash_messages.py
+++ b/src/corianderloft/_internal/gateway/crash_messages.py
@@ -12,9 +12,9 @@
 import trio
 
 from corianderloft._internal.gateway import load_messages
+from corianderloft._internal.models import crashes
 from corianderloft._internal.models import ids
 from corianderloft._internal.placement import crash_evidence
-from corianderloft._internal.placement import engines
 
 MAX_PARTS_PER_DATAGRAM = 32
 """Parts in one datagram; the rest goes into the next ones."""
@@ -100,7 +100,7 @@
         try:
             message = orjson.loads(data)
             scope = load_messages.Scope(message['scope'])
-            reports = [decode_row(row) for row in message['parts']]
+            reports = [_decode_row(row) for row in message['parts']]
         except (ValueError, TypeError, KeyError):
             return Received.MALFORMED
         now = trio.current_time()
@@ -125,11 +125,24 @@
         self._pending[scope][part_id] = load_messages.SENDS_PER_CHANGE
 
 
-def _row(report: crash_evidence.CrashReport) -> list[object]:
+def encode_report(report: crashes.CrashReport) -> bytes:
+    """Encode a report as a value in the store."""
+    return orjson.dumps(_row(report))
+
+
+def decode_report(value: bytes) -> crashes.CrashReport | None:
+    """Return the report in a value; None if it is malformed."""
+    try:
+        return _decode_row(orjson.loads(value))
+    except (ValueError, TypeError):
+        return None
+
+
+def _row(report: crashes.CrashReport) -> list[object]:
     return [report.part_id, sorted(report.crashed), sorted(report.cleared)]
 
 
-def decode_row(row: typing.Any) -> crash_evidence.CrashReport:
+def _decode_row(row: typing.Any) -> crashes.CrashReport:
     """Return the report of a row.
 
     Raises
@@ -138,12 +151,12 @@
         If the row is malformed.
     """
     part_id, crashed, cleared = row
-    return crash_evidence.CrashReport(
-        ids.PromptPartId(str(part_id)), _keys(crashed), _keys(cleared)
+    return crashes.CrashReport(
+        ids.PromptPartId(str(part_id)), _runs(crashed), _runs(cleared)
     )
 
 
-def _keys(pairs: typing.Any) -> frozenset[engines.Key]:
+def _runs(pairs: typing.Any) -> frozenset[crashes.ServerRun]:
     return frozenset(
         (ids.EngineId(str(engine_id)), int(born)) for engine_id, born in pairs
     )
--- /dev/null
+++ b/src/corianderloft/_internal/gateway/crash_record.py
@@ -0,0 +1,113 @@
+"""Keeps prompt parts that crash backend servers in the store.
+
+Hosts tell each other, so this serves hosts that start after all others have
+ended.
+"""
+
+import logging
+import typing
+
+import trio
+
+from corianderloft._internal.gateway import crash_messages
+from corianderloft._internal.gateway import following
+from corianderloft._internal.kv import interface as kv
+from corianderloft._internal.models import crashes
+from corianderloft._internal.models import ids
+from corianderloft._internal.placement import crash_evidence
+
+logger = logging.getLogger(__name__)
+
+MAX_KEY_BYTES = 200
+"""Longest key that the store accepts."""
+
+RETRY_INTERVAL_S = 1.0
+"""Delay after a failed call."""
+
+MAX_TRIES = 5
+
+
+class CrashRecord:
+    """Writes the harmful parts that this host found.
+
+    Parameters
+    ----------
+    store : KeyValueClient
+        The store.
+    prefix : str
+        Prefix of the keys; the ID of the part follows.
+    evidence : CrashEvidence
+        Evidence as known to this host.
+    """
+
+    def __init__(
+        self,
+        store: kv.KeyValueClient,
+        prefix: str,
+        evidence: crash_evidence.CrashEvidence,
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._evidence = evidence
+
+    async def run(self) -> typing.NoReturn:
+        """Write and remove entries until cancelled."""
+        while True:
+            await self._evidence.wait_for_record_change()
+            await trio.sleep(crash_evidence.SETTLE_S)
+            now = trio.current_time()
+            for report in self._evidence.take_unstored(now):
+                await self._update(report.part_id, report)
+            for part_id in self._evidence.take_cleared():
+                await self._update(part_id, None)
+
+    async def _update(
+        self,
+        part_id: ids.PromptPartId,
+        report: crashes.CrashReport | None,
+    ) -> None:
+        """Write the entry of a part, or remove it if there is no report."""
+        key = self._prefix + part_id
+        if len(key.encode('utf-8')) > MAX_KEY_BYTES:
+            logger.warning(
+                'crashes of a prompt part not stored: its ID is too long',
+                extra={'part': part_id[:MAX_KEY_BYTES]},
+            )
+            return
+        cause = ''
+        for _ in range(MAX_TRIES):
+            if report is None:
+                cause = await self._remove(key)
+            else:
+                cause = await self._put(key, report)
+            if not cause:
+                return
+            await trio.sleep(following.jittered(RETRY_INTERVAL_S))
+        logger.warning(
+            'crashes of a prompt part not stored',
+            extra={'key': key, 'cause': cause},
+        )
+
+    async def _put(self, key: str, report: crashes.CrashReport) -> str:
+        """Write an entry; return the cause of a failure."""
+        granted = await self._store.grant_lease(
+            crash_evidence.MAX_QUARANTINE_S
+        )
+        if not isinstance(granted, kv.LeaseGranted):
+            return granted.detail
+        value = crash_messages.encode_report(report)
+        written = await self._store.transact(
+            (), (kv.Put(key, value, granted.lease_id),)
+        )
+        if not isinstance(written, kv.Written):
+            return str(written)
+        logger.info(
+            'crashes of a prompt part stored',
+            extra={'key': key, 'revision': written.revision},
+        )
+        return ''
+
+    async def _remove(self, key: str) -> str:
+        """Remove an entry; return the cause of a failure."""
+        written = await self._store.transact((), (kv.Delete(key),))
+        return '' if isinstance(written, kv.Written) else str(written)
--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -12,6 +12,7 @@
 
 from corianderloft._internal.gateway import app
 from corianderloft._internal.gateway import auxiliary_apps
+from corianderloft._internal.gateway import crash_record
 from corianderloft._internal.gateway import dialect
 from corianderloft._internal.gateway import following
 from corianderloft._internal.gateway import layout
@@ -117,6 +118,11 @@
             self._follower.note_store_failure,
             cfg.store.min_lease_ttl,
         )
+        self._crash_record = crash_record.CrashRecord(
+            dependencies.store,
+            dependencies.store_layout.crashes_prefix,
+            self._placer.crashes,
+        )
         self._app = app.GatewayApp(
             self._view,
             self._placer,
@@ -141,6 +147,7 @@
                 nursery.start_soon(self._follower.expire_missing)
                 nursery.start_soon(self._placer.run)
                 nursery.start_soon(self._load_exchange.run)
+                nursery.start_soon(self._crash_record.run)
                 nursery.start_soon(self._run_membership)
                 nursery.start_soon(self._housekeeping)
                 nursery.start_soon(self._poll_settings)
--- a/src/corianderloft/_internal/gateway/layout.py
+++ b/src/corianderloft/_internal/gateway/layout.py
@@ -16,9 +16,9 @@
     ----------
     configuration_key : str
         Key of the declarations.
-    instances_prefix, hosts_prefix : str
-        Key prefixes of the entries of backend servers and entry hosts; the
-        ID follows.
+    instances_prefix, hosts_prefix, crashes_prefix : str
+        Key prefixes of the entries of backend servers, entry hosts and prompt
+        parts that crash servers; the ID follows.
     decode_table, decode_instance, decode_member : callable
         Decode a value; return None if it is malformed.
     encode_member : callable
@@ -28,6 +28,7 @@
     configuration_key: str
     instances_prefix: str
     hosts_prefix: str
+    crashes_prefix: str
     decode_table: collections.abc.Callable[
         [bytes], routing.RoutingTable | None
     ]
--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -5,6 +5,7 @@
 import logging
 import typing
 
+from corianderloft._internal.gateway import crash_messages
 from corianderloft._internal.gateway import layout
 from corianderloft._internal.kv import interface as kv
 from corianderloft._internal.models import ids
@@ -221,6 +222,16 @@
             name = item.key.removeprefix(store_layout.hosts_prefix)
             member = store_layout.decode_member(name, item.value)
             self._put_decoded(self._members, item, member)
+        elif item.key.startswith(store_layout.crashes_prefix):
+            self._apply_crash_report(item)
+
+    def _apply_crash_report(self, item: kv.KeyValue) -> None:
+        report = crash_messages.decode_report(item.value)
+        if report is None:
+            _log_unreadable(item)
+            return
+        for subscriber in self._listeners:
+            subscriber.use_crash_report(report)
 
     def _put_decoded(
         self,
@@ -229,10 +240,7 @@
         decoded: object | None,
     ) -> None:
         if decoded is None:
-            logger.warning(
-                'entry ignored: it cannot be read',
-                extra={'key': item.key, 'revision': item.mod_revision},
-            )
+            _log_unreadable(item)
             entries.pop(item.key, None)
             return
         entries[item.key] = decoded
@@ -298,6 +306,13 @@
                 subscriber.use_members(self.current_members)
 
 
+def _log_unreadable(item: kv.KeyValue) -> None:
+    logger.warning(
+        'entry ignored: it cannot be read',
+        extra={'key': item.key, 'revision': item.mod_revision},
+    )
+
+
 def _log_changes(
     noun: str,
     old: collections.abc.Mapping[str, object],
--- a/src/corianderloft/_internal/models/listener.py
+++ b/src/corianderloft/_internal/models/listener.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+from corianderloft._internal.models import crashes
 from corianderloft._internal.models import instances
 from corianderloft._internal.models import members
 from corianderloft._internal.models import routing
@@ -18,6 +19,9 @@
     ) -> None:
         """Handle a new list of backend servers."""
 
+    def use_crash_report(self, report: crashes.CrashReport) -> None:
+        """Handle a report on a prompt part that crashes servers."""
+
     def use_members(
         self, current: collections.abc.Sequence[members.Member]
     ) -> None:
--- a/src/corianderloft/_internal/placement/crash_evidence.py
+++ b/src/corianderloft/_internal/placement/crash_evidence.py
@@ -12,14 +12,13 @@
 
 import collections
 import collections.abc
-import dataclasses
 import logging
 
 import trio
 
+from corianderloft._internal.models import crashes
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import instances
-from corianderloft._internal.placement import engines
 
 logger = logging.getLogger(__name__)
 
@@ -53,38 +52,19 @@
 """Crashes that are kept for each part."""
 
 
-@dataclasses.dataclass(frozen=True)
-class CrashReport:
-    """Crashes of one prompt part.
-
-    Attributes
-    ----------
-    part_id : PromptPartId
-        The part.
-    crashed : frozenset of Key
-        Servers that crashed with a request that had the part.
-    cleared : frozenset of Key
-        Those of them after whose crash a response with the part was complete.
-    """
-
-    part_id: ids.PromptPartId
-    crashed: frozenset[engines.Key]
-    cleared: frozenset[engines.Key] = frozenset()
-
-
 class _Record:
     """Evidence against one part; times are on trio's clock."""
 
     def __init__(self) -> None:
-        self.crashed: frozenset[engines.Key] = frozenset()
-        self.cleared: frozenset[engines.Key] = frozenset()
+        self.crashed: frozenset[crashes.ServerRun] = frozenset()
+        self.cleared: frozenset[crashes.ServerRun] = frozenset()
         self.last_crash_at = 0.0
         self.harmful_since: float | None = None
         self.seen_here = False
         self.stored = False
 
     @property
-    def open(self) -> frozenset[engines.Key]:
+    def open(self) -> frozenset[crashes.ServerRun]:
         """Crashes without a complete response since."""
         return self.crashed - self.cleared
 
@@ -105,7 +85,8 @@
         self._on_change: collections.abc.Callable[[ids.PromptPartId], None] = (
             _do_nothing
         )
-        self._harmful_found = trio.Event()
+        self._cleared: list[ids.PromptPartId] = []
+        self._record_changed = trio.Event()
 
     def set_change_listener(
         self, changed: collections.abc.Callable[[ids.PromptPartId], None]
@@ -114,7 +95,7 @@
         self._on_change = changed
 
     def record_crash(
-        self, prompt: instances.Prompt, server: engines.Key, now: float
+        self, prompt: instances.Prompt, server: crashes.ServerRun, now: float
     ) -> None:
         """Record that a server crashed before it responded to a request."""
         for part in prompt.shared_parts:
@@ -136,7 +117,7 @@
         while len(self._completed_at) > MAX_COMPLETE_PARTS:
             self._completed_at.popitem(last=False)
 
-    def merge(self, report: CrashReport, now: float) -> bool:
+    def merge(self, report: crashes.CrashReport, now: float) -> bool:
         """Add the evidence of another host; return whether any is new."""
         record = self._records.get(report.part_id)
         if record is not None and (
@@ -170,13 +151,13 @@
         for part_id in own:
             if not self._is_harmful(part_id, now):
                 continue
-            crashes = self._records[part_id].open
+            crashed = self._records[part_id].open
             others = [
                 (other, record.open)
                 for other, record in self._records.items()
-                if record.open >= crashes and self._is_harmful(other, now)
+                if record.open >= crashed and self._is_harmful(other, now)
             ]
-            if any(found > crashes for _, found in others):
+            if any(found > crashed for _, found in others):
                 continue
             if own.issuperset(other for other, _ in others):
                 return part_id
@@ -195,12 +176,12 @@
             if (record := self._records.get(part.part_id)) is not None
         )
 
-    def report(self, part_id: ids.PromptPartId) -> CrashReport | None:
+    def report(self, part_id: ids.PromptPartId) -> crashes.CrashReport | None:
         """Return the evidence on a part."""
         record = self._records.get(part_id)
         if record is None:
             return None
-        return CrashReport(part_id, record.crashed, record.cleared)
+        return crashes.CrashReport(part_id, record.crashed, record.cleared)
 
     def harmful_parts(self, now: float) -> list[ids.PromptPartId]:
         """Return the parts whose requests are refused, oldest first."""
@@ -210,12 +191,17 @@
             if self._is_harmful(part_id, now)
         ]
 
-    async def wait_harmful(self) -> None:
-        """Wait until a crash seen by this host makes a part harmful."""
-        await self._harmful_found.wait()
-        self._harmful_found = trio.Event()
+    async def wait_for_record_change(self) -> None:
+        """Wait until this host finds or clears a harmful part."""
+        await self._record_changed.wait()
+        self._record_changed = trio.Event()
+
+    def take_cleared(self) -> list[ids.PromptPartId]:
+        """Return the parts in the store that this host has cleared."""
+        taken, self._cleared = self._cleared, []
+        return taken
 
-    def take_unstored(self, now: float) -> list[CrashReport]:
+    def take_unstored(self, now: float) -> list[crashes.CrashReport]:
         """Return harmful parts that the store lacks, found by this host."""
         found = [
             part_id
@@ -226,7 +212,7 @@
         for part_id in found:
             self._records[part_id].stored = True
         return [
-            CrashReport(
+            crashes.CrashReport(
                 part_id,
                 self._records[part_id].crashed,
                 self._records[part_id].cleared,
@@ -234,10 +220,14 @@
             for part_id in found
         ]
 
-    def merge_stored(self, report: CrashReport, now: float) -> None:
+    def merge_stored(self, report: crashes.CrashReport, now: float) -> None:
         """Add evidence from the store."""
         self.merge(report, now)
-        self._record(report.part_id).stored = True
+        record = self._record(report.part_id)
+        record.stored = True
+        if record.harmful_since is not None:
+            # It had settled when it was stored.
+            record.harmful_since = float('-inf')
 
     def _is_harmful(self, part_id: ids.PromptPartId, now: float) -> bool:
         record = self._records.get(part_id)
@@ -275,12 +265,16 @@
             return
         self._update(part_id, record.crashed, record.crashed, now)
         self._on_change(part_id)
+        if record.stored:
+            record.stored = False
+            self._cleared.append(part_id)
+            self._record_changed.set()
 
     def _update(
         self,
         part_id: ids.PromptPartId,
-        crashed: frozenset[engines.Key],
-        cleared: frozenset[engines.Key],
+        crashed: frozenset[crashes.ServerRun],
+        cleared: frozenset[crashes.ServerRun],
         now: float,
     ) -> None:
         record = self._records[part_id]
@@ -292,7 +286,7 @@
             record.harmful_since = now
             _log_harmful(part_id, record)
             if record.seen_here:
-                self._harmful_found.set()
+                self._record_changed.set()
         elif not harmful and record.harmful_since is not None:
             record.harmful_since = None
             logger.info('prompt part cleared', extra={'part': part_id})
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -8,6 +8,7 @@
 import trio
 
 from corianderloft._internal.kernel import registry
+from corianderloft._internal.models import crashes
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import instances
 from corianderloft._internal.models import listener
@@ -152,6 +153,10 @@
         """Replace the list of entry hosts."""
         self.retries.set_host_count(len(current))
 
+    def use_crash_report(self, report: crashes.CrashReport) -> None:
+        """Add evidence from the store."""
+        self.crashes.merge_stored(report, trio.current_time())
+
     def pick_service(self, route: routing.Route) -> ids.ServiceName:
         """Return a random service of a route according to the weights."""
         if len(route.shares) == 1:
--- a/src/corianderloft/_internal/platform/daemon.py
+++ b/src/corianderloft/_internal/platform/daemon.py
@@ -28,6 +28,7 @@
     configuration_key=names.CONFIGURATION_KEY,
     instances_prefix=names.INSTANCES_PREFIX,
     hosts_prefix=names.HOSTS_PREFIX,
+    crashes_prefix=names.CRASHES_PREFIX,
     decode_table=configuration.decode,
     decode_instance=entries.decode_instance,
     decode_member=entries.decode_member,
--- a/src/corianderloft/_internal/platform/names.py
+++ b/src/corianderloft/_internal/platform/names.py
@@ -31,6 +31,7 @@
 CONFIGURATION_KEY = 'op/config'
 INSTANCES_PREFIX = 'servers/'
 HOSTS_PREFIX = 'hosts/'
+CRASHES_PREFIX = 'crashes/'
 
 LOWEST_PRIORITY = 9
 """Engine priorities range from 0, which is served first, to 9."""
--- a/tests/unit/gateway/test_crashing_prompts.py
+++ b/tests/unit/gateway/test_crashing_prompts.py
@@ -30,6 +30,11 @@
     for _ in range(count):
         await system.add_engine('stream', crash_part='bad')
 
+    async def served():
+        return (await ask(system, 'first')).status == 200
+
+    await processes.wait_for(served, 'the servers are known')
+
 
 def sends_with_part(system, part='bad'):
     """Return the requests with a part that reached backend servers."""
@@ -98,3 +103,45 @@
         for _ in range(6):
             await ask(system, 'route', 'session', 'bad')
         assert sends_with_part(system) - known <= SENDS_AFTER_KNOWN
+
+
+async def test_a_part_that_proves_sound_is_removed_from_the_store():
+    async with gateway.running(()) as system:
+        await start_engines(system, 14)
+        items = system.store.store.items
+        for _ in range(CRASHES_UNTIL_KNOWN):
+            await ask(system, 'route', 'session', 'bad')
+            await ask(system, 'route')
+        await processes.wait_for(
+            lambda: {'crashes/session', 'crashes/bad'} <= items.keys(),
+            'both parts are stored',
+        )
+        sound = await ask(system, 'route', 'session')
+        await processes.wait_for(
+            lambda: 'crashes/session' not in items, 'the part is removed'
+        )
+        assert 'crashes/bad' in items
+    assert sound.status == 200
+
+
+async def test_crashes_are_stored_once_the_store_is_back():
+    async with gateway.running(()) as system:
+        await start_engines(system, 14)
+        system.store.down = True
+        for _ in range(CRASHES_UNTIL_KNOWN):
+            await ask(system, 'route', 'bad')
+            await ask(system, 'route')
+        await trio.sleep(1.0)
+        system.store.down = False
+        await processes.wait_for(
+            lambda: 'crashes/bad' in system.store.store.items,
+            'the part is stored',
+        )
+
+
+async def test_an_unreadable_report_in_the_store_is_ignored():
+    async with gateway.running(()) as system:
+        await start_engines(system, 1)
+        system.store.put('crashes/route', b'{"route": 3}')
+        response = await ask(system, 'route')
+    assert response.status == 200
