Do not complete a stream that its server broke off inside an event

A stream may come without a length or chunks and end with its connection.

Callers saw a complete stream although the server had broken it off inside an event, or before the first one: the rest of the event was passed on and the response ended as usual, and nothing was resumed. A crash of the server was not recognised either.

Cause: the end of a body was taken for the end of the stream, whatever had come. Change: a stream that ends inside an event, or with its connection before any event, is broken off: cut for the caller, or resumed elsewhere.

Three tests failed before (complete response, no resume, 200 instead of 502); a fourth shows that whole streams of this form are still forwarded.

--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -411,6 +411,9 @@
                 grant.started()
                 with trio.CancelScope(shield=True):
                     await self._forward_events(received, events)
+        failure = self._early_end(attempt, received, event_buffer)
+        if failure is not None:
+            return failure
         remainder = event_buffer.incomplete()
         if not self._started or remainder:
             with trio.CancelScope(shield=True):
@@ -421,6 +424,33 @@
             await self._caller.end_stream()
         return Result.ANSWERED
 
+    def _early_end(
+        self,
+        attempt: sending.SendAttempt,
+        received: sending.ReceivedHead,
+        event_buffer: sse.EventBuffer,
+    ) -> sending.SendFailure | None:
+        """Return why a stream that has ended is incomplete, if it is.
+
+        Where the end of the connection ends the stream, only its content
+        shows that the server broke it off.
+        """
+        if event_buffer.incomplete().strip():
+            detail = 'the stream ended inside an event'
+        elif (
+            received.ends_with_connection
+            and attempt.progress is not sending.Progress.CONTENT
+        ):
+            detail = 'the connection ended before any event'
+        else:
+            return None
+        return sending.SendFailure(
+            interface.AttemptOutcome.BROKEN,
+            True,
+            detail,
+            disconnected=received.ends_with_connection,
+        )
+
     def _gap_timeout(self) -> float:
         gap = (
             self._request.job.route.gap_target
--- a/src/corianderloft/_internal/gateway/sending.py
+++ b/src/corianderloft/_internal/gateway/sending.py
@@ -65,10 +65,13 @@
         HTTP status code.
     head : ResponseHead
         Parsed response headers.
+    ends_with_connection : bool
+        Whether the body has no length and ends with the connection.
     """
 
     status: int
     head: dialect.ResponseHead
+    ends_with_connection: bool = False
 
 
 class SendAttempt:
@@ -219,7 +222,9 @@
             self._engine.record_sample(response_head.load, trio.current_time())
         if response_head.request_id in (None, self._request.head.request_id):
             self.progress = Progress.HEAD
-            return ReceivedHead(head.status, response_head)
+            return ReceivedHead(
+                head.status, response_head, head.ends_with_connection
+            )
         failure = await conn.skip_response(MAX_RESPONSE_BYTES)
         return None if failure is None else _as_send_failure(failure)
 
--- a/src/corianderloft/_internal/network/engine_connection.py
+++ b/src/corianderloft/_internal/network/engine_connection.py
@@ -69,6 +69,14 @@
     status: int
     headers: Headers
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the body has no length and ends with the connection."""
+        return not any(
+            name.lower() in (b'content-length', b'transfer-encoding')
+            for name, _ in self.headers
+        )
+
 
 class EngineConnection:
     """A connection that carries one request at a time.
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -45,8 +45,9 @@
     ----------
     mode : str
         ``whole``, ``stream``, ``error``, ``reject``, ``hang``, ``cut``,
-        ``cut_stream``, ``unsigned``, ``twice``, ``reset``, ``by_path``, or
-        ``endless`` with ``endless_kind``, a key of `ENDLESS`.
+        ``cut_stream``, ``unframed_stream``, ``half_event``, ``unsigned``,
+        ``twice``, ``reset``, ``by_path``, or ``endless`` with
+        ``endless_kind``, a key of `ENDLESS`.
     endless_pause : float
         Delay after each piece of an endless response in seconds. Without
         one, the pieces are sent in bulk.
@@ -151,6 +152,8 @@
             return False
         if mode == 'endless':
             await self._send_endlessly(stream)
+        if mode in ('unframed_stream', 'half_event'):
+            return await self._stream_until_close(stream, headers)
         if mode in ('stream', 'cut_stream'):
             return await self._stream(stream, http, headers)
         if mode == 'cut':
@@ -219,6 +222,22 @@
             data += http.send(h11.EndOfMessage()) or b''
         await stream.send_all(data)
 
+    async def _stream_until_close(self, stream, headers):
+        """Send a stream without a length that ends with its connection."""
+        first = int(headers.get('last-event-id', -1)) + 1
+        request_id = headers['corianderloft-attempt-id'].encode()
+        await stream.send_all(
+            _HEAD + b'Corianderloft-Attempt-Id: %b\r\n\r\n' % request_id
+        )
+        for number in range(first, self.events):
+            event = b'id: %d\ndata: token %d\n\n' % (number, number)
+            if self.mode == 'half_event' and number == self.cut_after:
+                # Without any event, the stream ends behind its head.
+                await stream.send_all(event[:9] if number else b'')
+                break
+            await stream.send_all(event)
+        return False
+
     async def _stream(self, stream, http, headers):
         first = int(headers.get('last-event-id', -1)) + 1
         fields = [
--- a/tests/unit/gateway/test_requests.py
+++ b/tests/unit/gateway/test_requests.py
@@ -123,6 +123,39 @@
     assert response.body.count(b'data: token') == 2
 
 
+async def test_a_stream_that_ends_with_its_connection_is_forwarded():
+    async with gateway.running(('unframed_stream',)) as system:
+        response = await system.request('POST', '/chat/1')
+    assert response.complete
+    assert response.body.count(b'data: token') == 4
+
+
+async def test_a_stream_that_ends_inside_an_event_does_not_look_complete():
+    async with gateway.running(('half_event',)) as system:
+        response = await system.request('POST', '/chat/1')
+        assert len(system.runs()) == 1
+    assert response.status == 200
+    assert not response.complete
+    assert response.body.count(b'data: token') == 2
+
+
+async def test_a_stream_that_ends_inside_an_event_resumes_elsewhere():
+    async with gateway.running(('half_event', 'half_event')) as system:
+        system.engines[1].cut_after = system.engines[0].cut_after = 3
+        response = await system.request('POST', '/quote/1')
+        resumed = [r.headers.get('last-event-id') for r in system.runs()]
+    assert resumed == [None, '2']
+    assert not response.complete
+    assert response.body.count(b'data: token') == 3
+
+
+async def test_a_stream_that_ends_with_its_connection_before_any_event():
+    async with gateway.running(('half_event',)) as system:
+        system.engines[0].cut_after = 0
+        response = await system.request('POST', '/chat/1')
+    assert response.status == 502
+
+
 async def test_a_resumable_stream_resumes_on_another_server():
     async with gateway.running(('cut_stream', 'cut_stream')) as system:
         response = await system.request('POST', '/quote/1')
