--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -1,6 +1,5 @@
 """Forwards a request to backend servers, with retries."""
 
-import dataclasses
 import enum
 import logging
 import math
@@ -8,6 +7,7 @@
 import trio
 
 from corianderloft._internal.entry import sse
+from corianderloft._internal.gateway import crash_guard
 from corianderloft._internal.gateway import dialect
 from corianderloft._internal.gateway import metrics
 from corianderloft._internal.gateway import refusals
@@ -15,7 +15,6 @@
 from corianderloft._internal.gateway import routed_request
 from corianderloft._internal.gateway import sending
 from corianderloft._internal.models import routing
-from corianderloft._internal.models import states
 from corianderloft._internal.network import engine_pool
 from corianderloft._internal.network import exchange
 from corianderloft._internal.placement import engines
@@ -101,6 +100,9 @@
         self._request = request
         self._caller = caller
         self._closes_connection = closes_connection
+        self._crash_guard = crash_guard.CrashGuard(
+            request_placer.crashes, request.job
+        )
         self._tried: set[engines.Key] = set()
         self._may_have_run_on: set[engines.Key] = set()
         self._last_event_id = request.head.resume_after
@@ -161,29 +163,22 @@
         return await self._give_up(refusal)
 
     async def _acquire(self) -> placer.Grant | refusals.Refusal:
-        refusal = self._quarantine_refusal()
-        if refusal is not None:
-            return refusal
-        grant = await self._placer.acquire(self._request.job, self._tried)
-        if isinstance(grant, interface.Refused):
-            reason = refusals.Reason(grant.reason.value)
-            return refusals.Refusal(reason, grant.retry_after)
-        # Other requests may have crashed servers while this one was queued.
-        refusal = self._quarantine_refusal()
-        if refusal is not None:
-            grant.close(interface.AttemptOutcome.CALLER_LEFT)
-            return refusal
-        return grant
+        """Wait for a backend server, unless the prompt is quarantined.
 
-    def _quarantine_refusal(self) -> refusals.Refusal | None:
-        job, crashes = self._request.job, self._placer.crashes
-        now = trio.current_time()
-        part_id = crashes.quarantined_part(job.prompt, now)
-        if part_id is None:
-            return None
-        remaining_s = crashes.remaining_s(part_id, now)
-        request_log.quarantined(job, part_id, remaining_s)
-        return refusals.Refusal(refusals.Reason.CRASHES_BACKENDS, remaining_s)
+        That is checked again after the wait in the queue, since other
+        requests may have crashed servers meanwhile.
+        """
+        while True:
+            refusal = await self._crash_guard.leave_quarantine()
+            if refusal is not None:
+                return refusal
+            grant = await self._placer.acquire(self._request.job, self._tried)
+            if isinstance(grant, interface.Refused):
+                reason = refusals.Reason(grant.reason.value)
+                return refusals.Refusal(reason, grant.retry_after)
+            if not self._crash_guard.is_quarantined():
+                return grant
+            grant.close(interface.AttemptOutcome.CALLER_LEFT)
 
     def _may_resend(self) -> bool:
         """Return whether the request may be sent again."""
@@ -194,7 +189,7 @@
             return True
         if not self._request.kind.repeatable:
             return False
-        if self._placer.crashes.stops_retries(job.prompt):
+        if self._crash_guard.stops_retries():
             return False
         return len(self._may_have_run_on) < job.route.attempts
 
@@ -248,7 +243,7 @@
             if isinstance(result, Result):
                 outcome = interface.AttemptOutcome.COMPLETE
                 return result
-            result = await self._check_crash(attempt, engine, result)
+            result = await self._crash_guard.check(attempt, engine, result)
             outcome = result.outcome
             if not result.may_have_run:
                 self._may_have_run_on.discard(engine.key)
@@ -264,37 +259,6 @@
             attempt.close()
             grant.close(outcome)
 
-    async def _check_crash(
-        self,
-        attempt: sending.SendAttempt,
-        engine: engines.Engine,
-        failure: sending.SendFailure,
-    ) -> sending.SendFailure:
-        """Record a crash of the server, for which the prompt may be a cause.
-
-        A server that had begun its response had survived the prompt.
-        """
-        prompt = self._request.job.prompt
-        if (
-            prompt is None
-            or not failure.disconnected
-            or attempt.progress is sending.Progress.CONTENT
-            or engine.instance.state is not states.BackendState.LIVE
-            or not await attempt.server_is_gone()
-        ):
-            return failure
-        self._placer.crashes.record_crash(
-            prompt, engine.key, trio.current_time()
-        )
-        return dataclasses.replace(
-            failure, outcome=interface.AttemptOutcome.CRASHED
-        )
-
-    def _record_complete(self, received: sending.ReceivedHead) -> None:
-        prompt = self._request.job.prompt
-        if prompt is not None and received.status < 300:
-            self._placer.crashes.record_complete(prompt, trio.current_time())
-
     async def _send_with_timeout(
         self, attempt: sending.SendAttempt, grant: placer.Grant
     ) -> Result | sending.SendFailure:
@@ -357,7 +321,7 @@
         self, received: sending.ReceivedHead, body: bytes
     ) -> Result:
         self.first_byte_at = trio.current_time()
-        self._record_complete(received)
+        self._crash_guard.record_complete(received)
         headers = [
             (name, value)
             for name, value in received.head.forwarded_headers
@@ -419,7 +383,7 @@
             with trio.CancelScope(shield=True):
                 await self._forward_events(received, remainder)
         self.complete = True
-        self._record_complete(received)
+        self._crash_guard.record_complete(received)
         with trio.CancelScope(shield=True):
             await self._caller.end_stream()
         return Result.ANSWERED
--- a/src/corianderloft/_internal/placement/crash_evidence.py
+++ b/src/corianderloft/_internal/placement/crash_evidence.py
@@ -12,6 +12,7 @@
 
 import collections
 import collections.abc
+import dataclasses
 import logging
 
 import trio
@@ -30,8 +31,8 @@
 """Crashed servers after which a request with a part is not sent again."""
 
 SETTLE_S = 0.6
-"""Time for other hosts to report complete responses before requests are
-refused; longer than the interval between their datagrams."""
+"""Time for other hosts to report complete responses, during which requests
+are held; longer than the interval between their datagrams."""
 
 RECENT_RESPONSE_S = 10.0
 """Age up to which a complete response outweighs a crash that is reported
@@ -52,6 +53,23 @@
 """Crashes that are kept for each part."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Quarantine:
+    """Requests with a part are held until it has settled, then refused.
+
+    Attributes
+    ----------
+    part_id : PromptPartId
+        The part.
+    settled_at, until : float
+        When requests are refused from, and until, on trio's clock.
+    """
+
+    part_id: ids.PromptPartId
+    settled_at: float
+    until: float
+
+
 class _Record:
     """Evidence against one part; times are on trio's clock."""
 
@@ -59,7 +77,7 @@
         self.crashed: frozenset[crashes.ServerRun] = frozenset()
         self.cleared: frozenset[crashes.ServerRun] = frozenset()
         self.last_crash_at = 0.0
-        self.harmful_since: float | None = None
+        self.settled_at: float | None = None
         self.seen_here = False
         self.stored = False
 
@@ -73,6 +91,11 @@
         """Duration of the quarantine since the last crash."""
         return min(MAX_QUARANTINE_S, QUARANTINE_S_PER_CRASH * len(self.open))
 
+    @property
+    def quarantined_until(self) -> float:
+        """End of the quarantine."""
+        return self.last_crash_at + self.quarantine_s
+
 
 class CrashEvidence:
     """Evidence of all hosts, as known to this one."""
@@ -136,14 +159,14 @@
             self._clear(report.part_id, now)
         return True
 
-    def quarantined_part(
+    def quarantine(
         self, prompt: instances.Prompt | None, now: float
-    ) -> ids.PromptPartId | None:
-        """Return the part for which a request is refused, if any.
+    ) -> Quarantine | None:
+        """Return the quarantine that a request falls under, if any.
 
-        Parts with the same crashes cannot be told apart: a request is refused
-        only if it has all of them. A part whose crashes are all explained by
-        another harmful part is not held responsible.
+        Parts with the same crashes cannot be told apart: a request falls
+        under the quarantine only if it has all of them. A part whose crashes
+        are all explained by another harmful part is not held responsible.
         """
         if not self._records or prompt is None:
             return None
@@ -151,23 +174,21 @@
         for part_id in own:
             if not self._is_harmful(part_id, now):
                 continue
-            crashed = self._records[part_id].open
+            record = self._records[part_id]
             others = [
-                (other, record.open)
-                for other, record in self._records.items()
-                if record.open >= crashed and self._is_harmful(other, now)
+                (other, found.open)
+                for other, found in self._records.items()
+                if found.open >= record.open and self._is_harmful(other, now)
             ]
-            if any(found > crashed for _, found in others):
+            if any(crashed > record.open for _, crashed in others):
                 continue
             if own.issuperset(other for other, _ in others):
-                return part_id
+                assert record.settled_at is not None
+                return Quarantine(
+                    part_id, record.settled_at, record.quarantined_until
+                )
         return None
 
-    def remaining_s(self, part_id: ids.PromptPartId, now: float) -> float:
-        """Return the remaining duration of a quarantine in seconds."""
-        record = self._records[part_id]
-        return max(0.0, record.last_crash_at + record.quarantine_s - now)
-
     def stops_retries(self, prompt: instances.Prompt | None) -> bool:
         """Return whether a request may crash the next server as well."""
         return prompt is not None and any(
@@ -225,18 +246,16 @@
         self.merge(report, now)
         record = self._record(report.part_id)
         record.stored = True
-        if record.harmful_since is not None:
+        if record.settled_at is not None:
             # It had settled when it was stored.
-            record.harmful_since = float('-inf')
+            record.settled_at = now
 
     def _is_harmful(self, part_id: ids.PromptPartId, now: float) -> bool:
         record = self._records.get(part_id)
-        if record is None or record.harmful_since is None:
-            return False
         return (
-            record.harmful_since + SETTLE_S
-            <= now
-            < (record.last_crash_at + record.quarantine_s)
+            record is not None
+            and record.settled_at is not None
+            and now < record.quarantined_until
         )
 
     def _is_recent(self, part_id: ids.PromptPartId, now: float) -> bool:
@@ -255,7 +274,7 @@
         harmless = (
             part_id
             for part_id, record in self._records.items()
-            if record.harmful_since is None
+            if record.settled_at is None
         )
         del self._records[next(harmless, next(iter(self._records)))]
 
@@ -282,13 +301,13 @@
             record.last_crash_at = now
         record.crashed, record.cleared = crashed, cleared
         harmful = len(record.open) >= CRASHES_TO_QUARANTINE
-        if harmful and record.harmful_since is None:
-            record.harmful_since = now
+        if harmful and record.settled_at is None:
+            record.settled_at = now + SETTLE_S
             _log_harmful(part_id, record)
             if record.seen_here:
                 self._record_changed.set()
-        elif not harmful and record.harmful_since is not None:
-            record.harmful_since = None
+        elif not harmful and record.settled_at is not None:
+            record.settled_at = None
             logger.info('prompt part cleared', extra={'part': part_id})
 
 
--- a/tests/unit/gateway/test_crashing_prompts.py
+++ b/tests/unit/gateway/test_crashing_prompts.py
@@ -145,3 +145,15 @@
         system.store.put('crashes/route', b'{"route": 3}')
         response = await ask(system, 'route')
     assert response.status == 200
+
+
+async def test_requests_are_held_while_a_quarantine_settles():
+    async with gateway.running(()) as system:
+        await start_engines(system, 14)
+        while sends_with_part(system) < 3:
+            await ask(system, 'route', 'bad')
+            await ask(system, 'route')
+        crashed = sends_with_part(system)
+        for _ in range(4):
+            await ask(system, 'route', 'bad')
+        assert sends_with_part(system) == crashed
