--- a/src/corianderloft/_internal/gateway/dialect.py
+++ b/src/corianderloft/_internal/gateway/dialect.py
@@ -81,6 +81,9 @@
         Whether the backend server states that the request did not run.
     load : LoadSample or None
         Load reported by the backend server.
+    rate_limit : float or None
+        Requests per second that the backend server takes from all hosts
+        together, while it is under pressure.
     forwarded_headers : list of (bytes, bytes)
         Headers that are forwarded to the caller unchanged.
     """
@@ -89,6 +92,7 @@
     signed: bool
     not_run: bool
     load: instances.LoadSample | None
+    rate_limit: float | None
     forwarded_headers: Headers
 
 
--- a/src/corianderloft/_internal/gateway/sending.py
+++ b/src/corianderloft/_internal/gateway/sending.py
@@ -20,6 +20,9 @@
 MAX_RESPONSE_BYTES = 16 * 2**20
 """Maximum size of a response that is not a stream."""
 
+MISDIRECTED = 421
+"""Status of a server that took over the address of another one."""
+
 MAX_STALE_RESPONSES = 3
 """Maximum number of responses to earlier requests that are discarded while
 waiting for the response to this one."""
@@ -222,12 +225,21 @@
             self._engine.record_sample(response_head.load, trio.current_time())
         if response_head.request_id in (None, self._request.head.request_id):
             self.progress = Progress.HEAD
+            self._record_rate_limit(head.status, response_head)
             return ReceivedHead(
                 head.status, response_head, head.ends_with_connection
             )
         failure = await conn.skip_response(MAX_RESPONSE_BYTES)
         return None if failure is None else _as_send_failure(failure)
 
+    def _record_rate_limit(
+        self, status: int, response_head: dialect.ResponseHead
+    ) -> None:
+        if status != MISDIRECTED:
+            self._engine.rate_limit.record_response(
+                response_head.rate_limit, trio.current_time()
+            )
+
 
 RESET = engine_connection.FailureKind.RESET
 
--- a/src/corianderloft/_internal/placement/engines.py
+++ b/src/corianderloft/_internal/placement/engines.py
@@ -11,6 +11,7 @@
 from corianderloft._internal.models import routing
 from corianderloft._internal.placement import engine_model
 from corianderloft._internal.placement import health
+from corianderloft._internal.placement import rate_limits
 
 SLOWDOWN_EWMA_WEIGHT = 0.2
 """Weight of the newest answer in the moving average of the slowdown."""
@@ -112,6 +113,8 @@
         Load that it reported last.
     sampled_at : float
         When ``sample`` was received, on trio's clock.
+    rate_limit : RateLimit
+        Limit that it names, and the requests sent to it.
     """
 
     def __init__(
@@ -131,6 +134,7 @@
         self.health = health.Health()
         self.sample: instances.LoadSample | None = None
         self.sampled_at = float('-inf')
+        self.rate_limit = rate_limits.RateLimit(instance.engine_id)
         self._peers: dict[str, PeerLoad] = {}
         self._peer_total = NO_LOAD
 
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -429,6 +429,7 @@
         )
         engine.add(waiter.number, request)
         engine.health.record_sent()
+        engine.rate_limit.record_send(context.now)
         waiter.grant(engine)
         self._on_load_change()
 
--- a/src/corianderloft/_internal/platform/headers.py
+++ b/src/corianderloft/_internal/platform/headers.py
@@ -1,5 +1,7 @@
 """Headers of requests and responses in the platform's format."""
 
+import math
+
 from corianderloft._internal.gateway import dialect
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import instances
@@ -88,6 +90,7 @@
             signed=names.SIGNATURE in values,
             not_run=names.NOT_RUN in values or status == 421,
             load=_load(values.get(names.ENGINE_LOAD)),
+            rate_limit=_rate(values.get(names.SERVER_LIMIT)),
             forwarded_headers=[
                 (name, value)
                 for name, value in headers
@@ -116,6 +119,15 @@
     return int(value)
 
 
+def _rate(value: bytes | None) -> float | None:
+    """Return a non-negative decimal number; None if it is malformed."""
+    try:
+        rate = float(value or b'')
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
+
+
 def _bearer_token(value: bytes | None) -> str | None:
     text = _text(value)
     if text is None or not text.lower().startswith(_BEARER):
--- a/src/corianderloft/_internal/platform/names.py
+++ b/src/corianderloft/_internal/platform/names.py
@@ -10,6 +10,7 @@
 SIGNATURE = b'corianderloft-response-signature'
 NOT_RUN = b'corianderloft-not-executed'
 ENGINE_LOAD = b'corianderloft-engine-load'
+SERVER_LIMIT = b'server-limit'
 RESUME_AFTER = b'last-event-id'
 
 SYSTEM_HEADERS = frozenset(
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -54,6 +54,8 @@
     crash_part : str
         ID of a prompt part. The server crashes when it begins a response to a
         request with this part.
+    rate_limit : str
+        Requests per second that responses name, if any.
     sent_bytes : int
         Bytes of endless responses sent so far.
     events : int
@@ -79,6 +81,7 @@
         self.endless_kind = 'junk'
         self.endless_pause = 0.0
         self.crash_part = ''
+        self.rate_limit = ''
         self._scope = trio.CancelScope()
         self.sent_bytes = 0
         self._duplicate_response_due = set()
@@ -214,6 +217,8 @@
         ]
         if signed:
             fields.append((SIGNATURE, f'signed-by-{self.engine_id}'))
+        if self.rate_limit:
+            fields.append(('Server-Limit', self.rate_limit))
         if 'not-run' in headers:
             fields.append(('Corianderloft-Not-Executed', '1'))
         data = http.send(h11.Response(status_code=status, headers=fields))
