--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -66,6 +66,8 @@
         Event at which ``cut_stream`` truncates a stream.
     seen : list of ExecutedRequest
         Executed requests.
+    seen_at : list of float
+        When they arrived, on trio's clock.
     disconnects : int
         Requests whose caller disconnected during execution.
     """
@@ -77,6 +79,7 @@
         self.pause = 0.0
         self.cut_after = 2
         self.seen = []
+        self.seen_at = []
         self.disconnects = 0
         self.endless_kind = 'junk'
         self.endless_pause = 0.0
@@ -138,6 +141,7 @@
             headers['not-run'] = '1'
             await self._respond(stream, http, headers, 503, b'', signed=False)
             return True
+        self.seen_at.append(trio.current_time())
         self.seen.append(
             ExecutedRequest(
                 req.method.decode(), req.target.decode(), headers, body
