--- a/src/corianderloft/_internal/gateway/crash_record.py
+++ b/src/corianderloft/_internal/gateway/crash_record.py
@@ -21,10 +21,11 @@
 MAX_KEY_BYTES = 200
 """Longest key that the store accepts."""
 
-RETRY_INTERVAL_S = 1.0
+RETRY_INTERVAL_S = 2.0
 """Delay after a failed call."""
 
-MAX_TRIES = 5
+MAX_TRIES = 30
+"""Tries to write an entry; outages of the store are shorter than that."""
 
 
 class CrashRecord:
