Send the reports on crashes and rates in one place

No change for callers: both have the same interface and went out in two copies of the same method; those on crashes keep the pace of the sums between delegates now. Gateway tests pass.

--- a/src/corianderloft/_internal/gateway/crash_record.py
+++ b/src/corianderloft/_internal/gateway/crash_record.py
@@ -25,7 +25,7 @@
 """Delay after a failed call."""
 
 MAX_TRIES = 30
-"""Tries to write an entry; outages of the store are shorter than that."""
+"""Tries to write an entry before it is given up, over about a minute."""
 
 
 class CrashRecord:
--- a/src/corianderloft/_internal/gateway/load_exchange.py
+++ b/src/corianderloft/_internal/gateway/load_exchange.py
@@ -121,36 +121,22 @@
         await self._send_to(
             sock, scopes.HOST, own, demands, assignment.group, full
         )
-        await self._send_rates(sock, scopes.HOST, assignment.group, full)
-        await self._send_crashes(sock, scopes.HOST, assignment.group, full)
+        await self._send_reports(sock, scopes.HOST, assignment.group, full)
         if assignment.is_delegate:
             await self._send_sums(sock, own, demands, full)
-            await self._send_crashes(
-                sock, scopes.GROUP, assignment.delegates, full
-            )
-            await self._send_crashes(sock, scopes.REST, assignment.group, full)
 
-    async def _send_rates(
+    async def _send_reports(
         self,
         sock: trio.socket.SocketType,
         scope: messages.Scope,
         recipients: collections.abc.Sequence[members.Member],
         full: bool,
     ) -> None:
-        data = self._rates.next_datagram(scope, full)
-        if data is not None:
-            await _send_datagram(sock, data, recipients)
-
-    async def _send_crashes(
-        self,
-        sock: trio.socket.SocketType,
-        scope: messages.Scope,
-        recipients: collections.abc.Sequence[members.Member],
-        full: bool,
-    ) -> None:
-        data = self._crashes.next_datagram(scope, full)
-        if data is not None:
-            await _send_datagram(sock, data, recipients)
+        """Send what there is on limited servers and on crashes."""
+        for reports in (self._rates, self._crashes):
+            data = reports.next_datagram(scope, full)
+            if data is not None:
+                await _send_datagram(sock, data, recipients)
 
     async def _send_sums(
         self,
@@ -184,8 +170,10 @@
         await self._send_to(
             sock, scopes.REST, rest, rest_demands, assignment.group, full
         )
-        await self._send_rates(sock, scopes.GROUP, assignment.delegates, full)
-        await self._send_rates(sock, scopes.REST, assignment.group, full)
+        await self._send_reports(
+            sock, scopes.GROUP, assignment.delegates, full
+        )
+        await self._send_reports(sock, scopes.REST, assignment.group, full)
 
     async def _send_to(
         self,
