--- a/tests/unit/placement/test_rate_limits.py
+++ b/tests/unit/placement/test_rate_limits.py
@@ -53,11 +53,7 @@
 @pytest.mark.parametrize('count', [1, 8, 64])
 @pytest.mark.parametrize('limit', [0.4, 2.6, 8.0])
 def test_hosts_that_wait_together_do_not_send_together(count, limit):
-    """Each host has a request waiting all the time.
-
-    Without a draw all hosts sent when a window ended: 21 requests in 4 s at
-    a limit of 2.6 in a play of qrl-sialkot.
-    """
+    """All hosts see at the same time that a window has ended."""
     hosts = [limit_of(limit) for _ in range(count)]
     for number, host in enumerate(hosts):
         host._rng.seed(number)
