Log the era of the store, its reads and the entries that are passed over

The logs could not tell which hypothesis holds: they named a revision, but not the era of the store, nor what a read had found, nor that an entry was passed over. Now three lines and the gauge store_era say so.

--- a/src/corianderloft/_internal/gateway/metrics.py
+++ b/src/corianderloft/_internal/gateway/metrics.py
@@ -20,6 +20,7 @@
 _latencies: collections.deque[tuple[str, float | None, float]] = (
     collections.deque(maxlen=MAX_PENDING_LATENCIES)
 )
+_read_store_era: list[collections.abc.Callable[[], int]] = []
 _count_dropped_lines: list[collections.abc.Callable[[], int]] = []
 
 
@@ -57,6 +58,16 @@
     _count_dropped_lines[:] = [count_dropped]
 
 
+def use_store_era(read_era: collections.abc.Callable[[], int]) -> None:
+    """Set the function that returns the newest known era of the store."""
+    _read_store_era[:] = [read_era]
+
+
+def store_era() -> int:
+    """Return the newest known era of the store; 0 if it states none."""
+    return max((read() for read in _read_store_era), default=0)
+
+
 def dropped_lines() -> int:
     """Return the number of log lines that were dropped."""
     return sum(count() for count in _count_dropped_lines)
--- a/src/corianderloft/_internal/gateway/metrics_page.py
+++ b/src/corianderloft/_internal/gateway/metrics_page.py
@@ -43,6 +43,10 @@
     'Time from arrival to the end of an answer, by route.',
     LATENCY_BUCKETS_S,
 )
+_STORE_ERA = registry.gauge(
+    'store_era',
+    'Times that the store came back from an older copy, as it states.',
+)
 _LOG_LINES_DROPPED = registry.gauge(
     'log_lines_dropped', 'Log lines dropped because nobody read them in time.'
 )
@@ -67,4 +71,5 @@
         if first_byte_s is not None:
             _FIRST_BYTE_SECONDS.observe({'route': route}, first_byte_s)
         _RESPONSE_SECONDS.observe({'route': route}, total_s)
+    _STORE_ERA.set({}, metrics.store_era())
     _LOG_LINES_DROPPED.set({}, metrics.dropped_lines())
--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -155,6 +155,15 @@
         """Apply a snapshot of the whole store."""
         current = {item.key: item for item in found.items}
         missing = self._missing_in(current, found.revision)
+        logger.info(
+            'store read',
+            extra={
+                'revision': found.revision,
+                'known_revision': self.revision,
+                'entries': len(current),
+                'missing': len(missing),
+            },
+        )
         self.revision = max(self.revision, found.revision)
         self._update_entries(current.values(), missing)
 
@@ -164,11 +173,10 @@
         Only the last change of each key counts, and listeners hear of all of
         them at once: at the start of a large fleet each host registers.
         """
-        latest = {event.key: event for event in events}
-        new = [event for event in latest.values() if self._is_new(event)]
+        latest = {event.key: event for event in events}.values()
         self._update_entries(
-            [event.item for event in new if event.item is not None],
-            [event.key for event in new if event.item is None],
+            [event.item for event in latest if event.item is not None],
+            [e.key for e in latest if e.item is None and self._is_new(e)],
         )
 
     def _is_new(self, event: kv.WatchEvent) -> bool:
@@ -205,6 +213,15 @@
             if known is None or known.mod_revision < item.mod_revision:
                 self._items[item.key] = item
                 self._apply_item(item)
+            elif known.value != item.value:
+                logger.warning(
+                    'entry passed over: its revision is not newer',
+                    extra={
+                        'key': item.key,
+                        'revision': item.mod_revision,
+                        'known_revision': known.mod_revision,
+                    },
+                )
         for key in removed:
             self._items.pop(key, None)
             self._apply_removal(key)
--- a/src/corianderloft/_internal/kv/connections.py
+++ b/src/corianderloft/_internal/kv/connections.py
@@ -1,6 +1,7 @@
 """Pool of HTTP connections to the key-value service."""
 
 import collections
+import collections.abc
 import dataclasses
 import typing
 
@@ -9,13 +10,20 @@
 
 from corianderloft._internal.metrics import control
 
+Headers = collections.abc.Sequence[tuple[bytes, bytes]]
+
 
 @dataclasses.dataclass(frozen=True)
 class Reply:
-    """A complete HTTP reply."""
+    """A complete HTTP reply; header names are as received."""
 
     status: int
     body: bytes
+    headers: Headers = ()
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header; ``name`` is in lower case."""
+        return next((v for n, v in self.headers if n.lower() == name), None)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -170,7 +178,7 @@
         ) as exc:
             return _failed(trace, f'{req.url.target.decode()}: {exc!r}')
         control.count_bytes(control.Direction.RECEIVED, len(body))
-        return Reply(response.status, body)
+        return Reply(response.status, body, response.headers)
 
     async def _acquire(self) -> httpcore.AsyncHTTPConnection:
         while self._idle:
--- a/src/corianderloft/_internal/platform/daemon.py
+++ b/src/corianderloft/_internal/platform/daemon.py
@@ -67,9 +67,11 @@
     handler = bounded.BoundedHandler()
     handlers.install_handler(handler, logging.INFO)
     metrics.use_log_handler(lambda: handler.dropped)
+    client = store.PlatformStore(cfg.store.address, cfg.store.port)
+    metrics.use_store_era(lambda: client.era)
     dependencies = host.Dependencies(
         cfg=cfg,
-        store=store.PlatformStore(cfg.store.address, cfg.store.port),
+        store=client,
         store_layout=LAYOUT,
         header_dialect=headers.PlatformDialect(),
         decode_domain=address_query.decode_domain,
--- a/src/corianderloft/_internal/platform/names.py
+++ b/src/corianderloft/_internal/platform/names.py
@@ -29,6 +29,8 @@
 )
 """Headers that a caller cannot set."""
 
+STORE_ERA = b'store-era'
+
 CONFIGURATION_KEY = 'op/config'
 INSTANCES_PREFIX = 'servers/'
 HOSTS_PREFIX = 'hosts/'
--- a/src/corianderloft/_internal/platform/store.py
+++ b/src/corianderloft/_internal/platform/store.py
@@ -10,8 +10,10 @@
 import orjson
 
 from corianderloft._internal.kv import connections
+from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface
 from corianderloft._internal.models import ids
+from corianderloft._internal.platform import names
 from corianderloft._internal.utils import clock
 
 CONNECT_TIMEOUT_S = 0.6
@@ -62,6 +64,12 @@
             MAX_IDLE_CONNECTIONS,
             IDLE_EXPIRY_S,
         )
+        self._eras = eras.EraTracker()
+
+    @property
+    def era(self) -> ids.Era:
+        """Newest era of the store that this process has seen."""
+        return self._eras.current
 
     async def get(self, key: str) -> interface.Read:
         """Read one key; ``items`` is empty when it does not exist."""
@@ -218,14 +226,28 @@
     ) -> _Outcome:
         target = f'{path}?{urllib.parse.urlencode(query, safe="/")}'
         result = await self._connections.call('GET', target, b'', hold_time)
-        return _outcome(path, result)
+        return self._outcome(path, result)
 
     async def _call(self, method: str, path: str, body: Json) -> _Outcome:
         content = orjson.dumps(body)
-        return _outcome(
+        return self._outcome(
             path, await self._connections.call(method, path, content)
         )
 
+    def _outcome(self, path: str, result: connections.CallResult) -> _Outcome:
+        match result:
+            case connections.NotSent(detail):
+                return interface.Unavailable(detail)
+            case connections.ReplyLost(detail):
+                return interface.Unknown(detail)
+            case connections.Reply(status, raw):
+                try:
+                    self._eras.observe(result.header(names.STORE_ERA))
+                except ValueError as exc:
+                    return interface.Unknown(f'{path}: malformed era: {exc}')
+                return _decoded(path, status, raw)
+        typing.assert_never(result)
+
 
 def _complete_until(requested_at: float, wait: float, changed: bool) -> float:
     """Return the time up to which a watch reply includes all changes.
@@ -247,17 +269,6 @@
 _HANDLED_STATUSES = (_OK, _NOT_FOUND, _CONFLICT, 410)
 
 
-def _outcome(path: str, result: connections.CallResult) -> _Outcome:
-    match result:
-        case connections.NotSent(detail):
-            return interface.Unavailable(detail)
-        case connections.ReplyLost(detail):
-            return interface.Unknown(detail)
-        case connections.Reply(status, raw):
-            return _decoded(path, status, raw)
-    typing.assert_never(result)
-
-
 def _decoded(path: str, status: int, raw: bytes) -> _Outcome:
     if status not in _HANDLED_STATUSES:
         # Any other status, such as 429 or 503, means that nothing was done.
