--- a/tests/lib/fake_kv.py
+++ b/tests/lib/fake_kv.py
@@ -29,6 +29,22 @@
         self.changed = trio.Condition()
         self._next_lease = 1
 
+    def copy(self):
+        """Return a copy of the store for `restore`."""
+        return (
+            self.revision,
+            dict(self.items),
+            dict(self.leases),
+            self._next_lease,
+        )
+
+    def restore(self, copied):
+        """Go back to a copy: later writes, leases and revisions are lost."""
+        self.revision, items, leases, self._next_lease = copied
+        self.items, self.leases = dict(items), dict(leases)
+        self.events = [e for e in self.events if e.revision <= self.revision]
+        self.snapshots.clear()
+
     def expire(self):
         now = trio.current_time()
         for lease_id, (_, deadline) in list(self.leases.items()):
--- a/tests/lib/platform_store.py
+++ b/tests/lib/platform_store.py
@@ -12,6 +12,10 @@
 
 PAGE_ITEMS = 5
 
+PERMANENT_PREFIXES = ('op/', 'servers/')
+"""Keys of the operator and of backend servers, who write again what the store
+lost."""
+
 
 class PlatformStore:
     """Serves a `FakeStore` through the HTTP interface of the platform.
@@ -26,6 +30,8 @@
         Watches that start before this revision get status 410.
     min_ttl_ms : int
         Shortest accepted lease duration.
+    era : int
+        Times that the store came back from a copy; not stated while it is 0.
     """
 
     def __init__(self):
@@ -34,6 +40,7 @@
         self.lose_replies = 0
         self.compacted = 0
         self.min_ttl_ms = 0
+        self.era = 0
         self.calls = self.store.calls
 
     def put(self, key, value, lease=None):
@@ -44,6 +51,30 @@
         """Remove a key."""
         self.store.write([kv.Delete(key)])
 
+    def restore(self, copied, rewrite=True):
+        """Come back from a copy of `FakeStore.copy`.
+
+        The operator and the backend servers write again what was lost,
+        unless ``rewrite`` is false.
+        """
+        lost = self.store.items
+        self.store.restore(copied)
+        self.era += 1
+        if rewrite:
+            self.rewrite(lost)
+
+    def rewrite(self, lost):
+        """Write the keys of the operator and of servers as they were."""
+        items = self.store.items
+        for key in sorted({*lost, *items}):
+            if not key.startswith(PERMANENT_PREFIXES):
+                continue
+            before, now = lost.get(key), items.get(key)
+            if before is None:
+                self.remove(key)
+            elif now is None or now.value != before.value:
+                self.put(key, before.value)
+
     def app(self):
         """Return the ASGI application."""
         handlers = {
@@ -64,19 +95,23 @@
             self.store.expire()
             self.calls[call.path.split('/')[1]] += 1
             if self.down:
-                await call.reply({}, 503)
+                await self._reply(call, {}, 503)
                 return
             await handler(call)
 
         return handle_with_faults
 
+    async def _reply(self, call, body, status=200):
+        stated = {'Store-Era': str(self.era)} if self.era else None
+        await call.reply(body, status, stated)
+
     async def _get_key(self, call):
         item = self.store.items.get(_query(call)['key'])
         if item is None:
-            await call.reply({'current_rev': self.store.revision}, 404)
+            await self._reply(call, {'current_rev': self.store.revision}, 404)
             return
         rev = {'current_rev': self.store.revision}
-        await call.reply(_item_json(item) | rev)
+        await self._reply(call, _item_json(item) | rev)
 
     async def _get_range(self, call):
         query = _query(call)
@@ -86,7 +121,8 @@
             if key.startswith(query['path_prefix'])
             and key > query.get('after', '')
         )
-        await call.reply(
+        await self._reply(
+            call,
             {
                 'items': [
                     _item_json(self.store.items[key])
@@ -94,18 +130,19 @@
                 ],
                 'has_more': len(found) > PAGE_ITEMS,
                 'current_rev': self.store.revision,
-            }
+            },
         )
 
     async def _watch(self, call):
         query = _query(call)
         after = int(query['after'])
-        if after < self.compacted:
-            await call.reply({}, 410)
+        if after < self.compacted or after > self.store.revision:
+            await self._reply(call, {}, 410)
             return
         until = trio.current_time() + int(query['wait_ms']) / 1000
+        era = self.era
         while True:
-            if self.down:
+            if self.down or self.era != era:
                 await call.drop_connection()
                 return
             events = []
@@ -115,11 +152,12 @@
                 break
             await trio.sleep(0.01)
             self.store.expire()
-        await call.reply(
+        await self._reply(
+            call,
             {
                 'events': [_event_json(event) for event in events],
                 'current_rev': self.store.revision,
-            }
+            },
         )
 
     def _changes(self, after, prefix):
@@ -141,11 +179,11 @@
                     for r in expected
                     if r['key'] in items
                 ]
-                await call.reply({'items': current_items}, 412)
+                await self._reply(call, {'items': current_items}, 412)
                 return
         leases = {w.get('lease') or None for w in body.get('writes', [])}
         if leases - {None} - set(self.store.leases):
-            await call.reply({}, 404)
+            await self._reply(call, {}, 404)
             return
         writes = [
             kv.Put(w['key'], base64.b64decode(w['value']), w.get('lease'))
@@ -157,28 +195,28 @@
             self.lose_replies -= 1
             await call.drop_connection()
             return
-        await call.reply({'revision': self.store.revision})
+        await self._reply(call, {'revision': self.store.revision})
 
     async def _grant_lease(self, call):
         ttl = call.json()['ttl_ms']
         if ttl < self.min_ttl_ms:
-            await call.reply({}, 400)
+            await self._reply(call, {}, 400)
             return
         lease = self.store.new_lease(ttl / 1000)
-        await call.reply({'lease': lease, 'ttl_ms': ttl})
+        await self._reply(call, {'lease': lease, 'ttl_ms': ttl})
 
     async def _keep_lease(self, call):
         lease = ids.LeaseId(int(call.path.rpartition('/')[2]))
         if lease not in self.store.leases:
-            await call.reply({}, 404)
+            await self._reply(call, {}, 404)
             return
         ttl, _ = self.store.leases[lease]
         self.store.leases[lease] = (ttl, trio.current_time() + ttl)
-        await call.reply({'ttl_ms': int(ttl * 1000)})
+        await self._reply(call, {'ttl_ms': int(ttl * 1000)})
 
     async def _end_lease(self, call):
         self.store.drop_lease(ids.LeaseId(int(call.path.rpartition('/')[2])))
-        await call.reply({})
+        await self._reply(call, {})
 
 
 def _query(call):
--- /dev/null
+++ b/tests/unit/gateway/test_restored_store.py
@@ -0,0 +1,154 @@
+"""A host whose store comes back from an older copy."""
+
+import contextlib
+
+import orjson
+import trio
+
+from tests.lib import gateway
+from tests.lib import processes
+
+APPLY_S = gateway.BOUNDS.apply_time
+
+
+@contextlib.asynccontextmanager
+async def running(**options):
+    """Run a system whose store states its era."""
+    async with gateway.running(start=False, **options) as system:
+        system.store.era = 1
+        await system.start_host()
+        yield system
+
+
+def declare(system, version, *prefixes, **changes):
+    """Write declarations with the usual routes and ``prefixes``."""
+    added = [
+        dict(gateway.ROUTES[0], name=prefix, path_prefix=prefix)
+        for prefix in prefixes
+    ]
+    document = gateway.configuration(
+        version, routes=[*gateway.ROUTES, *added], **changes
+    )
+    system.store.put('op/config', document)
+
+
+async def wait_served(system, target, status=200):
+    """Wait until a request is answered with a status."""
+
+    async def served():
+        return (await system.request(target=target)).status == status
+
+    await processes.wait_for(served, f'{target} gives {status}', APPLY_S)
+
+
+async def test_change_at_a_revision_given_out_again_takes_effect():
+    async with running() as system:
+        copied = system.store.store.copy()
+        for version in (2, 3, 4):
+            declare(system, version, '/first/')
+        await wait_served(system, '/first/1')
+        system.store.restore(copied)
+        revision = system.store.store.revision
+        await trio.sleep(0.5)
+        declare(system, 5, '/first/', '/second/')
+        assert system.store.store.revision <= revision + 2
+        await wait_served(system, '/second/1')
+
+
+async def test_change_takes_effect_after_the_revisions_have_caught_up():
+    async with running() as system:
+        copied = system.store.store.copy()
+        for version in (2, 3, 4, 5):
+            declare(system, version, '/first/')
+        await wait_served(system, '/first/1')
+        await trio.sleep(1)
+        system.store.down = True
+        await trio.sleep(0.3)
+        system.store.restore(copied)
+        declare(system, 6, '/first/', '/second/')
+        while system.store.store.revision < 9:
+            system.store.put('servers/other', b'{}')
+        system.store.down = False
+        await wait_served(system, '/second/1')
+
+
+async def test_store_is_not_read_without_end_after_it_was_restored():
+    async with running() as system:
+        copied = system.store.store.copy()
+        for version in range(2, 9):
+            declare(system, version, '/first/')
+        await wait_served(system, '/first/1')
+        await trio.sleep(1)
+        system.store.restore(copied)
+        await trio.sleep(1)
+        system.store.calls.clear()
+        await trio.sleep(2)
+        assert system.store.calls['kv-range'] <= 1
+
+
+async def test_server_that_came_in_the_lost_time_is_used():
+    async with running(engines=()) as system:
+        copied = system.store.store.copy()
+        declare(system, 2)
+        declare(system, 3)
+        await system.add_engine('whole')
+        await wait_served(system, '/look/1')
+        gone = system.engines[0]
+        system.store.restore(copied, rewrite=False)
+        declare(system, 3)
+        await system.add_engine('whole')
+        system.store.remove(f'servers/{gone.engine_id}')
+        await trio.sleep(3)
+        before = len(system.engines[1].seen)
+        await wait_served(system, '/look/1')
+        assert len(system.engines[1].seen) > before
+
+
+async def test_key_revoked_after_the_restore_is_refused():
+    async with running() as system:
+        copied = system.store.store.copy()
+        for version in (2, 3, 4, 5):
+            declare(system, version, '/first/')
+        await wait_served(system, '/first/1')
+        await trio.sleep(1)
+        system.store.restore(copied)
+        await trio.sleep(0.3)
+        declare(system, 6, tenants=[{'name': 'aswan', 'api_keys': ['new']}])
+        await wait_served(system, '/look/1', 401)
+
+
+async def test_older_declarations_of_the_copy_are_not_taken():
+    async with running() as system:
+        copied = system.store.store.copy()
+        declare(system, 2, '/first/')
+        await wait_served(system, '/first/1')
+        system.store.restore(copied, rewrite=False)
+        until = trio.current_time() + 2 * APPLY_S
+        while trio.current_time() < until:
+            answer = await system.request(target='/first/1')
+            assert answer.status in (200, 503)
+            await trio.sleep(0.05)
+
+
+async def test_host_registers_again_after_the_restore():
+    async with running() as system:
+        key = f'hosts/{system.cfg.host_id}'
+        await processes.wait_for(
+            lambda: key in system.store.store.items, 'the host is registered'
+        )
+        entry = system.store.store.items[key]
+        copied = system.store.store.copy()
+        copied = (copied[0] - 1, *copied[1:])
+        del copied[1][key]
+        del copied[2][entry.lease_id]
+        system.store.restore((*copied[:3], entry.lease_id))
+        # Another host is given the ID of the lost lease.
+        other = system.store.store.new_lease(60.0)
+        assert other == entry.lease_id
+        system.store.put('hosts/other', orjson.dumps({}), other)
+        await processes.wait_for(
+            lambda: key in system.store.store.items,
+            'the host is registered again',
+            2.3,
+        )
+        assert system.store.store.items[key].lease_id != other
