Order the revisions of a store that came back from a copy by its era

Revoked keys stayed valid and servers unknown in the same way.

Cause: a revision was taken for a position in one history. A store that comes back from a copy begins another one at an earlier position. Its later entries had lower or equal revisions and were passed over; the watch asked for what comes after a position beyond its end.

Change: the client of the store puts the era that each reply states above the counter of the store, in the one type that revisions have everywhere. So entries, watches, change logs and removals of a later era are newer than all of an earlier one, wherever they are compared. A watch from another era ends, and the store is read again; a comparison with an earlier era matches nothing; a write that was acknowledged in an earlier era is not taken for written. The pages of one read are of one era. Declarations in force are not replaced by older ones of the copy, but by others of the same version.

--- a/src/corianderloft/_internal/gateway/crash_record.py
+++ b/src/corianderloft/_internal/gateway/crash_record.py
@@ -11,6 +11,7 @@
 
 from corianderloft._internal.gateway import crash_messages
 from corianderloft._internal.gateway import following
+from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface as kv
 from corianderloft._internal.models import crashes
 from corianderloft._internal.models import ids
@@ -104,7 +105,7 @@
             return str(written)
         logger.info(
             'crashes of a prompt part stored',
-            extra={'key': key, 'revision': written.revision},
+            extra=eras.log_fields(written.revision) | {'key': key},
         )
         return ''
 
--- a/src/corianderloft/_internal/gateway/following.py
+++ b/src/corianderloft/_internal/gateway/following.py
@@ -15,6 +15,7 @@
 from corianderloft._internal.gateway import view
 from corianderloft._internal.gateway import watch_pace
 from corianderloft._internal.kv import backoff
+from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface as kv
 from corianderloft._internal.models import listener
 from corianderloft._internal.models import members
@@ -250,10 +251,8 @@
                 elif isinstance(item, peer_changes.Gap):
                     logger.info(
                         'changes are missing; reading the store',
-                        extra={
-                            'host': delegate.host_id,
-                            'revision': self._view.revision,
-                        },
+                        extra=eras.log_fields(self._view.revision)
+                        | {'host': delegate.host_id},
                     )
                     return FollowResult.GAP
                 else:
@@ -266,8 +265,8 @@
         progress: kv.WatchProgress,
     ) -> None:
         local_view = self._view
+        local_view.advance(progress.revision)
         local_view.apply(events)
-        local_view.revision = max(local_view.revision, progress.revision)
         local_view.confirm(progress.as_of)
 
     def _log_lost(
--- a/src/corianderloft/_internal/gateway/membership.py
+++ b/src/corianderloft/_internal/gateway/membership.py
@@ -7,6 +7,7 @@
 import trio
 
 from corianderloft._internal.gateway import following
+from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface as kv
 from corianderloft._internal.models import ids
 
@@ -100,7 +101,7 @@
         self._written = True
         logger.info(
             'entry of this host written',
-            extra={'key': self._key, 'revision': written.revision},
+            extra=eras.log_fields(written.revision) | {'key': self._key},
         )
         await self._wait_to_renew()
 
--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -7,6 +7,7 @@
 
 from corianderloft._internal.gateway import crash_messages
 from corianderloft._internal.gateway import layout
+from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface as kv
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import instances
@@ -110,18 +111,15 @@
         if self._store_failing:
             self._store_failing = False
             self._last_outage_at = clock.now()
-            logger.info('store regained', extra={'revision': self.revision})
+            logger.info('store regained', extra=eras.log_fields(self.revision))
 
     def note_store_failure(self, cause: str) -> None:
         """Record that a call to the store failed."""
         if not self._store_failing:
             logger.warning(
                 'store lost',
-                extra={
-                    'cause': cause,
-                    'revision': self.revision,
-                    'age_s': round(self.age(), 3),
-                },
+                extra=eras.log_fields(self.revision)
+                | {'cause': cause, 'age_s': round(self.age(), 3)},
             )
         self._store_failing = True
         self._last_outage_at = clock.now()
@@ -151,20 +149,30 @@
             if key not in current and item.mod_revision <= revision
         ]
 
+    def advance(self, revision: ids.Revision) -> None:
+        """Record that the view includes all changes up to ``revision``.
+
+        If it is of a new era, entries may be missing that their owners write
+        again, as after an outage.
+        """
+        if eras.era_of(revision) > eras.era_of(self.revision) > 0:
+            self._last_outage_at = clock.now()
+        self.revision = max(self.revision, revision)
+
     def load(self, found: kv.Found) -> None:
         """Apply a snapshot of the whole store."""
         current = {item.key: item for item in found.items}
         missing = self._missing_in(current, found.revision)
         logger.info(
             'store read',
-            extra={
-                'revision': found.revision,
-                'known_revision': self.revision,
+            extra=eras.log_fields(found.revision)
+            | {
+                'known_revision': eras.counter_of(self.revision),
                 'entries': len(current),
                 'missing': len(missing),
             },
         )
-        self.revision = max(self.revision, found.revision)
+        self.advance(found.revision)
         self._update_entries(current.values(), missing)
 
     def apply(self, events: collections.abc.Sequence[kv.WatchEvent]) -> None:
@@ -216,10 +224,10 @@
             elif known.value != item.value:
                 logger.warning(
                     'entry passed over: its revision is not newer',
-                    extra={
+                    extra=eras.log_fields(item.mod_revision)
+                    | {
                         'key': item.key,
-                        'revision': item.mod_revision,
-                        'known_revision': known.mod_revision,
+                        'known_revision': eras.counter_of(known.mod_revision),
                     },
                 )
         for key in removed:
@@ -267,19 +275,30 @@
         if table is None:
             logger.error(
                 'declarations ignored: they cannot be read',
-                extra={'revision': item.mod_revision},
+                extra=eras.log_fields(item.mod_revision),
             )
             return
-        if self.table is not None and table.version <= self.table.version:
+        if not self._is_newer_table(table):
             return
         self.table = table
         logger.info(
             'declarations in force',
-            extra={'version': table.version, 'revision': item.mod_revision},
+            extra=eras.log_fields(item.mod_revision)
+            | {'version': table.version},
         )
         for subscriber in self._listeners:
             subscriber.use_table(table)
 
+    def _is_newer_table(self, table: routing.RoutingTable) -> bool:
+        """Return whether declarations are to replace those in force.
+
+        A store that came back from a copy may hold older ones. A version
+        that it lost may be given out again for other declarations.
+        """
+        if self.table is None or table.version > self.table.version:
+            return True
+        return table.version == self.table.version and table != self.table
+
     def _apply_removal(self, key: str) -> None:
         if not self._may_be_lease_expiry(key):
             self._drop_entry(key)
@@ -326,7 +345,7 @@
 def _log_unreadable(item: kv.KeyValue) -> None:
     logger.warning(
         'entry ignored: it cannot be read',
-        extra={'key': item.key, 'revision': item.mod_revision},
+        extra=eras.log_fields(item.mod_revision) | {'key': item.key},
     )
 
 
--- a/src/corianderloft/_internal/kv/eras.py
+++ b/src/corianderloft/_internal/kv/eras.py
@@ -1,7 +1,9 @@
-"""Eras of a store that may come back from an older copy.
+"""Revisions of a store that may come back from an older copy.
 
 Such a store loses its newest writes and gives out their revisions again. It
-counts how often that happened; the count is its era.
+counts how often that happened; the count is its era. Within this program a
+revision holds the era in its upper bits and the counter of the store in the
+lower ones, so that all revisions of an era are greater than those before it.
 """
 
 import logging
@@ -10,6 +12,45 @@
 
 logger = logging.getLogger(__name__)
 
+COUNTER_BITS = 40
+"""Bits of the store's counter: at a thousand writes a second it does not
+exceed them in thirty years."""
+
+MAX_ERA = (1 << 22) - 1
+"""Greatest era with which a revision fits into 63 bits, as messages in JSON
+and Cap'n Proto need."""
+
+UNMATCHED_COUNTER = (1 << COUNTER_BITS) - 1
+"""Counter that no key has: a comparison with it fails."""
+
+
+def qualify(era: ids.Era, counter: int) -> ids.Revision:
+    """Return the revision for a counter of the store.
+
+    Raises
+    ------
+    ValueError
+        If the counter is negative or too large.
+    """
+    if not 0 <= counter < UNMATCHED_COUNTER:
+        raise ValueError(f'revision {counter} is out of range')
+    return ids.Revision(era << COUNTER_BITS | counter)
+
+
+def era_of(revision: ids.Revision) -> ids.Era:
+    """Return the era of a revision."""
+    return ids.Era(revision >> COUNTER_BITS)
+
+
+def counter_of(revision: ids.Revision) -> int:
+    """Return the counter of the store in a revision."""
+    return int(revision) & ((1 << COUNTER_BITS) - 1)
+
+
+def log_fields(revision: ids.Revision) -> dict[str, int]:
+    """Return a revision as fields of a log line."""
+    return {'revision': counter_of(revision), 'era': era_of(revision)}
+
 
 class EraTracker:
     """The newest era that this process has seen.
@@ -35,13 +76,13 @@
         Raises
         ------
         ValueError
-            If the text is not a non-negative integer.
+            If the text is not an integer from 0 to `MAX_ERA`.
         """
         if text is None:
             return self.current
         era = ids.Era(int(text))
-        if era < 0:
-            raise ValueError(f'era {era} is negative')
+        if not 0 <= era <= MAX_ERA:
+            raise ValueError(f'era {era} is out of range')
         if era > self.current:
             if self.current:
                 logger.warning(
@@ -50,3 +91,13 @@
                 )
             self.current = era
         return era
+
+    def expected_counter(self, revision: ids.Revision) -> int:
+        """Return the counter with which a key is to be compared.
+
+        A revision of an earlier era matches no key, although its counter may
+        have been given out again.
+        """
+        if not revision or era_of(revision) == self.current:
+            return counter_of(revision)
+        return UNMATCHED_COUNTER
--- a/src/corianderloft/_internal/platform/store.py
+++ b/src/corianderloft/_internal/platform/store.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc
 import contextlib
+import dataclasses
 import typing
 import urllib.parse
 
@@ -42,7 +43,17 @@
 
 Json = dict[str, typing.Any]
 
-_Outcome = tuple[int, Json] | interface.Unavailable | interface.Unknown
+
+@dataclasses.dataclass(frozen=True)
+class _Answer:
+    """A reply that the client can use; ``era`` is that of the store."""
+
+    status: int
+    body: Json
+    era: ids.Era
+
+
+_Outcome = _Answer | interface.Unavailable | interface.Unknown
 
 
 class PlatformStore:
@@ -74,12 +85,12 @@
     async def get(self, key: str) -> interface.Read:
         """Read one key; ``items`` is empty when it does not exist."""
         outcome = await self._get('/kv-key', {'key': key})
-        if not isinstance(outcome, tuple):
+        if not isinstance(outcome, _Answer):
             return _unavailable(outcome)
-        status, reply = outcome
         try:
-            items = () if status == _NOT_FOUND else (_item(reply),)
-            return interface.Found(_revision(reply), items)
+            found = outcome.status != _NOT_FOUND
+            items = (_item(outcome.body, outcome.era),) if found else ()
+            return interface.Found(_revision(outcome), items)
         except _MALFORMED as exc:
             return interface.Unavailable(f'malformed item: {exc!r}')
 
@@ -94,15 +105,19 @@
         query: dict[str, str] = {'path_prefix': prefix}
         while True:
             outcome = await self._get('/kv-range', query)
-            if not isinstance(outcome, tuple):
+            if not isinstance(outcome, _Answer):
                 return _unavailable(outcome)
             try:
-                page = [_item(item) for item in outcome[1]['items']]
-                first_revision = first_revision or _revision(outcome[1])
+                page = [
+                    _item(item, outcome.era) for item in outcome.body['items']
+                ]
+                first_revision = first_revision or _revision(outcome)
             except _MALFORMED as exc:
                 return interface.Unavailable(f'malformed page: {exc!r}')
+            if eras.era_of(first_revision) != outcome.era:
+                return interface.Unavailable(_RESTORED)
             items += page
-            if not outcome[1].get('has_more') or not page:
+            if not outcome.body.get('has_more') or not page:
                 return interface.Found(first_revision, tuple(items))
             query['after'] = page[-1].key
 
@@ -113,32 +128,83 @@
     ) -> interface.Write:
         """Apply all operations if all compares hold."""
         outcome = await self._call(
-            'POST', '/kv-txn', _transaction(compares, operations)
+            'POST', '/kv-txn', self._transaction(compares, operations)
         )
-        if not isinstance(outcome, tuple):
+        if not isinstance(outcome, _Answer):
             return outcome
-        status, reply = outcome
+        status, reply, era = outcome.status, outcome.body, outcome.era
         try:
             if status == _OK:
-                return interface.Written(ids.Revision(int(reply['revision'])))
+                if self._may_be_void(era, compares):
+                    return interface.Unknown(_RESTORED)
+                return interface.Written(
+                    eras.qualify(era, int(reply['revision']))
+                )
             if status == _CONFLICT:
                 items = tuple(
-                    _item(item) for item in reply['items'] if 'value' in item
+                    _item(item, era)
+                    for item in reply['items']
+                    if 'value' in item
                 )
-                return interface.Conflict(_revision(reply), items)
+                return interface.Conflict(_revision(outcome), items)
         except _MALFORMED as exc:
             return interface.Unknown(f'malformed reply: {exc!r}')
         return interface.Unavailable(f'/kv-txn: status {status}')
 
+    def _transaction(
+        self,
+        compares: collections.abc.Sequence[interface.Compare],
+        operations: collections.abc.Sequence[interface.Put | interface.Delete],
+    ) -> Json:
+        puts = [op for op in operations if isinstance(op, interface.Put)]
+        return {
+            'expected_revision': [
+                {
+                    'key': compare.key,
+                    'revision': self._eras.expected_counter(
+                        compare.mod_revision
+                    ),
+                }
+                for compare in compares
+            ],
+            'writes': [
+                {
+                    'key': put.key,
+                    'value': base64.b64encode(put.value).decode('ascii'),
+                    'lease': put.lease_id or 0,
+                }
+                for put in puts
+            ],
+            'remove': [
+                op.key for op in operations if isinstance(op, interface.Delete)
+            ],
+        }
+
+    def _may_be_void(
+        self,
+        era: ids.Era,
+        compares: collections.abc.Sequence[interface.Compare],
+    ) -> bool:
+        """Return whether a write is lost, or rests on another era.
+
+        A reply may arrive after the store has come back from a copy without
+        the write. And a comparison with a revision of an earlier era may
+        have matched the counter of another write.
+        """
+        return era < self._eras.current or any(
+            compare.mod_revision and eras.era_of(compare.mod_revision) != era
+            for compare in compares
+        )
+
     async def grant_lease(self, ttl: float) -> interface.Grant:
         """Request a lease of ``ttl`` seconds."""
         outcome = await self._call(
             'POST', '/kv-lease', {'ttl_ms': int(ttl * 1000)}
         )
-        if not isinstance(outcome, tuple):
+        if not isinstance(outcome, _Answer):
             return outcome
         try:
-            reply = outcome[1]
+            reply = outcome.body
             return interface.LeaseGranted(
                 ids.LeaseId(int(reply['lease'])), reply['ttl_ms'] / 1000
             )
@@ -148,13 +214,14 @@
     async def renew_lease(self, lease_id: ids.LeaseId) -> interface.Renewal:
         """Extend a lease to its full time to live."""
         outcome = await self._call('POST', f'/kv-keep/{lease_id}', {})
-        if not isinstance(outcome, tuple):
+        if not isinstance(outcome, _Answer):
             return _unavailable(outcome)
-        status, reply = outcome
-        if status == _NOT_FOUND:
+        if outcome.status == _NOT_FOUND:
             return interface.LeaseLost(lease_id)
         try:
-            return interface.LeaseGranted(lease_id, reply['ttl_ms'] / 1000)
+            return interface.LeaseGranted(
+                lease_id, outcome.body['ttl_ms'] / 1000
+            )
         except _MALFORMED as exc:
             return interface.Unavailable(f'malformed reply: {exc!r}')
 
@@ -163,7 +230,7 @@
     ) -> interface.Written | interface.Unavailable | interface.Unknown:
         """Revoke a lease; the keys attached to it are removed."""
         outcome = await self._call('DELETE', f'/kv-lease-end/{lease_id}', {})
-        if not isinstance(outcome, tuple):
+        if not isinstance(outcome, _Answer):
             return outcome
         return interface.Written(ids.Revision(0))
 
@@ -185,11 +252,11 @@
         self, prefix: str, after: ids.Revision, next_wait: interface.Wait
     ) -> collections.abc.AsyncGenerator[interface.WatchItem]:
         revision = after
-        while True:
+        while eras.era_of(revision) == self.era:
             requested_at, wait = clock.now(), next_wait()
             query = {
                 'path_prefix': prefix,
-                'after': str(revision),
+                'after': str(eras.counter_of(revision)),
                 'wait_ms': str(int(wait * 1000)),
             }
             outcome = await self._get(
@@ -197,16 +264,21 @@
                 query,
                 wait + WATCH_REPLY_MARGIN_S - CALL_TIMEOUT_S,
             )
-            if not isinstance(outcome, tuple):
+            if not isinstance(outcome, _Answer):
                 yield interface.WatchEnded(outcome.detail, revision)
                 return
-            status, reply = outcome
-            if status != _OK:
-                yield interface.WatchEnded(f'status {status}', revision)
+            if outcome.status != _OK:
+                detail = f'status {outcome.status}'
+                yield interface.WatchEnded(detail, revision)
                 return
+            if outcome.era != eras.era_of(revision):
+                break
             try:
-                events = [_event(event) for event in reply['events']]
-                revision = _revision(reply)
+                events = [
+                    _event(event, outcome.era)
+                    for event in outcome.body['events']
+                ]
+                revision = _revision(outcome)
             except _MALFORMED as exc:
                 detail = f'malformed events: {exc!r}'
                 yield interface.WatchEnded(detail, revision)
@@ -216,6 +288,7 @@
             yield interface.WatchProgress(
                 revision, _complete_until(requested_at, wait, bool(events))
             )
+        yield interface.WatchEnded(_RESTORED, revision)
 
     async def aclose(self) -> None:
         """Close all idle connections."""
@@ -242,10 +315,10 @@
                 return interface.Unknown(detail)
             case connections.Reply(status, raw):
                 try:
-                    self._eras.observe(result.header(names.STORE_ERA))
+                    era = self._eras.observe(result.header(names.STORE_ERA))
                 except ValueError as exc:
                     return interface.Unknown(f'{path}: malformed era: {exc}')
-                return _decoded(path, status, raw)
+                return _decoded(path, status, raw, era)
         typing.assert_never(result)
 
 
@@ -264,12 +337,14 @@
     return WATCH_WAIT_S
 
 
+_RESTORED = 'the store came back from an older copy meanwhile'
+
 _MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
 
 _HANDLED_STATUSES = (_OK, _NOT_FOUND, _CONFLICT, 410)
 
 
-def _decoded(path: str, status: int, raw: bytes) -> _Outcome:
+def _decoded(path: str, status: int, raw: bytes, era: ids.Era) -> _Outcome:
     if status not in _HANDLED_STATUSES:
         # Any other status, such as 429 or 503, means that nothing was done.
         return interface.Unavailable(f'{path}: status {status}')
@@ -277,7 +352,7 @@
         reply = orjson.loads(raw) if raw else {}
     except ValueError as exc:
         return interface.Unknown(f'{path}: status {status}, {exc}')
-    return status, reply if isinstance(reply, dict) else {}
+    return _Answer(status, reply if isinstance(reply, dict) else {}, era)
 
 
 def _unavailable(
@@ -286,48 +361,24 @@
     return interface.Unavailable(outcome.detail)
 
 
-def _revision(reply: Json) -> ids.Revision:
-    return ids.Revision(int(reply.get('current_rev', 0)))
+def _revision(answer: _Answer) -> ids.Revision:
+    return eras.qualify(answer.era, int(answer.body.get('current_rev', 0)))
 
 
-def _item(item: Json) -> interface.KeyValue:
+def _item(item: Json, era: ids.Era) -> interface.KeyValue:
     lease = int(item.get('lease') or 0)
     return interface.KeyValue(
         key=item['key'],
         value=base64.b64decode(item['value'], validate=True),
-        mod_revision=ids.Revision(int(item['revision'])),
+        mod_revision=eras.qualify(era, int(item['revision'])),
         # The store does not count writes; it only marks the first one.
         version=1 if item.get('created') == item['revision'] else 2,
         lease_id=ids.LeaseId(lease) if lease else None,
     )
 
 
-def _event(event: Json) -> interface.WatchEvent:
-    revision = ids.Revision(int(event['revision']))
+def _event(event: Json, era: ids.Era) -> interface.WatchEvent:
+    revision = eras.qualify(era, int(event['revision']))
     if event.get('deleted'):
         return interface.WatchEvent(event['key'], None, revision)
-    return interface.WatchEvent(event['key'], _item(event), revision)
-
-
-def _transaction(
-    compares: collections.abc.Sequence[interface.Compare],
-    operations: collections.abc.Sequence[interface.Put | interface.Delete],
-) -> Json:
-    puts = [op for op in operations if isinstance(op, interface.Put)]
-    return {
-        'expected_revision': [
-            {'key': compare.key, 'revision': compare.mod_revision}
-            for compare in compares
-        ],
-        'writes': [
-            {
-                'key': put.key,
-                'value': base64.b64encode(put.value).decode('ascii'),
-                'lease': put.lease_id or 0,
-            }
-            for put in puts
-        ],
-        'remove': [
-            op.key for op in operations if isinstance(op, interface.Delete)
-        ],
-    }
+    return interface.WatchEvent(event['key'], _item(event, era), revision)
--- a/tests/unit/gateway/test_following.py
+++ b/tests/unit/gateway/test_following.py
@@ -48,6 +48,9 @@
         self.loaded_at = trio.current_time()
         self.revision = found.revision
 
+    def advance(self, revision):
+        self.revision = max(self.revision, revision)
+
     def apply(self, events):
         self.confirmed_or_applied += [event.revision for event in events]
 
--- a/tests/unit/gateway/test_restored_store.py
+++ b/tests/unit/gateway/test_restored_store.py
@@ -98,10 +98,12 @@
         declare(system, 3)
         await system.add_engine('whole')
         system.store.remove(f'servers/{gone.engine_id}')
-        await trio.sleep(3)
-        before = len(system.engines[1].seen)
-        await wait_served(system, '/look/1')
-        assert len(system.engines[1].seen) > before
+
+        async def used():
+            await system.request()
+            return bool(system.engines[1].seen)
+
+        await processes.wait_for(used, 'the server is used', APPLY_S + 2.3)
 
 
 async def test_key_revoked_after_the_restore_is_refused():
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -96,3 +96,41 @@
         async with client.watch('', 0) as items:
             ended = await anext(items)
     assert isinstance(ended, kv.WatchEnded)
+
+
+async def test_watch_from_an_earlier_era_ends_without_its_changes():
+    async with running_store() as (platform, client):
+        platform.era = 1
+        copied = platform.store.copy()
+        platform.put('a', b'1')
+        known = await client.get('a')
+        platform.restore(copied)
+        platform.put('b', b'2')
+        platform.put('b', b'3')
+        async with client.watch('', known.revision) as items:
+            seen = [item async for item in items]
+    assert [type(item) for item in seen] == [kv.WatchEnded]
+
+
+async def test_comparison_with_an_earlier_era_fails():
+    async with running_store() as (platform, client):
+        platform.era = 1
+        copied = platform.store.copy()
+        platform.put('a', b'1')
+        known = (await client.get('a')).items[0].mod_revision
+        platform.restore(copied)
+        platform.put('a', b'2')
+        unaware = await client.transact(
+            [kv.Compare('a', known)], [kv.Put('b', b'3')]
+        )
+        aware = await client.transact(
+            [kv.Compare('a', known)], [kv.Put('b', b'4')]
+        )
+        now = (await client.get('a')).items[0].mod_revision
+        right = await client.transact(
+            [kv.Compare('a', now)], [kv.Put('a', b'5')]
+        )
+    assert isinstance(unaware, kv.Unknown)
+    assert isinstance(aware, kv.Conflict)
+    assert [item.value for item in aware.items] == [b'2']
+    assert isinstance(right, kv.Written)
