Count leases from before a restore of the store as lost

A host that had taken its lease in the lost time went on renewing an ID that the store had meanwhile given to another host. The renewals succeeded, its own entry stayed away, callers and other hosts no longer knew of it, and when it stopped, the entry of the other host went instead of its own.

Change: the client remembers its leases of the newest era. Others count as lost without a call, are not attached to keys and are not revoked. A host that sees a new era registers anew at once, also when its old lease still exists: its entry may be missing. When it stops, it removes an entry that its lease does not hold by a comparison with the entry's revision.

--- a/src/corianderloft/_internal/gateway/membership.py
+++ b/src/corianderloft/_internal/gateway/membership.py
@@ -64,12 +64,14 @@
         # the store then fails.
         self._lease: ids.LeaseId | None = None
         self._written = False
+        self._lease_era = ids.Era(0)
         self._failing = False
 
     async def run(self) -> typing.NoReturn:
         """Keep this host registered until cancelled."""
         while True:
-            if self._lease is None or not self._written:
+            lost = not self._written or self._store.era > self._lease_era
+            if self._lease is None or lost:
                 await self._register()
             else:
                 await self._renew(self._lease)
@@ -79,7 +81,9 @@
         if self._lease is None:
             return
         with trio.move_on_after(DEREGISTER_TIMEOUT_S):
-            result = await self._store.revoke_lease(self._lease)
+            result: kv.Write = await self._store.revoke_lease(self._lease)
+            if self._store.era > self._lease_era:
+                result = await self._remove_entry()
             logger.info(
                 'entry of this host removed',
                 extra={'key': self._key, 'outcome': type(result).__name__},
@@ -87,12 +91,25 @@
         self._lease = None
         self._written = False
 
+    async def _remove_entry(self) -> kv.Write:
+        """Remove the entry without its lease, which is of an earlier era."""
+        found = await self._store.get(self._key)
+        if isinstance(found, kv.Unavailable):
+            return found
+        for item in found.items:
+            if item.value == self._value:
+                compare = kv.Compare(self._key, item.mod_revision)
+                return await self._store.transact(
+                    (compare,), (kv.Delete(self._key),)
+                )
+        return kv.Written(found.revision)
+
     async def _register(self) -> None:
         granted = await self._store.grant_lease(self._ttl)
         if not isinstance(granted, kv.LeaseGranted):
             await self._wait_to_retry(granted.detail)
             return
-        self._lease = granted.lease_id
+        self._lease, self._lease_era = granted.lease_id, self._store.era
         put = kv.Put(self._key, self._value, granted.lease_id)
         written = await self._store.transact((), (put,))
         if not isinstance(written, kv.Written):
@@ -119,7 +136,9 @@
         if self._failing:
             self._failing = False
             logger.info('lease of this host kept again')
-        await trio.sleep(following.jittered(RENEW_INTERVAL_RATIO * self._ttl))
+        interval = following.jittered(RENEW_INTERVAL_RATIO * self._ttl)
+        with trio.move_on_after(interval):
+            await self._store.wait_newer_era(self._lease_era)
 
     async def _wait_to_retry(self, detail: str) -> None:
         self._on_failure(detail)
--- a/src/corianderloft/_internal/kv/eras.py
+++ b/src/corianderloft/_internal/kv/eras.py
@@ -6,8 +6,11 @@
 lower ones, so that all revisions of an era are greater than those before it.
 """
 
+import collections
 import logging
 
+import trio
+
 from corianderloft._internal.models import ids
 
 logger = logging.getLogger(__name__)
@@ -20,6 +23,9 @@
 """Greatest era with which a revision fits into 63 bits, as messages in JSON
 and Cap'n Proto need."""
 
+MAX_LEASES = 1024
+"""Leases remembered; those that were not renewed for longest are dropped."""
+
 UNMATCHED_COUNTER = (1 << COUNTER_BITS) - 1
 """Counter that no key has: a comparison with it fails."""
 
@@ -53,7 +59,9 @@
 
 
 class EraTracker:
-    """The newest era that this process has seen.
+    """The newest era that this process has seen, and its leases of that era.
+
+    The ID of a lease that the store has lost may be given to another host.
 
     Attributes
     ----------
@@ -63,6 +71,37 @@
 
     def __init__(self) -> None:
         self.current = ids.Era(0)
+        self._leases: collections.OrderedDict[ids.LeaseId, None] = (
+            collections.OrderedDict()
+        )
+        self._changed = trio.Event()
+
+    async def wait_newer(self, era: ids.Era) -> ids.Era:
+        """Wait until an era later than ``era`` is seen, and return it."""
+        while self.current <= era:
+            await self._changed.wait()
+        return self.current
+
+    def add_lease(self, lease_id: ids.LeaseId, era: ids.Era) -> bool:
+        """Remember a lease that was granted or renewed in an era.
+
+        Returns False if the store has come back from a copy since.
+        """
+        if era != self.current:
+            return False
+        self._leases[lease_id] = None
+        self._leases.move_to_end(lease_id)
+        if len(self._leases) > MAX_LEASES:
+            self._leases.popitem(last=False)
+        return True
+
+    def drop_lease(self, lease_id: ids.LeaseId) -> None:
+        """Forget a lease that has ended."""
+        self._leases.pop(lease_id, None)
+
+    def holds_lease(self, lease_id: ids.LeaseId) -> bool:
+        """Return whether a lease was granted in the newest era."""
+        return lease_id in self._leases
 
     def observe(self, text: bytes | None) -> ids.Era:
         """Return the era of a reply, and remember the newest one.
@@ -90,6 +129,9 @@
                     extra={'era': era, 'previous_era': self.current},
                 )
             self.current = era
+            self._leases.clear()
+            self._changed.set()
+            self._changed = trio.Event()
         return era
 
     def expected_counter(self, revision: ids.Revision) -> int:
--- a/src/corianderloft/_internal/kv/etcd.py
+++ b/src/corianderloft/_internal/kv/etcd.py
@@ -14,6 +14,7 @@
 from corianderloft._internal.kv import budget
 from corianderloft._internal.kv import codec
 from corianderloft._internal.kv import connections
+from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface
 from corianderloft._internal.kv import watches
 from corianderloft._internal.models import ids
@@ -54,11 +55,21 @@
             settings.idle_connections,
             settings.idle_expiry,
         )
+        self._eras = eras.EraTracker()
         self._budget = budget.CallBudget(settings)
         self._backoff = backoff.Backoff(
             settings.reconnect_base, settings.reconnect_limit
         )
 
+    @property
+    def era(self) -> ids.Era:
+        """How often the service came back from a copy, as known so far."""
+        return self._eras.current
+
+    async def wait_newer_era(self, era: ids.Era) -> ids.Era:
+        """Wait until the service is in an era later than ``era``."""
+        return await self._eras.wait_newer(era)
+
     async def get(self, key: str) -> interface.Read:
         """Read one key; ``items`` is empty when it does not exist."""
         page = await self._page({'key': codec.to_text(key.encode())})
--- a/src/corianderloft/_internal/kv/interface.py
+++ b/src/corianderloft/_internal/kv/interface.py
@@ -170,7 +170,18 @@
 
 
 class KeyValueClient(typing.Protocol):
-    """Client of the platform's key-value service."""
+    """Client of the platform's key-value service.
+
+    The service may come back from an older copy. Revisions after that are
+    greater than all before, and leases from before count as lost.
+    """
+
+    @property
+    def era(self) -> ids.Era:
+        """How often the service came back from a copy, as known so far."""
+
+    async def wait_newer_era(self, era: ids.Era) -> ids.Era:
+        """Wait until the service is in an era later than ``era``."""
 
     async def get(self, key: str) -> Read:
         """Read one key; ``items`` is empty when it does not exist."""
--- a/src/corianderloft/_internal/metrics/kv_calls.py
+++ b/src/corianderloft/_internal/metrics/kv_calls.py
@@ -31,6 +31,15 @@
     def __init__(self, client: interface.KeyValueClient) -> None:
         self._client = client
 
+    @property
+    def era(self) -> ids.Era:
+        """See `interface.KeyValueClient`."""
+        return self._client.era
+
+    async def wait_newer_era(self, era: ids.Era) -> ids.Era:
+        """See `interface.KeyValueClient`."""
+        return await self._client.wait_newer_era(era)
+
     async def get(self, key: str) -> interface.Read:
         """Read one key; ``items`` is empty if it does not exist."""
         return _count('read', await self._client.get(key))
--- a/src/corianderloft/_internal/platform/store.py
+++ b/src/corianderloft/_internal/platform/store.py
@@ -82,6 +82,10 @@
         """Newest era of the store that this process has seen."""
         return self._eras.current
 
+    async def wait_newer_era(self, era: ids.Era) -> ids.Era:
+        """Wait until the store is in an era later than ``era``."""
+        return await self._eras.wait_newer(era)
+
     async def get(self, key: str) -> interface.Read:
         """Read one key; ``items`` is empty when it does not exist."""
         outcome = await self._get('/kv-key', {'key': key})
@@ -127,6 +131,13 @@
         operations: collections.abc.Sequence[interface.Put | interface.Delete],
     ) -> interface.Write:
         """Apply all operations if all compares hold."""
+        leases = {
+            op.lease_id
+            for op in operations
+            if isinstance(op, interface.Put) and op.lease_id is not None
+        }
+        if not all(map(self._eras.holds_lease, leases)):
+            return interface.Unavailable(_LEASE_OF_EARLIER_ERA)
         outcome = await self._call(
             'POST', '/kv-txn', self._transaction(compares, operations)
         )
@@ -135,7 +146,9 @@
         status, reply, era = outcome.status, outcome.body, outcome.era
         try:
             if status == _OK:
-                if self._may_be_void(era, compares):
+                if self._may_be_void(era, compares) or not all(
+                    map(self._eras.holds_lease, leases)
+                ):
                     return interface.Unknown(_RESTORED)
                 return interface.Written(
                     eras.qualify(era, int(reply['revision']))
@@ -204,20 +217,29 @@
         if not isinstance(outcome, _Answer):
             return outcome
         try:
-            reply = outcome.body
-            return interface.LeaseGranted(
-                ids.LeaseId(int(reply['lease'])), reply['ttl_ms'] / 1000
+            lease_id = ids.LeaseId(int(outcome.body['lease']))
+            granted = interface.LeaseGranted(
+                lease_id, outcome.body['ttl_ms'] / 1000
             )
         except _MALFORMED as exc:
             return interface.Unknown(f'malformed reply: {exc!r}')
+        if not self._eras.add_lease(lease_id, outcome.era):
+            return interface.Unknown(_RESTORED)
+        return granted
 
     async def renew_lease(self, lease_id: ids.LeaseId) -> interface.Renewal:
         """Extend a lease to its full time to live."""
+        if not self._eras.holds_lease(lease_id):
+            return interface.LeaseLost(lease_id)
         outcome = await self._call('POST', f'/kv-keep/{lease_id}', {})
         if not isinstance(outcome, _Answer):
             return _unavailable(outcome)
-        if outcome.status == _NOT_FOUND:
+        if outcome.status == _NOT_FOUND or not self._eras.holds_lease(
+            lease_id
+        ):
+            self._eras.drop_lease(lease_id)
             return interface.LeaseLost(lease_id)
+        self._eras.add_lease(lease_id, outcome.era)
         try:
             return interface.LeaseGranted(
                 lease_id, outcome.body['ttl_ms'] / 1000
@@ -229,9 +251,14 @@
         self, lease_id: ids.LeaseId
     ) -> interface.Written | interface.Unavailable | interface.Unknown:
         """Revoke a lease; the keys attached to it are removed."""
+        if not self._eras.holds_lease(lease_id):
+            return interface.Unavailable(_LEASE_OF_EARLIER_ERA)
         outcome = await self._call('DELETE', f'/kv-lease-end/{lease_id}', {})
         if not isinstance(outcome, _Answer):
             return outcome
+        if not self._eras.holds_lease(lease_id):
+            return interface.Unknown(_RESTORED)
+        self._eras.drop_lease(lease_id)
         return interface.Written(ids.Revision(0))
 
     @contextlib.asynccontextmanager
@@ -338,6 +365,10 @@
 
 
 _RESTORED = 'the store came back from an older copy meanwhile'
+_LEASE_OF_EARLIER_ERA = (
+    'the lease is unknown, or older than the copy that the store came back'
+    ' from'
+)
 
 _MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
 
--- a/tests/lib/fake_kv.py
+++ b/tests/lib/fake_kv.py
@@ -120,6 +120,13 @@
         self.stale_by = 1
         self.silent = False
 
+    @property
+    def era(self):
+        return ids.Era(0)
+
+    async def wait_newer_era(self, era):
+        await trio.sleep_forever()
+
     async def _call(self, kind):
         await trio.sleep(self.latency)
         self.store.expire()
--- a/tests/unit/gateway/test_membership.py
+++ b/tests/unit/gateway/test_membership.py
@@ -12,11 +12,16 @@
 class Store:
     """Store whose writes are not answered until they are released."""
 
+    era = ids.Era(0)
+
     def __init__(self):
         self.writing = trio.Event()
         self.released = trio.Event()
         self.revoked = []
 
+    async def wait_newer_era(self, era):
+        await trio.sleep_forever()
+
     async def grant_lease(self, ttl):
         return kv.LeaseGranted(LEASE, ttl)
 
--- a/tests/unit/gateway/test_restored_store.py
+++ b/tests/unit/gateway/test_restored_store.py
@@ -1,6 +1,9 @@
 """A host whose store comes back from an older copy."""
 
 import contextlib
+import dataclasses
+import os
+import signal
 
 import orjson
 import trio
@@ -154,3 +157,20 @@
             2.3,
         )
         assert system.store.store.items[key].lease_id != other
+
+
+async def test_host_that_stops_after_the_restore_removes_its_entry():
+    async with running() as system:
+        key = f'hosts/{system.cfg.host_id}'
+        await processes.wait_for(
+            lambda: key in system.store.store.items, 'the host is registered'
+        )
+        copied = system.store.store.copy()
+        # The lease is lost, the entry is not.
+        system.store.restore((*copied[:2], {}, copied[3]))
+        system.store.store.items[key] = dataclasses.replace(
+            system.store.store.items[key], lease_id=None
+        )
+        os.kill(os.getpid(), signal.SIGTERM)
+        await system.host_done.wait()
+        assert key not in system.store.store.items
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -134,3 +134,21 @@
     assert isinstance(aware, kv.Conflict)
     assert [item.value for item in aware.items] == [b'2']
     assert isinstance(right, kv.Written)
+
+
+async def test_lease_of_an_earlier_era_is_lost_although_its_id_is_in_use():
+    async with running_store() as (platform, client):
+        platform.era = 1
+        copied = platform.store.copy()
+        old = (await client.grant_lease(60.0)).lease_id
+        platform.restore(copied)
+        new = platform.store.new_lease(60.0)
+        platform.put('b', b'2', new)
+        assert new == old
+        assert isinstance(await client.renew_lease(old), kv.LeaseLost)
+        written = await client.transact([], [kv.Put('a', b'1', old)])
+        revoked = await client.revoke_lease(old)
+        found = await client.get('b')
+    assert isinstance(written, kv.Unavailable)
+    assert isinstance(revoked, kv.Unavailable)
+    assert [item.value for item in found.items] == [b'2']
