Do not follow a host that has not met a restore of the store

In a large fleet hosts get the changes of the store from a delegate. A host that has met the restored store asked a delegate that had not; it answered with no changes, and the host went on asking. During a roll-out, hosts of the release before would compare revisions that hold no era with those that do.

Change: a log serves revisions of its own era and of earlier ones only. Hosts say in their request that their revisions hold an era; a log with an era answers others that it is not to be followed, so these watch the store themselves; a response of an earlier era is not used.

--- a/src/corianderloft/_internal/gateway/change_log.py
+++ b/src/corianderloft/_internal/gateway/change_log.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface as kv
 from corianderloft._internal.models import ids
 
@@ -54,6 +55,11 @@
         """Whether this host watches the store itself."""
         return self._watches_store
 
+    @property
+    def era(self) -> ids.Era:
+        """Era of the store that the newest changes are of."""
+        return eras.era_of(self._revision)
+
     def reset(self, revision: ids.Revision, as_of: float) -> None:
         """Start a new log after a read of the whole store.
 
@@ -113,13 +119,21 @@
         self._watches_store = False
         self._notify_waiters()
 
+    def is_usable(self, revision: ids.Revision) -> bool:
+        """Return whether this host watches the store in a revision's era.
+
+        A host of an earlier era gets the changes of the restore with the
+        others; one of a later era knows more than this host.
+        """
+        return self._watches_store and eras.era_of(revision) <= self.era
+
     def since(self, revision: ids.Revision) -> Changes | None:
         """Return the last change of each key later than ``revision``.
 
-        Returns None if some of them were already dropped, or if this host
-        does not watch the store itself.
+        Returns None if some of them were already dropped, or if the log is
+        not usable.
         """
-        if not self._watches_store or revision < self._complete_after:
+        if not self.is_usable(revision) or revision < self._complete_after:
             return None
         latest = {e.key: e for e in self._events if e.revision > revision}
         return Changes(self._revision, self._as_of, tuple(latest.values()))
--- a/src/corianderloft/_internal/gateway/change_messages.py
+++ b/src/corianderloft/_internal/gateway/change_messages.py
@@ -20,6 +20,9 @@
 COMPRESSION_PARAMETER = 'deflate'
 """Query parameter of a host that accepts compressed messages."""
 
+ERA_PARAMETER = 'era'
+"""Query parameter of a host whose revisions hold the era of the store."""
+
 MIN_COMPRESSED_BYTES = 1024
 """Shortest message that is compressed."""
 
@@ -27,7 +30,8 @@
 """Largest message after decompression; the store holds less."""
 
 NOT_WATCHING_STATUS = 503
-"""HTTP status if this host does not watch the store itself."""
+"""HTTP status if this host does not watch the store itself, or not in the era
+that the other host knows."""
 
 
 def encode(
--- a/src/corianderloft/_internal/gateway/change_server.py
+++ b/src/corianderloft/_internal/gateway/change_server.py
@@ -37,7 +37,13 @@
         if query is None:
             await request.respond_raw(BAD_REQUEST_STATUS, (), b'')
             return
-        after, wait_s, compress = query
+        after, wait_s, compress, states_era = query
+        if self._log.era and not states_era:
+            # A host of an earlier release cannot order these revisions.
+            await request.respond_raw(
+                change_messages.NOT_WATCHING_STATUS, (), b''
+            )
+            return
         changes = self._log.since(after)
         if changes is not None and not changes.events:
             with trio.move_on_after(wait_s):
@@ -46,7 +52,7 @@
         if changes is not None:
             body = change_messages.encode(changes, received_at, compress)
             await request.respond(200, body)
-        elif self._log.watches_store:
+        elif self._log.is_usable(after):
             await request.respond_raw(change_messages.GAP_STATUS, (), b'')
         else:
             await request.respond_raw(
@@ -54,10 +60,13 @@
             )
 
 
-def _parse_query(query: bytes) -> tuple[ids.Revision, float, bool] | None:
-    """Return revision, wait in seconds and whether to compress the message.
+def _parse_query(
+    query: bytes,
+) -> tuple[ids.Revision, float, bool, bool] | None:
+    """Return the fields of a query, or None if it is malformed.
 
-    Returns None if the query is malformed.
+    They are the revision, the wait in seconds, whether to compress the
+    message and whether the revision holds the era.
     """
     fields = dict(urllib.parse.parse_qsl(query.decode('latin-1')))
     try:
@@ -66,4 +75,6 @@
     except (KeyError, ValueError, OverflowError):
         return None
     compress = change_messages.COMPRESSION_PARAMETER in fields
-    return after, min(MAX_WAIT_S, max(0.0, wait_s)), compress
+    states_era = change_messages.ERA_PARAMETER in fields
+    wait_s = min(MAX_WAIT_S, max(0.0, wait_s))
+    return after, wait_s, compress, states_era
--- a/src/corianderloft/_internal/gateway/peer_changes.py
+++ b/src/corianderloft/_internal/gateway/peer_changes.py
@@ -6,6 +6,7 @@
 from corianderloft._internal.gateway import change_log
 from corianderloft._internal.gateway import change_messages
 from corianderloft._internal.kv import connections
+from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface as kv
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import members
@@ -80,6 +81,7 @@
         f'{change_messages.CHANGES_PATH}?after={after}'
         f'&wait_ms={int(LONG_POLL_S * 1000)}'
         f'&{change_messages.COMPRESSION_PARAMETER}=1'
+        f'&{change_messages.ERA_PARAMETER}=1'
     )
     result = await client.call('GET', path, b'', LONG_POLL_S)
     if not isinstance(result, connections.Reply):
@@ -91,4 +93,7 @@
     changes = change_messages.decode(result.body, sent_at)
     if changes is None or not math.isfinite(changes.as_of):
         return kv.WatchEnded('malformed answer', after)
+    if eras.era_of(changes.revision) < eras.era_of(after):
+        # A host of an earlier release, or one that has not met the new era.
+        return kv.WatchEnded('changes of an earlier era', after)
     return changes
--- a/tests/unit/gateway/test_peer_changes.py
+++ b/tests/unit/gateway/test_peer_changes.py
@@ -11,6 +11,7 @@
 from corianderloft._internal.gateway import auxiliary_apps
 from corianderloft._internal.gateway import change_log
 from corianderloft._internal.gateway import peer_changes
+from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface as kv
 from corianderloft._internal.models import members
 from corianderloft._internal.network import serving
@@ -136,3 +137,44 @@
         response = await gateway.fetch(host.peer_port, 'GET', '/metrics')
     assert response.status == 200
     assert b'corianderloft' in response.body
+
+
+async def test_host_of_an_earlier_era_gets_the_changes_of_the_restore():
+    app, log = app_and_log()
+    known, restored = eras.qualify(1, 20), eras.qualify(2, 15)
+    log.reset(known, clock.now())
+    event = kv.WatchEvent('k', None, restored)
+    progress = kv.WatchProgress(restored, clock.now())
+    assert log.resume(known, [event], progress)
+    async with served(app) as host:
+        watch = peer_changes.watch(host, known)
+        async with contextlib.aclosing(watch) as items:
+            got, reached = await take(items, 2)
+    assert got == event
+    assert reached.revision == restored
+
+
+async def test_host_that_has_not_met_a_restore_is_not_followed():
+    app, log = app_and_log()
+    log.reset(eras.qualify(1, 20), clock.now())
+    async with served(app) as host:
+        watch = peer_changes.watch(host, eras.qualify(2, 15))
+        async with contextlib.aclosing(watch) as items:
+            (ended,) = await take(items, 1)
+    assert type(ended) is kv.WatchEnded
+
+
+@pytest.mark.parametrize('own, other', [(0, 2), (2, 0)])
+async def test_revisions_without_an_era_are_not_mixed_with_others(own, other):
+    app, log = app_and_log()
+    log.reset(eras.qualify(other, 20), clock.now())
+    path = '/changes?after=10&wait_ms=1'
+    async with served(app) as host:
+        if own:
+            watch = peer_changes.watch(host, eras.qualify(own, 10))
+            async with contextlib.aclosing(watch) as items:
+                (ended,) = await take(items, 1)
+            assert type(ended) is kv.WatchEnded
+        else:
+            answer = await gateway.fetch(host.peer_port, 'GET', path)
+            assert answer.status == 503
