Hold entries of a restored store whose owners had drained or left

A copy may list a server as ready that has since said that it drains, or has left. Each host that had acknowledged that would have sent requests to it again, until the store notices its silence; and dead hosts would have been named to callers.

Change: a host remembers for a minute which runs of servers and hosts drain or have left. Such an entry, of the same run, in the first read of a new era is held until the store would have removed it for silence; if it is still listed then, or is written in the new era, it is used. A server that registers again, or has started anew, loses nothing. Entries missing after a restore are waited for as after an outage, also if no call had failed.

--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -91,7 +91,9 @@
         self._store = dependencies.store
         self._decode_domain = dependencies.decode_domain
         self._view = view.View(
-            dependencies.store_layout, cfg.bounds.revocation_time
+            dependencies.store_layout,
+            cfg.bounds.revocation_time,
+            max(cfg.bounds.entry_expiry, membership.LEASE_TTL_S),
         )
         self._retry_budget = budget.RetryBudget(
             cfg.bounds.retry_ratio,
--- a/src/corianderloft/_internal/gateway/settings.py
+++ b/src/corianderloft/_internal/gateway/settings.py
@@ -33,6 +33,9 @@
     apply_time : float
         Maximum time until declarations take effect, in seconds; infinite if
         unspecified.
+    entry_expiry : float
+        Time after which the store removes the entry of a backend server that
+        has fallen silent, in seconds; 0 if unspecified.
     """
 
     revocation_time: float | None
@@ -44,6 +47,7 @@
     recovery_time: float
     drain_time: float
     apply_time: float
+    entry_expiry: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -3,9 +3,9 @@
 import collections.abc
 import dataclasses
 import logging
-import typing
 
 from corianderloft._internal.gateway import crash_messages
+from corianderloft._internal.gateway import departures
 from corianderloft._internal.gateway import layout
 from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface as kv
@@ -23,6 +23,10 @@
 """Time after an outage of the store in which entries whose lease expired
 meanwhile may be registered again; the platform promises about two seconds."""
 
+HOLD_MARGIN_S = 1.5
+"""Time beyond that after which the store removes the entry of a silent owner:
+until it has done so, and the removal has arrived here."""
+
 KEY_MARGIN_S = 0.15
 """Part of the revocation time reserved for the steps between the check of a
 key and the send. The transit of the request to this host needs no margin, as
@@ -41,6 +45,14 @@
     expires_at: float
 
 
+@dataclasses.dataclass
+class _HeldEntry:
+    """When an entry of a restored store is used, on `clock.now`."""
+
+    entry: departures.Entry
+    until: float
+
+
 class View:
     """Local copy of the store, with the time of its last confirmation.
 
@@ -50,6 +62,9 @@
         Keys in the store and decoders of their values.
     revocation_time : float or None
         Maximum time for which a revoked key may be honoured, in seconds.
+    entry_expiry : float
+        Time after which the store removes the entry of a silent server or
+        host, in seconds.
 
     Attributes
     ----------
@@ -60,9 +75,16 @@
     """
 
     def __init__(
-        self, store_layout: layout.StoreLayout, revocation_time: float | None
+        self,
+        store_layout: layout.StoreLayout,
+        revocation_time: float | None,
+        entry_expiry: float = 0.0,
     ) -> None:
         self._layout = store_layout
+        self._entry_expiry = entry_expiry
+        self._departures = departures.Departures()
+        self._held: dict[str, _HeldEntry] = {}
+        self._entering_era = False
         self._revocation_time = revocation_time
         self._items: dict[str, kv.KeyValue] = {}
         self._missing: dict[str, _MissingEntry] = {}
@@ -157,6 +179,7 @@
         """
         if eras.era_of(revision) > eras.era_of(self.revision) > 0:
             self._last_outage_at = clock.now()
+            self._entering_era = True
         self.revision = max(self.revision, revision)
 
     def load(self, found: kv.Found) -> None:
@@ -192,10 +215,14 @@
         return known is None or known.mod_revision < event.revision
 
     def expire_missing(self) -> None:
-        """Drop entries that were not registered again after an outage."""
+        """Drop entries that were not registered again after an outage.
+
+        Entries that were held after a restore and are still listed are used.
+        """
         now = clock.now()
         if self._store_failing:
             return
+        self._release_held(now)
         expired = [
             k
             for k, missing_entry in self._missing.items()
@@ -209,6 +236,25 @@
             self._drop_entry(key)
         self._notify_listeners(*old)
 
+    def _release_held(self, now: float) -> None:
+        released = [k for k, held in self._held.items() if held.until <= now]
+        if not released:
+            return
+        old = self._instances.copy(), self._members.copy()
+        for key in released:
+            self._use_entry(key, self._held.pop(key).entry)
+        self._notify_listeners(*old)
+
+    def _use_entry(self, key: str, entry: departures.Entry) -> None:
+        if isinstance(entry, members.Member):
+            self._members[key] = entry
+        else:
+            self._instances[key] = entry
+        if departures.is_draining(entry):
+            self._departures.note(key, entry, clock.now())
+        else:
+            self._departures.forget(key)
+
     def _update_entries(
         self,
         items: collections.abc.Iterable[kv.KeyValue],
@@ -233,6 +279,7 @@
         for key in removed:
             self._items.pop(key, None)
             self._apply_removal(key)
+        self._entering_era = False
         self._notify_listeners(*old)
 
     def _apply_item(self, item: kv.KeyValue) -> None:
@@ -242,11 +289,11 @@
         elif item.key.startswith(store_layout.instances_prefix):
             name = item.key.removeprefix(store_layout.instances_prefix)
             instance = store_layout.decode_instance(name, item.value)
-            self._put_decoded(self._instances, item, instance)
+            self._put_decoded(item, instance)
         elif item.key.startswith(store_layout.hosts_prefix):
             name = item.key.removeprefix(store_layout.hosts_prefix)
             member = store_layout.decode_member(name, item.value)
-            self._put_decoded(self._members, item, member)
+            self._put_decoded(item, member)
         elif item.key.startswith(store_layout.crashes_prefix):
             self._apply_crash_report(item)
 
@@ -259,16 +306,28 @@
             subscriber.use_crash_report(report)
 
     def _put_decoded(
-        self,
-        entries: dict[str, typing.Any],
-        item: kv.KeyValue,
-        decoded: object | None,
+        self, item: kv.KeyValue, decoded: departures.Entry | None
     ) -> None:
+        key, now = item.key, clock.now()
+        self._held.pop(key, None)
         if decoded is None:
             _log_unreadable(item)
-            entries.pop(item.key, None)
+            self._instances.pop(key, None)
+            self._members.pop(key, None)
+            return
+        if self._entering_era and (
+            self._departures.judge(key, decoded, now)
+            is departures.Verdict.HOLD
+        ):
+            until = now + self._entry_expiry + HOLD_MARGIN_S
+            self._held[key] = _HeldEntry(decoded, until)
+            logger.info(
+                'entry of a restored store held: its owner had left',
+                extra=eras.log_fields(item.mod_revision)
+                | {'key': key, 'wait_s': round(until - now, 3)},
+            )
             return
-        entries[item.key] = decoded
+        self._use_entry(key, decoded)
 
     def _apply_table(self, item: kv.KeyValue) -> None:
         table = self._layout.decode_table(item.value)
@@ -324,8 +383,10 @@
         return instance.state is states.BackendState.LIVE
 
     def _drop_entry(self, key: str) -> None:
-        self._instances.pop(key, None)
-        self._members.pop(key, None)
+        left = self._instances.pop(key, None) or self._members.pop(key, None)
+        if left is not None:
+            self._departures.note(key, left, clock.now())
+        self._held.pop(key, None)
 
     def _notify_listeners(
         self,
--- a/src/corianderloft/_internal/platform/settings.py
+++ b/src/corianderloft/_internal/platform/settings.py
@@ -86,12 +86,19 @@
         peer_port=int(ports[0]),
         failure_domain=ids.FailureDomain(data['zone']),
         max_open_files=int(data['limits']['max_fds']),
-        bounds=_bounds(data['bounds']),
+        bounds=_bounds(data['bounds'], data.get('heartbeat_ms')),
         store=_store(data['platform']),
     )
 
 
-def _bounds(data: typing.Any) -> settings.Bounds:
+HEARTBEATS_UNTIL_EXPIRY = 3
+"""Heartbeats without one of which the store removes the entry of a server."""
+
+
+def _bounds(
+    data: typing.Any, heartbeat_ms: float | None = None
+) -> settings.Bounds:
+    server_expiry = HEARTBEATS_UNTIL_EXPIRY * (heartbeat_ms or 0) / 1000
     fail_closed = data.get('fail_closed', False)
     return settings.Bounds(
         revocation_time=(
@@ -105,6 +112,7 @@
         recovery_time=_milliseconds(data, 'stable_ms'),
         drain_time=_milliseconds(data, 'drain_ms'),
         apply_time=_milliseconds(data, 'config_apply_ms'),
+        entry_expiry=server_expiry,
     )
 
 
--- a/tests/unit/gateway/test_view.py
+++ b/tests/unit/gateway/test_view.py
@@ -6,10 +6,12 @@
 
 from corianderloft._internal.gateway import change_log
 from corianderloft._internal.gateway import view
+from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface as kv
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import listener
 from corianderloft._internal.models import members
+from corianderloft._internal.models import states
 from corianderloft._internal.platform import daemon
 from corianderloft._internal.utils import clock
 from tests.lib import gateway
@@ -30,7 +32,7 @@
 
 @pytest.fixture
 def local_view(time):
-    return view.View(daemon.LAYOUT, 5.0)
+    return view.View(daemon.LAYOUT, 5.0, 3.6)
 
 
 def item(key, value, revision):
@@ -239,3 +241,104 @@
     assert set(names(follower)) == {
         key.removeprefix('servers/') for key in store
     }
+
+
+def restore(local_view, counter, **entries):
+    """Load a read of the whole store in its second era."""
+    found = tuple(
+        item(f'servers/{name}', value, eras.qualify(2, counter))
+        for name, value in entries.items()
+    )
+    local_view.load(kv.Found(eras.qualify(2, counter), found))
+
+
+def load_first_era(local_view, **entries):
+    found = tuple(
+        item(f'servers/{name}', value, eras.qualify(1, 5))
+        for name, value in entries.items()
+    )
+    local_view.load(kv.Found(eras.qualify(1, 5), found))
+
+
+def live(local_view):
+    return [
+        i.engine_id
+        for i in local_view.current_instances
+        if i.state is states.BackendState.LIVE
+    ]
+
+
+@pytest.mark.parametrize('left', [None, ENTRY % b'draining'])
+def test_server_that_had_left_gets_no_requests_after_a_restore(
+    local_view, time, left
+):
+    load_first_era(local_view, one=ENTRY % b'ready', two=ENTRY % b'ready')
+    local_view.apply([event('servers/one', left, eras.qualify(1, 6))])
+    time[0] += 10
+    restore(local_view, 4, one=ENTRY % b'ready', two=ENTRY % b'ready')
+    assert live(local_view) == ['two']
+    time[0] += 4.0
+    local_view.expire_missing()
+    assert live(local_view) == ['two']
+    gone = event('servers/one', None, eras.qualify(2, 7))
+    local_view.apply([gone])
+    time[0] += 60
+    local_view.expire_missing()
+    assert live(local_view) == ['two']
+
+
+def test_server_that_is_still_listed_after_a_restore_is_used(local_view, time):
+    load_first_era(local_view, one=ENTRY % b'ready')
+    local_view.apply([event('servers/one', None, eras.qualify(1, 6))])
+    restore(local_view, 4, one=ENTRY % b'ready')
+    assert live(local_view) == []
+    time[0] += 10
+    local_view.expire_missing()
+    assert live(local_view) == ['one']
+
+
+def test_server_that_registers_after_a_restore_is_used_at_once(local_view):
+    load_first_era(local_view, one=ENTRY % b'ready')
+    local_view.apply([event('servers/one', None, eras.qualify(1, 6))])
+    restore(local_view, 4, one=ENTRY % b'ready')
+    again = event('servers/one', ENTRY % b'ready', eras.qualify(2, 5))
+    local_view.apply([again])
+    assert live(local_view) == ['one']
+
+
+def test_server_that_started_anew_is_used_after_a_restore(local_view):
+    load_first_era(local_view, one=ENTRY % b'ready')
+    local_view.apply([event('servers/one', None, eras.qualify(1, 6))])
+    new = (ENTRY % b'ready').replace(b'"born":1', b'"born":2')
+    restore(local_view, 4, one=new)
+    assert live(local_view) == ['one']
+
+
+def test_server_missing_after_a_restore_is_kept_for_a_grace_period(
+    local_view, time
+):
+    load_first_era(local_view, one=ENTRY % b'ready')
+    restore(local_view, 4)
+    assert live(local_view) == ['one']
+    time[0] += 2.4
+    local_view.expire_missing()
+    assert live(local_view) == []
+
+
+def test_declarations_of_the_copy_do_not_replace_later_ones(local_view):
+    for era, counter, version in ((1, 5, 7), (2, 4, 5), (2, 5, 7)):
+        value = gateway.configuration(version=version)
+        revision = eras.qualify(era, counter)
+        found = (item('op/config', value, revision),)
+        local_view.load(kv.Found(revision, found))
+        assert local_view.table.version == 7
+
+
+def test_version_that_was_lost_may_be_given_out_again(local_view):
+    local_view.load(kv.Found(0, ()))
+    for era, keys in ((1, ['old']), (2, ['new'])):
+        value = gateway.configuration(version=7, keys=keys)
+        revision = eras.qualify(era, 4)
+        found = (item('op/config', value, revision),)
+        local_view.load(kv.Found(revision, found))
+        assert list(local_view.table.keys) == keys
