--- a/tests/unit/gateway/test_view.py
+++ b/tests/unit/gateway/test_view.py
@@ -268,7 +268,9 @@
     ]
 
 
-@pytest.mark.parametrize('left', [None, ENTRY % b'draining'])
+@pytest.mark.parametrize(
+    'left', [None, ENTRY % b'draining'], ids=['gone', 'draining']
+)
 def test_server_that_had_left_gets_no_requests_after_a_restore(
     local_view, time, left
 ):
