Store crash records again that a restored store lacks

What a host had stored of prompt parts that crash servers was written once. A restored store lacks it, so hosts that start after all others have ended would send such requests again; and it may hold records that were removed, so that hosts that start refuse a sound part for up to ten minutes.

Change: in each new era, spread over two seconds and once the host has read the store, harmful parts that are not listed are written again and listed parts whose crashes are cleared are removed. Any host that knows the evidence does so, as the one that had found it may be gone.

test_a_restored_store_gets_the_stored_and_cleared_parts_again, red before.

--- a/src/corianderloft/_internal/gateway/crash_record.py
+++ b/src/corianderloft/_internal/gateway/crash_record.py
@@ -4,7 +4,9 @@
 ended.
 """
 
+import collections.abc
 import logging
+import random
 import typing
 
 import trio
@@ -25,6 +27,10 @@
 RETRY_INTERVAL_S = 2.0
 """Delay after a failed call."""
 
+RESTORE_SPREAD_S = 2.0
+"""Time over which the hosts write again what a restored store lacks: most of
+them then find that another host has done so."""
+
 MAX_TRIES = 30
 """Tries to write an entry before it is given up, over about a minute."""
 
@@ -40,6 +46,10 @@
         Prefix of the keys; the ID of the part follows.
     evidence : CrashEvidence
         Evidence as known to this host.
+    listed_era : callable
+        Returns the era of the entries that this host knows.
+    is_listed : callable
+        Returns whether this host knows an entry with a key.
     """
 
     def __init__(
@@ -47,13 +57,40 @@
         store: kv.KeyValueClient,
         prefix: str,
         evidence: crash_evidence.CrashEvidence,
+        listed_era: collections.abc.Callable[[], ids.Era],
+        is_listed: collections.abc.Callable[[str], bool],
     ) -> None:
         self._store = store
         self._prefix = prefix
         self._evidence = evidence
+        self._listed_era = listed_era
+        self._is_listed = is_listed
 
-    async def run(self) -> typing.NoReturn:
+    async def run(self) -> None:
         """Write and remove entries until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow_evidence)
+            nursery.start_soon(self._follow_eras)
+
+    async def _follow_eras(self) -> typing.NoReturn:
+        """Correct the entries each time that the store was restored."""
+        era = await self._store.wait_newer_era(ids.Era(0))
+        while True:
+            era = await self._store.wait_newer_era(era)
+            await trio.sleep(random.uniform(0, RESTORE_SPREAD_S))
+            while self._listed_era() < self._store.era:
+                await trio.sleep(following.jittered(RETRY_INTERVAL_S))
+            await self._correct_entries()
+
+    async def _correct_entries(self) -> None:
+        for report in self._evidence.stored_reports(trio.current_time()):
+            if not self._is_listed(self._prefix + report.part_id):
+                await self._update(report.part_id, report)
+        for part_id in self._evidence.cleared_parts():
+            if self._is_listed(self._prefix + part_id):
+                await self._update(part_id, None)
+
+    async def _follow_evidence(self) -> typing.NoReturn:
         while True:
             await self._evidence.wait_for_record_change()
             await trio.sleep(crash_evidence.SETTLE_S)
--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -21,6 +21,7 @@
 from corianderloft._internal.gateway import settings
 from corianderloft._internal.gateway import stopping
 from corianderloft._internal.gateway import view
+from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface as kv
 from corianderloft._internal.models import listener
 from corianderloft._internal.models import members
@@ -124,6 +125,8 @@
             dependencies.store,
             dependencies.store_layout.crashes_prefix,
             self._placer.crashes,
+            lambda: eras.era_of(self._view.revision),
+            self._view.has_entry,
         )
         self._app = app.GatewayApp(
             self._view,
--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -111,6 +111,10 @@
         """Entry hosts that hold a lease."""
         return tuple(self._members.values())
 
+    def has_entry(self, key: str) -> bool:
+        """Return whether the store holds an entry, as known here."""
+        return key in self._items
+
     def age(self) -> float:
         """Return the seconds since the store last confirmed the view."""
         return clock.now() - self._confirmed_at
--- a/src/corianderloft/_internal/placement/crash_evidence.py
+++ b/src/corianderloft/_internal/placement/crash_evidence.py
@@ -241,6 +241,23 @@
             for part_id in found
         ]
 
+    def stored_reports(self, now: float) -> list[crashes.CrashReport]:
+        """Return the harmful parts that the store held or is to hold."""
+        return [
+            crashes.CrashReport(part_id, record.crashed, record.cleared)
+            for part_id, record in self._records.items()
+            if self._is_harmful(part_id, now)
+            and (record.stored or record.seen_here)
+        ]
+
+    def cleared_parts(self) -> list[ids.PromptPartId]:
+        """Return the parts whose crashes are all cleared."""
+        return [
+            part_id
+            for part_id, record in self._records.items()
+            if record.crashed and not record.open
+        ]
+
     def merge_stored(self, report: crashes.CrashReport, now: float) -> None:
         """Add evidence from the store."""
         self.merge(report, now)
--- a/tests/unit/gateway/test_crashing_prompts.py
+++ b/tests/unit/gateway/test_crashing_prompts.py
@@ -157,3 +157,37 @@
         for _ in range(4):
             await ask(system, 'route', 'bad')
         assert sends_with_part(system) == crashed
+
+
+async def test_a_restored_store_gets_the_stored_and_cleared_parts_again():
+    async with gateway.running(()) as system:
+        store = system.store
+        store.era = 1
+        await start_engines(system, 14)
+        empty = store.store.copy()
+        for _ in range(CRASHES_UNTIL_KNOWN):
+            await ask(system, 'route', 'session', 'bad')
+            await ask(system, 'route')
+        await processes.wait_for(
+            lambda: {'crashes/session', 'crashes/bad'}
+            <= store.store.items.keys(),
+            'both parts are stored',
+        )
+        both = store.store.copy()
+        store.restore(empty)
+        await processes.wait_for(
+            lambda: 'crashes/bad' in store.store.items,
+            'the part is stored again',
+        )
+        await ask(system, 'route', 'session')
+        await processes.wait_for(
+            lambda: 'crashes/session' not in store.store.items,
+            'the cleared part is removed',
+        )
+        store.restore(both)
+        assert 'crashes/session' in store.store.items
+        await processes.wait_for(
+            lambda: 'crashes/session' not in store.store.items,
+            'the cleared part is removed again',
+        )
+        assert 'crashes/bad' in store.store.items
