Order revisions and leases by era on the path of the entry hosts, too

The client of the key-value service behind the hosts of our own interface had the same cause in it: mirrors, the revisions that hosts tell each other, comparisons of operators' changes and of claims, leases, and the fencing numbers of orders, which are revisions and would have gone back.

Change: the checks moved into EraTracker, which both clients use. Replies state the era in the header of the new setting kv.era_header; without it nothing changes. The stand-in of the service can be restored from a copy.

--- a/src/corianderloft/_internal/kv/codec.py
+++ b/src/corianderloft/_internal/kv/codec.py
@@ -10,11 +10,21 @@
 
 import orjson
 
+from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface
 from corianderloft._internal.models import ids
 
 Json = dict[str, typing.Any]
 
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """Body of a reply, and the era of the service that it states."""
+
+    body: Json
+    era: ids.Era
+
+
 FIRST_KEY = b'\0'
 
 
@@ -50,19 +60,26 @@
     more: bool
 
 
-def page(body: Json) -> Page:
+def page(answer: Answer) -> Page:
     """Decode the page in the reply to a range request."""
-    found = interface.Found(revision(body), key_values(body))
-    return Page(found, bool(body.get('more')))
+    items = key_values(answer.body, answer.era)
+    return Page(
+        interface.Found(revision(answer), items),
+        bool(answer.body.get('more')),
+    )
 
 
 def transaction(
     compares: collections.abc.Sequence[interface.Compare],
     operations: collections.abc.Sequence[interface.Put | interface.Delete],
+    expected_counter: collections.abc.Callable[[ids.Revision], int],
 ) -> Json:
     """Return the body of a transaction that reads its keys on a conflict."""
     return {
-        'compare': [_compare(item) for item in compares],
+        'compare': [
+            _compare(item.key, expected_counter(item.mod_revision))
+            for item in compares
+        ],
         'success': [_operation(item) for item in operations],
         'failure': [
             {'request_range': {'key': to_text(item.key.encode())}}
@@ -71,12 +88,12 @@
     }
 
 
-def _compare(item: interface.Compare) -> Json:
+def _compare(key: str, counter: int) -> Json:
     return {
-        'key': to_text(item.key.encode()),
+        'key': to_text(key.encode()),
         'result': 'EQUAL',
         'target': 'MOD',
-        'mod_revision': str(item.mod_revision),
+        'mod_revision': str(counter),
     }
 
 
@@ -90,40 +107,40 @@
     return {'request_put': put}
 
 
-def revision(body: Json) -> ids.Revision:
+def revision(answer: Answer) -> ids.Revision:
     """Return the store revision from the header of a reply."""
-    return ids.Revision(int(body['header']['revision']))
+    return eras.qualify(answer.era, int(answer.body['header']['revision']))
 
 
-def key_value(raw: Json) -> interface.KeyValue:
+def key_value(raw: Json, era: ids.Era) -> interface.KeyValue:
     """Decode a key and its value."""
     lease = int(raw.get('lease', 0))
     return interface.KeyValue(
         from_text(raw['key']).decode(),
         from_text(raw.get('value', '')),
-        ids.Revision(int(raw['mod_revision'])),
+        eras.qualify(era, int(raw['mod_revision'])),
         int(raw.get('version', 0)),
         ids.LeaseId(lease) if lease else None,
     )
 
 
-def key_values(body: Json) -> tuple[interface.KeyValue, ...]:
+def key_values(body: Json, era: ids.Era) -> tuple[interface.KeyValue, ...]:
     """Decode the keys in the reply to a range request."""
-    return tuple(key_value(raw) for raw in body.get('kvs', ()))
+    return tuple(key_value(raw, era) for raw in body.get('kvs', ()))
 
 
-def compared_keys(body: Json) -> tuple[interface.KeyValue, ...]:
+def compared_keys(answer: Answer) -> tuple[interface.KeyValue, ...]:
     """Decode the compared keys of a transaction that had a conflict."""
     return tuple(
         item
-        for response in body.get('responses', ())
-        for item in key_values(response.get('response_range', {}))
+        for response in answer.body.get('responses', ())
+        for item in key_values(response.get('response_range', {}), answer.era)
     )
 
 
-def watch_event(raw: Json) -> interface.WatchEvent:
+def watch_event(raw: Json, era: ids.Era) -> interface.WatchEvent:
     """Decode a watch event."""
-    item = key_value(raw['kv'])
+    item = key_value(raw['kv'], era)
     if raw.get('type') == 'DELETE':
         return interface.WatchEvent(item.key, None, item.mod_revision)
     return interface.WatchEvent(item.key, item, item.mod_revision)
--- a/src/corianderloft/_internal/kv/connections.py
+++ b/src/corianderloft/_internal/kv/connections.py
@@ -13,6 +13,11 @@
 Headers = collections.abc.Sequence[tuple[bytes, bytes]]
 
 
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header; ``name`` is in lower case."""
+    return next((v for n, v in headers if n.lower() == name), None)
+
+
 @dataclasses.dataclass(frozen=True)
 class Reply:
     """A complete HTTP reply; header names are as received."""
@@ -23,7 +28,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header; ``name`` is in lower case."""
-        return next((v for n, v in self.headers if n.lower() == name), None)
+        return find_header(self.headers, name)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/corianderloft/_internal/kv/eras.py
+++ b/src/corianderloft/_internal/kv/eras.py
@@ -7,10 +7,12 @@
 """
 
 import collections
+import collections.abc
 import logging
 
 import trio
 
+from corianderloft._internal.kv import interface
 from corianderloft._internal.models import ids
 
 logger = logging.getLogger(__name__)
@@ -30,6 +32,15 @@
 """Counter that no key has: a comparison with it fails."""
 
 
+RESTORED = 'the store came back from an older copy meanwhile'
+LEASE_NOT_HELD = (
+    'the lease is unknown, or older than the copy that the store came back'
+    ' from'
+)
+
+Operations = collections.abc.Sequence[interface.Put | interface.Delete]
+
+
 def qualify(era: ids.Era, counter: int) -> ids.Revision:
     """Return the revision for a counter of the store.
 
@@ -143,3 +154,32 @@
         if not revision or era_of(revision) == self.current:
             return counter_of(revision)
         return UNMATCHED_COUNTER
+
+    def holds_leases(self, operations: Operations) -> bool:
+        """Return whether all leases of a write are of the newest era."""
+        return all(
+            operation.lease_id is None or self.holds_lease(operation.lease_id)
+            for operation in operations
+            if isinstance(operation, interface.Put)
+        )
+
+    def is_void(
+        self,
+        era: ids.Era,
+        compares: collections.abc.Sequence[interface.Compare],
+        operations: Operations,
+    ) -> bool:
+        """Return whether an acknowledged write may be lost or misplaced.
+
+        The store may have come back from a copy without the write. And a
+        revision or a lease of an earlier era may have matched one that was
+        given out again.
+        """
+        return (
+            era < self.current
+            or not self.holds_leases(operations)
+            or any(
+                compare.mod_revision and era_of(compare.mod_revision) != era
+                for compare in compares
+            )
+        )
--- a/src/corianderloft/_internal/kv/etcd.py
+++ b/src/corianderloft/_internal/kv/etcd.py
@@ -25,7 +25,7 @@
 CLIENT_ERRORS = range(400, 500)
 """Statuses with which the service did not execute the call."""
 
-CallOutcome = codec.Json | interface.Unavailable | interface.Unknown
+CallOutcome = codec.Answer | interface.Unavailable | interface.Unknown
 
 _KINDS = {
     '/v3/kv/range': budget.CallKind.READ,
@@ -56,6 +56,7 @@
             settings.idle_expiry,
         )
         self._eras = eras.EraTracker()
+        self._era_header = settings.era_header.lower().encode()
         self._budget = budget.CallBudget(settings)
         self._backoff = backoff.Backoff(
             settings.reconnect_base, settings.reconnect_limit
@@ -87,11 +88,15 @@
             page = await self._page(query)
             if isinstance(page, interface.Unavailable):
                 return page
+            if items and eras.era_of(page.found.revision) != eras.era_of(
+                items[0].mod_revision
+            ):
+                return interface.Unavailable(eras.RESTORED)
             items += page.found.items
             if not page.more:
                 return interface.Found(page.found.revision, tuple(items))
             query['key'] = codec.key_after(items[-1].key)
-            query['revision'] = str(page.found.revision)
+            query['revision'] = str(eras.counter_of(page.found.revision))
 
     async def _page(
         self, query: codec.Json
@@ -109,12 +114,19 @@
         operations: collections.abc.Sequence[interface.Put | interface.Delete],
     ) -> interface.Write:
         """Apply all operations if all compares hold."""
+        if not self._eras.holds_leases(operations):
+            return interface.Unavailable(eras.LEASE_NOT_HELD)
         result = await self._call(
-            '/v3/kv/txn', codec.transaction(compares, operations)
+            '/v3/kv/txn',
+            codec.transaction(
+                compares, operations, self._eras.expected_counter
+            ),
         )
         if isinstance(result, interface.Unavailable | interface.Unknown):
             return result
-        if result.get('succeeded'):
+        if result.body.get('succeeded'):
+            if self._eras.is_void(result.era, compares, operations):
+                return interface.Unknown(eras.RESTORED)
             return interface.Written(codec.revision(result))
         return interface.Conflict(
             codec.revision(result), codec.compared_keys(result)
@@ -127,29 +139,37 @@
         )
         if isinstance(result, interface.Unavailable | interface.Unknown):
             return result
-        return interface.LeaseGranted(
-            ids.LeaseId(int(result['ID'])), float(result['TTL'])
-        )
+        lease_id = ids.LeaseId(int(result.body['ID']))
+        if not self._eras.add_lease(lease_id, result.era):
+            return interface.Unknown(eras.RESTORED)
+        return interface.LeaseGranted(lease_id, float(result.body['TTL']))
 
     async def renew_lease(self, lease_id: ids.LeaseId) -> interface.Renewal:
         """Extend a lease to its full time to live."""
+        if not self._eras.holds_lease(lease_id):
+            return interface.LeaseLost(lease_id)
         result = await self._read('/v3/lease/keepalive', {'ID': str(lease_id)})
         if isinstance(result, interface.Unknown):
             return interface.Unavailable(result.detail)
         if isinstance(result, interface.Unavailable):
             return result
-        ttl = float(result.get('result', {}).get('TTL', 0))
-        if ttl <= 0:
+        ttl = float(result.body.get('result', {}).get('TTL', 0))
+        if ttl <= 0 or not self._eras.holds_lease(lease_id):
+            self._eras.drop_lease(lease_id)
             return interface.LeaseLost(lease_id)
+        self._eras.add_lease(lease_id, result.era)
         return interface.LeaseGranted(lease_id, ttl)
 
     async def revoke_lease(
         self, lease_id: ids.LeaseId
     ) -> interface.Written | interface.Unavailable | interface.Unknown:
         """Revoke a lease; the keys attached to it are removed."""
+        if not self._eras.holds_lease(lease_id):
+            return interface.Unavailable(eras.LEASE_NOT_HELD)
         result = await self._call('/v3/kv/lease/revoke', {'ID': str(lease_id)})
         if isinstance(result, interface.Unavailable | interface.Unknown):
             return result
+        self._eras.drop_lease(lease_id)
         return interface.Written(codec.revision(result))
 
     @contextlib.asynccontextmanager
@@ -165,6 +185,7 @@
         conn = self._connections.open()
         stream = watches.Watch(
             functools.partial(self._open_watch, conn),
+            self._observe,
             prefix,
             after,
             self._settings.watch_silence,
@@ -227,14 +248,30 @@
             case connections.ReplyLost(detail):
                 return interface.Unknown(detail)
             case connections.Reply(status, raw):
-                return _outcome(path, status, raw)
+                try:
+                    era = self._observe(result.headers)
+                except ValueError as exc:
+                    return interface.Unknown(f'{path}: malformed era: {exc}')
+                return _outcome(path, status, raw, era)
         typing.assert_never(result)
 
+    def _observe(self, headers: connections.Headers) -> ids.Era:
+        """Return the era that a reply states.
+
+        Raises
+        ------
+        ValueError
+            If it is malformed.
+        """
+        return self._eras.observe(
+            connections.find_header(headers, self._era_header)
+        )
+
 
-def _outcome(path: str, status: int, raw: bytes) -> CallOutcome:
+def _outcome(path: str, status: int, raw: bytes, era: ids.Era) -> CallOutcome:
     decoded = codec.decode(raw)
     if status == HTTP_OK and decoded is not None:
-        return decoded
+        return codec.Answer(decoded, era)
     detail = f'{path}: status {status}'
     if status in CLIENT_ERRORS:
         return interface.Unavailable(detail)
--- a/src/corianderloft/_internal/kv/watches.py
+++ b/src/corianderloft/_internal/kv/watches.py
@@ -7,6 +7,8 @@
 import trio
 
 from corianderloft._internal.kv import codec
+from corianderloft._internal.kv import connections
+from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface
 from corianderloft._internal.metrics import control
 from corianderloft._internal.models import ids
@@ -28,6 +30,9 @@
     ----------
     send_request : callable
         Sends the watch request.
+    read_era : callable
+        Returns the era that the headers of a reply state; raises
+        `ValueError` if it is malformed.
     prefix : str
         Prefix of the keys.
     after : Revision
@@ -44,12 +49,15 @@
     def __init__(
         self,
         send_request: SendRequest,
+        read_era: collections.abc.Callable[[connections.Headers], ids.Era],
         prefix: str,
         after: ids.Revision,
         silence_timeout: float,
     ) -> None:
         self.received_any = False
         self._send_request = send_request
+        self._read_era = read_era
+        self._era = eras.era_of(after)
         self._prefix = prefix
         self._revision = after
         self._silence_timeout = silence_timeout
@@ -93,7 +101,7 @@
         self,
     ) -> collections.abc.AsyncIterator[bytes] | None:
         create = codec.prefix_range(self._prefix) | {
-            'start_revision': str(self._revision + 1),
+            'start_revision': str(eras.counter_of(self._revision) + 1),
             'progress_notify': True,
         }
         response = await self._send_request({'create_request': create})
@@ -103,6 +111,15 @@
         if response.status != HTTP_OK:
             self._end(f'refused with status {response.status}')
             return None
+        try:
+            era = self._read_era(response.headers)
+        except ValueError as exc:
+            self._end(f'malformed era: {exc}')
+            return None
+        if self._revision and era != self._era:
+            self._end(eras.RESTORED)
+            return None
+        self._era = era
         return response.aiter_stream()
 
     def _handle_chunk(self, chunk: bytes) -> None:
@@ -123,9 +140,13 @@
             compacted = result.get('compact_revision', '0')
             self._end(f'cancelled; history begins at {compacted}')
             return
-        self._items.extend(map(codec.watch_event, result.get('events', ())))
+        self._items.extend(
+            codec.watch_event(event, self._era)
+            for event in result.get('events', ())
+        )
         if not result.get('created'):
-            self._revision = codec.revision(result)
+            answer = codec.Answer(result, self._era)
+            self._revision = codec.revision(answer)
 
     def _end(self, detail: str) -> None:
         self._ended = True
--- a/src/corianderloft/_internal/platform/store.py
+++ b/src/corianderloft/_internal/platform/store.py
@@ -119,7 +119,7 @@
             except _MALFORMED as exc:
                 return interface.Unavailable(f'malformed page: {exc!r}')
             if eras.era_of(first_revision) != outcome.era:
-                return interface.Unavailable(_RESTORED)
+                return interface.Unavailable(eras.RESTORED)
             items += page
             if not outcome.body.get('has_more') or not page:
                 return interface.Found(first_revision, tuple(items))
@@ -131,13 +131,8 @@
         operations: collections.abc.Sequence[interface.Put | interface.Delete],
     ) -> interface.Write:
         """Apply all operations if all compares hold."""
-        leases = {
-            op.lease_id
-            for op in operations
-            if isinstance(op, interface.Put) and op.lease_id is not None
-        }
-        if not all(map(self._eras.holds_lease, leases)):
-            return interface.Unavailable(_LEASE_OF_EARLIER_ERA)
+        if not self._eras.holds_leases(operations):
+            return interface.Unavailable(eras.LEASE_NOT_HELD)
         outcome = await self._call(
             'POST', '/kv-txn', self._transaction(compares, operations)
         )
@@ -146,10 +141,8 @@
         status, reply, era = outcome.status, outcome.body, outcome.era
         try:
             if status == _OK:
-                if self._may_be_void(era, compares) or not all(
-                    map(self._eras.holds_lease, leases)
-                ):
-                    return interface.Unknown(_RESTORED)
+                if self._eras.is_void(era, compares, operations):
+                    return interface.Unknown(eras.RESTORED)
                 return interface.Written(
                     eras.qualify(era, int(reply['revision']))
                 )
@@ -193,22 +186,6 @@
             ],
         }
 
-    def _may_be_void(
-        self,
-        era: ids.Era,
-        compares: collections.abc.Sequence[interface.Compare],
-    ) -> bool:
-        """Return whether a write is lost, or rests on another era.
-
-        A reply may arrive after the store has come back from a copy without
-        the write. And a comparison with a revision of an earlier era may
-        have matched the counter of another write.
-        """
-        return era < self._eras.current or any(
-            compare.mod_revision and eras.era_of(compare.mod_revision) != era
-            for compare in compares
-        )
-
     async def grant_lease(self, ttl: float) -> interface.Grant:
         """Request a lease of ``ttl`` seconds."""
         outcome = await self._call(
@@ -224,7 +201,7 @@
         except _MALFORMED as exc:
             return interface.Unknown(f'malformed reply: {exc!r}')
         if not self._eras.add_lease(lease_id, outcome.era):
-            return interface.Unknown(_RESTORED)
+            return interface.Unknown(eras.RESTORED)
         return granted
 
     async def renew_lease(self, lease_id: ids.LeaseId) -> interface.Renewal:
@@ -252,12 +229,12 @@
     ) -> interface.Written | interface.Unavailable | interface.Unknown:
         """Revoke a lease; the keys attached to it are removed."""
         if not self._eras.holds_lease(lease_id):
-            return interface.Unavailable(_LEASE_OF_EARLIER_ERA)
+            return interface.Unavailable(eras.LEASE_NOT_HELD)
         outcome = await self._call('DELETE', f'/kv-lease-end/{lease_id}', {})
         if not isinstance(outcome, _Answer):
             return outcome
         if not self._eras.holds_lease(lease_id):
-            return interface.Unknown(_RESTORED)
+            return interface.Unknown(eras.RESTORED)
         self._eras.drop_lease(lease_id)
         return interface.Written(ids.Revision(0))
 
@@ -315,7 +292,7 @@
             yield interface.WatchProgress(
                 revision, _complete_until(requested_at, wait, bool(events))
             )
-        yield interface.WatchEnded(_RESTORED, revision)
+        yield interface.WatchEnded(eras.RESTORED, revision)
 
     async def aclose(self) -> None:
         """Close all idle connections."""
@@ -364,12 +341,6 @@
     return WATCH_WAIT_S
 
 
-_RESTORED = 'the store came back from an older copy meanwhile'
-_LEASE_OF_EARLIER_ERA = (
-    'the lease is unknown, or older than the copy that the store came back'
-    ' from'
-)
-
 _MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
 
 _HANDLED_STATUSES = (_OK, _NOT_FOUND, _CONFLICT, 410)
--- a/src/corianderloft/_internal/settings/kv.py
+++ b/src/corianderloft/_internal/settings/kv.py
@@ -13,6 +13,12 @@
     endpoint: str = base.setting(
         'http://127.0.0.1:2379', 'URL of the service, by IP number.'
     )
+    era_header: str = base.setting(
+        'Store-Era',
+        'Header of each reply with how often the service came back from an '
+        'older copy; without it restores are not noticed.',
+        min_length=1,
+    )
     connect_timeout: float = base.setting(
         1.0, 'Bound on opening a connection.', 's', gt=0
     )
--- a/src/corianderloft/_internal/standin/http.py
+++ b/src/corianderloft/_internal/standin/http.py
@@ -38,6 +38,8 @@
         Headers by lower-case name.
     body : bytes
         Complete request body.
+    common_headers : dict of str to str
+        Headers that every response gets.
     """
 
     method: str
@@ -48,6 +50,7 @@
     _receive: Receive
     _send: Send
     _response_ended: bool = False
+    common_headers: dict[str, str] = dataclasses.field(default_factory=dict)
 
     def json(self) -> dict[str, typing.Any] | None:
         """Return the body as a JSON object, or None if it is not one."""
@@ -80,7 +83,9 @@
         raw = [(b'content-type', content_type)]
         raw += [
             (name.encode(), value.encode())
-            for name, value in (headers or {}).items()
+            for name, value in (
+                self.common_headers | dict(headers or {})
+            ).items()
         ]
         await self._send(
             {'type': 'http.response.start', 'status': status, 'headers': raw}
--- a/src/corianderloft/_internal/standin/kv/server.py
+++ b/src/corianderloft/_internal/standin/kv/server.py
@@ -52,6 +52,7 @@
         self._settings = settings
         self._nursery = nursery
         self.store = kv_store.Store(settings.history_limit)
+        self._saved = self.store.copy()
         self.faults = kv_faults.Faults(platform_lag=settings.platform_lag)
         self.limits = limits.CallLimits(settings)
 
@@ -69,6 +70,8 @@
                 'POST /v3/watch': self._watch,
                 'POST /control/faults': self._set_faults,
                 'POST /control/expire-leases': self._expire_all,
+                'POST /control/copy': self._copy,
+                'POST /control/restore': self._restore,
                 'GET /control/counts': self._counts,
             }
         )
@@ -103,6 +106,8 @@
 
         A call that is not to be executed has been handled here.
         """
+        if self.store.era:
+            call.common_headers['Store-Era'] = str(self.store.era)
         if not self.limits.admit(kind):
             await call.reply(_error('too many requests', 8), 429)
             return False
@@ -266,6 +271,15 @@
             self.store.revoke(lease_id)
         await call.reply({'expired': expired})
 
+    async def _copy(self, call: http.Call) -> None:
+        self._saved = self.store.copy()
+        await call.reply({'revision': self.store.revision})
+
+    async def _restore(self, call: http.Call) -> None:
+        """Go back to the last copy, or to an empty store without one."""
+        self.store.restore(self._saved)
+        await call.reply({'era': self.store.era})
+
     async def _counts(self, call: http.Call) -> None:
         await call.reply(
             self.limits.counts()
--- a/src/corianderloft/_internal/standin/kv/store.py
+++ b/src/corianderloft/_internal/standin/kv/store.py
@@ -65,6 +65,16 @@
     keys: set[bytes] = dataclasses.field(default_factory=set)
 
 
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """State of a store at one moment."""
+
+    revision: int
+    records: dict[bytes, Record]
+    leases: dict[int, Lease]
+    next_lease_id: int
+
+
 class Store:
     """Keys and values with a bounded history of changes.
 
@@ -72,6 +82,11 @@
     ----------
     history_limit : int
         Number of changes kept; older ones are compacted.
+
+    Attributes
+    ----------
+    era : int
+        Number of times that the store was restored from a copy.
     """
 
     def __init__(self, history_limit: int) -> None:
@@ -83,7 +98,39 @@
         self._history: collections.deque[Change] = collections.deque(
             maxlen=history_limit
         )
-        self._lease_ids = itertools.count(1000)
+        self._next_lease_id = 1000
+        self.era = 0
+
+    def copy(self) -> Copy:
+        """Return a copy that the store can be restored from."""
+        return Copy(
+            self.revision,
+            dict(self._records),
+            {
+                lease.lease_id: dataclasses.replace(
+                    lease, keys=set(lease.keys)
+                )
+                for lease in self.leases.values()
+            },
+            self._next_lease_id,
+        )
+
+    def restore(self, source: Copy) -> None:
+        """Go back to a copy; later writes, leases and revisions are lost."""
+        self.era += 1
+        self.revision = source.revision
+        self._records = dict(source.records)
+        self._keys = sorted(self._records)
+        self.leases = {
+            lease.lease_id: dataclasses.replace(lease, keys=set(lease.keys))
+            for lease in source.leases.values()
+        }
+        self._next_lease_id = source.next_lease_id
+        kept = [c for c in self._history if c.revision <= self.revision]
+        self._history.clear()
+        self._history.extend(kept)
+        self.changed.set()
+        self.changed = trio.Event()
 
     def select(self, key: bytes, end: bytes) -> list[tuple[bytes, Record]]:
         """Return the keys from ``key`` up to ``end``, exclusive, in order.
@@ -209,7 +256,8 @@
 
     def grant(self, ttl: int) -> Lease:
         """Create a lease of ``ttl`` seconds."""
-        lease = Lease(next(self._lease_ids), ttl, trio.current_time() + ttl)
+        lease = Lease(self._next_lease_id, ttl, trio.current_time() + ttl)
+        self._next_lease_id += 1
         self.leases[lease.lease_id] = lease
         return lease
 
--- a/src/corianderloft/_internal/standin/kv/watching.py
+++ b/src/corianderloft/_internal/standin/kv/watching.py
@@ -73,16 +73,21 @@
             await call.finish()
             return
         next_revision = request.start or self._store.revision + 1
-        while True:
+        era = self._store.era
+        while era == self._store.era:
             with trio.move_on_after(self._progress_interval):
                 await self._wait_for_revision(next_revision)
             await self._faults.wait_until_watches_deliver()
+            if era != self._store.era:
+                break
             events = self._events(request, next_revision)
             next_revision = max(next_revision, self._store.revision + 1)
             await self._send_message(call, events=events)
+        await call.finish()
 
     async def _wait_for_revision(self, revision: int) -> None:
-        while revision > self._store.revision:
+        era = self._store.era
+        while revision > self._store.revision and era == self._store.era:
             await self._store.changed.wait()
 
     def _events(
--- a/tests/unit/kv/test_etcd.py
+++ b/tests/unit/kv/test_etcd.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from corianderloft._internal.kv import connections
 from corianderloft._internal.kv import etcd
 from corianderloft._internal.kv import interface
 from corianderloft._internal.models import ids
@@ -112,3 +113,67 @@
     assert isinstance(found, interface.Found)
     assert found.revision == written.revision
     assert [item.key for item in found.items] == [put.key for put in puts]
+
+
+async def control(kv: etcd.EtcdClient, path: str) -> None:
+    """Call the control interface of the stand-in."""
+    result = await kv._connections.call('POST', f'/control/{path}', b'{}')
+    assert isinstance(result, connections.Reply)
+    assert result.status == 200
+
+
+async def test_revisions_rise_over_a_restore_of_the_service() -> None:
+    async with client() as kv:
+        await control(kv, 'copy')
+        before = await kv.transact([], [interface.Put('a', b'1')])
+        await control(kv, 'restore')
+        after = await kv.transact([], [interface.Put('b', b'2')])
+        found = await kv.get_prefix('')
+    assert isinstance(after, interface.Written)
+    assert isinstance(before, interface.Written)
+    assert after.revision > before.revision
+    assert [item.key for item in found.items] == ['b']
+    assert found.items[0].mod_revision == after.revision
+
+
+async def test_comparison_with_a_revision_before_a_restore_fails() -> None:
+    async with client() as kv:
+        await control(kv, 'copy')
+        known = await kv.transact([], [interface.Put('a', b'1')])
+        await control(kv, 'restore')
+        await kv.transact([], [interface.Put('a', b'2')])
+        outcome = await kv.transact(
+            [interface.Compare('a', known.revision)],
+            [interface.Put('a', b'3')],
+        )
+    assert isinstance(outcome, interface.Conflict)
+    assert outcome.items[0].value == b'2'
+
+
+async def test_lease_from_before_a_restore_is_lost() -> None:
+    async with client() as kv:
+        await control(kv, 'copy')
+        old = await kv.grant_lease(60)
+        await control(kv, 'restore')
+        other = etcd.EtcdClient(kv._settings)
+        new = await other.grant_lease(60)
+        assert new.lease_id == old.lease_id
+        lost = await kv.renew_lease(old.lease_id)
+        await kv.revoke_lease(old.lease_id)
+        kept = await other.renew_lease(new.lease_id)
+        await other.aclose()
+    assert isinstance(lost, interface.LeaseLost)
+    assert isinstance(kept, interface.LeaseGranted)
+
+
+async def test_watch_from_before_a_restore_ends() -> None:
+    async with client() as kv:
+        await control(kv, 'copy')
+        known = await kv.transact([], [interface.Put('a', b'1')])
+        await control(kv, 'restore')
+        await kv.transact([], [interface.Put('b', b'2')])
+        await kv.transact([], [interface.Put('c', b'3')])
+        async with kv.watch('', known.revision) as items:
+            with trio.fail_after(5):
+                first = await anext(items)
+    assert isinstance(first, interface.WatchEnded)
