Honour no revoked key on a host that starts on a restored store

A host that starts while the store holds the copy, before the operator has written again, took the declarations of the copy and honoured keys in them that had been revoked, for longer than allowed after that.

Cause: a fresh host took what the store holds for the newest that has been acknowledged. Nothing told it of the restore; only the other hosts know better.

Change: a host writes into its own entry the version of the declarations that it has in force and the era in which it registers, which it does at once in a new era. No further calls to the store. If all hosts start anew at once, nobody knows better; then the grace is all there is.

--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -117,7 +117,13 @@
         self._membership = membership.Membership(
             dependencies.store,
             dependencies.store_layout.hosts_prefix + cfg.host_id,
-            dependencies.store_layout.encode_member(own),
+            lambda: dependencies.store_layout.encode_member(
+                dataclasses.replace(
+                    own,
+                    version=self._view.version,
+                    era=dependencies.store.era,
+                )
+            ),
             self._follower.note_store_failure,
             cfg.store.min_lease_ttl,
         )
--- a/src/corianderloft/_internal/gateway/membership.py
+++ b/src/corianderloft/_internal/gateway/membership.py
@@ -38,8 +38,8 @@
         The store.
     key : str
         Key of the entry.
-    value : bytes
-        Encoded entry.
+    encode_entry : callable
+        Returns the entry to write.
     on_failure : callable
         Called with the cause when a call to the store fails.
     min_lease_ttl : float
@@ -50,13 +50,14 @@
         self,
         store: kv.KeyValueClient,
         key: str,
-        value: bytes,
+        encode_entry: collections.abc.Callable[[], bytes],
         on_failure: collections.abc.Callable[[str], None],
         min_lease_ttl: float = 0.0,
     ) -> None:
         self._store = store
         self._key = key
-        self._value = value
+        self._encode_entry = encode_entry
+        self._value = b''
         self._on_failure = on_failure
         self._ttl = max(LEASE_TTL_S, min_lease_ttl)
         # Set before the entry is written: a host that is told to stop in
@@ -110,6 +111,7 @@
             await self._wait_to_retry(granted.detail)
             return
         self._lease, self._lease_era = granted.lease_id, self._store.era
+        self._value = self._encode_entry()
         put = kv.Put(self._key, self._value, granted.lease_id)
         written = await self._store.transact((), (put,))
         if not isinstance(written, kv.Written):
--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -94,6 +94,9 @@
         self._confirmed_at = float('-inf')
         self._last_outage_at = float('-inf')
         self._store_failing = False
+        self._settled_at = float('-inf')
+        self._required_version = 0
+        self._required_until = float('-inf')
         self.table: routing.RoutingTable | None = None
         self.revision = ids.Revision(0)
 
@@ -115,6 +118,11 @@
         """Return whether the store holds an entry, as known here."""
         return key in self._items
 
+    @property
+    def version(self) -> int:
+        """Version of the declarations in force; 0 before the first."""
+        return 0 if self.table is None else self.table.version
+
     def age(self) -> float:
         """Return the seconds since the store last confirmed the view."""
         return clock.now() - self._confirmed_at
@@ -129,6 +137,13 @@
             return False
         if self._revocation_time is None:
             return True
+        now = clock.now()
+        if self.version < self._required_version and now < (
+            self._required_until
+        ):
+            return False
+        if now < self._settled_at and self._hosts_of_earlier_eras():
+            return False
         return self.age() < self._revocation_time - KEY_MARGIN_S
 
     def confirm(self, sent_at: float) -> None:
@@ -199,8 +214,11 @@
                 'missing': len(missing),
             },
         )
+        is_first = not self.revision
         self.advance(found.revision)
         self._update_entries(current.values(), missing)
+        if is_first:
+            self._wait_for_other_hosts()
 
     def apply(self, events: collections.abc.Sequence[kv.WatchEvent]) -> None:
         """Apply changes that arrived together.
@@ -252,6 +270,7 @@
     def _use_entry(self, key: str, entry: departures.Entry) -> None:
         if isinstance(entry, members.Member):
             self._members[key] = entry
+            self._require_version(entry.version)
         else:
             self._instances[key] = entry
         if departures.is_draining(entry):
@@ -259,6 +278,46 @@
         else:
             self._departures.forget(key)
 
+    def _hosts_of_earlier_eras(self) -> list[str]:
+        """Return the hosts that have not registered since the last restore.
+
+        Entries that state no era are of an earlier release.
+        """
+        era = eras.era_of(self.revision)
+        return [k for k, m in self._members.items() if 0 < m.era < era]
+
+    def _wait_for_other_hosts(self) -> None:
+        """Wait for the declarations of hosts that knew the store before.
+
+        A host that starts right after a restore knows only the copy.
+        """
+        waiting_for = self._hosts_of_earlier_eras()
+        if waiting_for:
+            self._settled_at = clock.now() + REREGISTRATION_GRACE_S
+            logger.info(
+                'the store was restored; waiting for other hosts to register',
+                extra={
+                    'keys': waiting_for[:MAX_LOGGED_CHANGES],
+                    'wait_s': REREGISTRATION_GRACE_S,
+                },
+            )
+
+    def _require_version(self, version: int) -> None:
+        """Honour no keys before the declarations of another host arrive.
+
+        A restored store may hold declarations from before keys were revoked.
+        They are waited for no longer than a revoked key may be honoured, as
+        the operator may have withdrawn a version that was not acknowledged.
+        """
+        if version <= max(self._required_version, self.version):
+            return
+        self._required_version = version
+        self._required_until = clock.now() + (self._revocation_time or 0.0)
+        logger.warning(
+            'another host has later declarations; waiting for them',
+            extra={'version': self.version, 'required_version': version},
+        )
+
     def _update_entries(
         self,
         items: collections.abc.Iterable[kv.KeyValue],
--- a/src/corianderloft/_internal/models/members.py
+++ b/src/corianderloft/_internal/models/members.py
@@ -23,6 +23,11 @@
         Failure domain that it is deployed in.
     start : str
         Random string that distinguishes restarts of a host.
+    version : int
+        Version of the declarations that it had in force when it registered;
+        0 if unknown.
+    era : Era
+        Era of the store in which it registered; 0 if unknown.
     """
 
     host_id: ids.HostId
@@ -31,3 +36,5 @@
     peer_port: int
     failure_domain: ids.FailureDomain
     start: str
+    version: int = dataclasses.field(default=0, compare=False)
+    era: ids.Era = dataclasses.field(default=ids.Era(0), compare=False)
--- a/src/corianderloft/_internal/platform/entries.py
+++ b/src/corianderloft/_internal/platform/entries.py
@@ -43,6 +43,8 @@
             'peer': member.peer_port,
             'zone': member.failure_domain,
             'start': member.start,
+            'version': member.version,
+            'era': member.era,
         }
     )
 
@@ -59,6 +61,8 @@
             peer_port=int(entry['peer']),
             failure_domain=ids.FailureDomain(_text(entry['zone'])),
             start=_text(entry['start']),
+            version=int(entry.get('version', 0)),
+            era=ids.Era(int(entry.get('era', 0))),
         )
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
--- a/tests/lib/gateway.py
+++ b/tests/lib/gateway.py
@@ -172,10 +172,11 @@
         """Return the bounds of the deployment."""
         return BOUNDS
 
-    async def start_host(self, host_id='edge-1'):
-        """Start a host in this process and wait until it is ready.
+    async def start_host(self, host_id='edge-1', wait=True):
+        """Start a host in this process and return its settings.
 
-        Requests go to the host that was started last.
+        Waits until it is ready, unless ``wait`` is false. Requests go to the
+        host that was started last.
         """
         self.cfg = settings.GatewaySettings(
             host_id=ids.HostId(host_id),
@@ -202,7 +203,9 @@
         self._nursery.start_soon(
             self._run_host, host.Host(dependencies), self._host_scope
         )
-        await processes.wait_for(self.is_ready, 'the host is ready')
+        if wait:
+            await processes.wait_for(self.is_ready, 'the host is ready')
+        return self.cfg
 
     def kill_host(self):
         """End the host that was started last, without a shutdown."""
--- a/tests/unit/gateway/test_membership.py
+++ b/tests/unit/gateway/test_membership.py
@@ -39,7 +39,9 @@
 
 
 def _membership(store):
-    return membership.Membership(store, 'hosts/a', b'{}', lambda cause: None)
+    return membership.Membership(
+        store, 'hosts/a', lambda: b'{}', lambda cause: None
+    )
 
 
 async def _stop_while(store, registration, ready):
--- a/tests/unit/gateway/test_restored_store.py
+++ b/tests/unit/gateway/test_restored_store.py
@@ -174,3 +174,23 @@
         os.kill(os.getpid(), signal.SIGTERM)
         await system.host_done.wait()
         assert key not in system.store.store.items
+
+
+async def test_host_that_starts_on_the_copy_honours_no_revoked_key():
+    async with running() as system:
+        copied = system.store.store.copy()
+        declare(system, 2, tenants=[{'name': 'aswan', 'api_keys': ['new']}])
+        await wait_served(system, '/look/1', 401)
+        system.store.restore(copied, rewrite=False)
+        key = f'hosts/{system.cfg.host_id}'
+        await processes.wait_for(
+            lambda: key in system.store.store.items, 'the host is registered'
+        )
+        cfg = await system.start_host('edge-2', wait=False)
+        until = trio.current_time() + APPLY_S
+        while trio.current_time() < until:
+            answer = await gateway.fetch(cfg.caller_port, 'GET', '/look/1')
+            assert answer is None or answer.status == 503
+            await trio.sleep(0.05)
+        declare(system, 2, tenants=[{'name': 'aswan', 'api_keys': ['new']}])
+        await wait_served(system, '/look/1', 401)
--- a/tests/unit/gateway/test_view.py
+++ b/tests/unit/gateway/test_view.py
@@ -1,5 +1,7 @@
 """The local copy of the store and how long its contents stay valid."""
 
+import dataclasses
+
 import hypothesis
 from hypothesis import strategies as st
 import pytest
@@ -344,3 +346,28 @@
         found = (item('op/config', value, revision),)
         local_view.load(kv.Found(revision, found))
         assert list(local_view.table.keys) == keys
+
+
+def member_entry(version):
+    member = dataclasses.replace(_member(1), version=version)
+    return daemon.LAYOUT.encode_member(member)
+
+
+def test_keys_wait_for_declarations_that_another_host_has(local_view, time):
+    local_view.confirm(time[0])
+    load(local_view, 1, config=gateway.configuration(version=4))
+    assert local_view.is_current()
+    local_view.apply([event('hosts/h-1', member_entry(7), 2)])
+    assert not local_view.is_current()
+    local_view.apply([event('op/config', gateway.configuration(version=7), 3)])
+    assert local_view.is_current()
+
+
+def test_declarations_that_never_come_are_not_waited_for_long(
+    local_view, time
+):
+    load(local_view, 1, config=gateway.configuration(version=4))
+    local_view.apply([event('hosts/h-1', member_entry(7), 2)])
+    time[0] += 5.1
+    local_view.confirm(time[0])
+    assert local_view.is_current()
