Write back confirmed changes that the key-value service has lost

An operator's change of our own declarations was confirmed and in force on the hosts; after a restore of the service the copy without it replaced it on all of them: it came back older, and nobody wrote it again.

Change: a host that reads a service of a new era compares the head there with its own. If the service has fallen behind, it writes back the keys that differ, the history entry and, last, the head, on the condition that none has changed. A host that knows less does not undo what another has written back. If an operator has changed the copy meanwhile, that stands and the lost change is named in an error.

--- a/src/corianderloft/_internal/shared/configuration/follow.py
+++ b/src/corianderloft/_internal/shared/configuration/follow.py
@@ -10,6 +10,7 @@
 from corianderloft._internal.models import ids
 from corianderloft._internal.shared.configuration import freshness
 from corianderloft._internal.shared.configuration import layout
+from corianderloft._internal.shared.configuration import restoring
 from corianderloft._internal.shared import mirror
 
 WATCH_REOPEN_S = 3.0
@@ -56,9 +57,18 @@
         found = await self._kv.get_prefix(self._copy.prefix)
         if isinstance(found, kv_interface.Unavailable):
             return False
+        if not await self._write_back(found):
+            return False
         self._publish(self._copy.load(found, self._removed_at(found)))
         return True
 
+    async def _write_back(self, found: kv_interface.Found) -> bool:
+        """Write what a restored service has lost.
+
+        False if the prefix must be read again.
+        """
+        return True
+
     async def run(self) -> typing.NoReturn:
         """Keep the mirror up to date until cancelled."""
         backoff = INITIAL_BACKOFF_S
@@ -139,6 +149,15 @@
             self._freshness.verify(requested_at)
         return True
 
+    async def _write_back(self, found: kv_interface.Found) -> bool:
+        transactions = restoring.find_lost_changes(self._copy, found)
+        for transaction in transactions:
+            # If another host was faster, the next read finds it.
+            await self._kv.transact(
+                transaction.compares, transaction.operations
+            )
+        return not transactions
+
     async def verify(self) -> bool:
         """Check the service for a newer change and catch up if there is one.
 
