Repeat crash reports to hosts that were not known when a server crashed

Cause: a report goes out twice, to the hosts known at that moment. At a start there are none, and what is repeated later held only parts that are refused already. So each host kept the crashes that it had seen to itself, and each needed three of its own. The same loses a part that was cleared.

Change: for 30 s after it has changed, evidence is repeated with the others; after that only parts that are refused, as before.

Two new unit tests failed before: crashes seen by one host each reach all, and a cleared part. In test_a_host_that_starts_later_gets_the_harmful_parts a single crash was not to be repeated one and a half seconds after it, which is the fault; it is not to be repeated once 30 s have passed, with the same check.

--- a/src/corianderloft/_internal/gateway/crash_messages.py
+++ b/src/corianderloft/_internal/gateway/crash_messages.py
@@ -75,8 +75,8 @@
         scope : Scope
             Whom it goes to.
         full : bool
-            Whether to repeat the parts whose requests are refused, for hosts
-            that have started since.
+            Whether to repeat what changed lately and the parts whose requests
+            are refused, for hosts that were not known when they changed.
         """
         pending = self._pending[scope]
         part_ids = list(pending)[:MAX_PARTS_PER_DATAGRAM]
@@ -87,8 +87,8 @@
         if pending:
             self._on_change()
         if full:
-            harmful = self._evidence.harmful_parts(trio.current_time())
-            part_ids += harmful[-MAX_PARTS_PER_DATAGRAM:]
+            repeated = self._evidence.parts_to_repeat(trio.current_time())
+            part_ids += repeated[-MAX_PARTS_PER_DATAGRAM:]
         reports = map(self._evidence.report, dict.fromkeys(part_ids))
         rows = [_row(report) for report in reports if report is not None]
         if not rows:
--- a/src/corianderloft/_internal/placement/crash_evidence.py
+++ b/src/corianderloft/_internal/placement/crash_evidence.py
@@ -38,6 +38,10 @@
 """Age up to which a complete response outweighs a crash that is reported
 later. A part that begins to crash servers is noticed after this time."""
 
+REPEAT_S = 30.0
+"""Time for which evidence is repeated to other hosts. A host that has just
+started knows of no others, and they do not know of it."""
+
 QUARANTINE_S_PER_CRASH = 30.0
 MAX_QUARANTINE_S = 600.0
 """Duration of a quarantine since the last crash. It grows with the crashes,
@@ -77,6 +81,7 @@
         self.crashed: frozenset[crashes.ServerRun] = frozenset()
         self.cleared: frozenset[crashes.ServerRun] = frozenset()
         self.last_crash_at = 0.0
+        self.changed_at = 0.0
         self.settled_at: float | None = None
         self.seen_here = False
         self.stored = False
@@ -212,6 +217,21 @@
             if self._is_harmful(part_id, now)
         ]
 
+    def parts_to_repeat(self, now: float) -> list[ids.PromptPartId]:
+        """Return the parts that other hosts may not know of, newest last.
+
+        These are parts whose requests are refused, and those whose evidence
+        has changed lately: a crash that only one host knows of brings no part
+        closer to being refused.
+        """
+        parts = [
+            (record.changed_at, part_id)
+            for part_id, record in self._records.items()
+            if record.changed_at > now - REPEAT_S
+            or self._is_harmful(part_id, now)
+        ]
+        return [part_id for _, part_id in sorted(parts)]
+
     async def wait_for_record_change(self) -> None:
         """Wait until this host finds or clears a harmful part."""
         await self._record_changed.wait()
@@ -316,6 +336,8 @@
         record = self._records[part_id]
         if crashed - record.crashed - cleared:
             record.last_crash_at = now
+        if (crashed, cleared) != (record.crashed, record.cleared):
+            record.changed_at = now
         record.crashed, record.cleared = crashed, cleared
         harmful = len(record.open) >= CRASHES_TO_QUARANTINE
         if harmful and record.settled_at is None:
--- a/tests/unit/gateway/test_crash_messages.py
+++ b/tests/unit/gateway/test_crash_messages.py
@@ -85,11 +85,40 @@
         host.crash(number)
     host.crash(9, 'once')
     send(host, Scope.HOST)
-    await trio.sleep(1.0 + crash_evidence.SETTLE_S)
+    await trio.sleep(1.0 + crash_evidence.REPEAT_S)
     send(host, Scope.HOST, late, full=True)
     assert (late.crashes(), late.crashes('once')) == (3, 0)
 
 
+async def test_crash_is_repeated_to_hosts_that_were_not_known_then(
+    autojump_clock,
+):
+    hosts = [Host() for _ in range(3)]
+    for number, host in enumerate(hosts):
+        host.crash(number)
+        send(host, Scope.HOST)
+    await trio.sleep(1.0)
+    for host in hosts:
+        send(host, Scope.HOST, *hosts, full=True)
+    assert [host.crashes() for host in hosts] == [3, 3, 3]
+
+
+async def test_cleared_part_is_repeated_to_hosts_that_were_not_known_then(
+    autojump_clock,
+):
+    host, other = Host(), Host()
+    for number in range(3):
+        host.crash(number)
+    send(host, Scope.HOST, other)
+    shared = instances.PromptPart(ids.PromptPartId('bad'), 1)
+    own = instances.PromptPart(ids.PromptPartId('own'), 1)
+    host.evidence.record_complete(instances.Prompt(2, 1, (shared, own)), 20.0)
+    send(host, Scope.HOST)
+    await trio.sleep(21.0)
+    send(host, Scope.HOST, other, full=True)
+    assert not other.evidence._records['bad'].open
+
+
 @pytest.mark.parametrize(
     'data',
     [
