Write claims of idempotency keys again that a restored service has lost

Cause: a claim was written once, and whoever found none was free to run.

Change: each host writes its running claims again in a new era, and the responses that it stored in the last minute. A claim written in an era that is younger than three seconds to this host is given up as not run, since others may not have written theirs. A response whose claim the copy lacks or holds without a response is stored all the same. Hosts that make no calls learn of the new era from the revisions that others tell them.

--- a/src/corianderloft/_internal/shared/claims/claims.py
+++ b/src/corianderloft/_internal/shared/claims/claims.py
@@ -3,17 +3,24 @@
 A non-idempotent call is sent only by the host whose token is stored in the
 key-value service. No other host takes over a claim: if the claiming host
 fails, it stays unknown whether the call ran.
+
+A service that comes back from an older copy has lost claims. Each host writes
+its own ones again, and no host sends a call on a new claim before the others
+have had time for that.
 """
 
 import base64
+import collections
 import collections.abc
 import dataclasses
 import itertools
+import logging
 import random
 import typing
 
 import trio
 
+from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface as kv_interface
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import reasons
@@ -23,6 +30,8 @@
 from corianderloft._internal.shared.claims import records
 from corianderloft._internal.shared import interface
 
+logger = logging.getLogger(__name__)
+
 MAX_ATTEMPTS = 4
 RETRY_DELAY_S = 0.1
 MAX_BACKOFF_S = 5.0
@@ -32,6 +41,14 @@
 CLAIM_EXPIRY_MARGIN_S = 60.0
 MAX_BACKLOG_CLAIMS = 4096
 
+RESTORE_GRACE_S = 3.0
+"""Time after a restore of the service in which new claims are refused: other
+hosts notice it with their next call, and write their claims again."""
+
+RECENT_S = 60.0
+"""Time for which stored responses are kept to be written again; the copy that
+a service comes back from is only some seconds old."""
+
 HolderCheck = collections.abc.Callable[[ids.HostId, ids.Incarnation], bool]
 
 
@@ -41,11 +58,13 @@
 
     ``expires_at`` is on trio's clock and is computed from the time before
     the lease was requested, so the service never expires it earlier.
+    ``era`` is that of the service when it was granted.
     """
 
     lease_id: ids.LeaseId
     renew_at: float
     expires_at: float
+    era: ids.Era
 
 
 @dataclasses.dataclass(eq=False)
@@ -105,12 +124,16 @@
         self._unstored: dict[str, _HeldClaim] = {}
         self._orphans: list[_HeldClaim] = []
         self._backlog_changed = trio.Event()
+        self._recent: collections.OrderedDict[str, tuple[_HeldClaim, float]]
+        self._recent = collections.OrderedDict()
+        self._settled_era: ids.Era | None = None
 
     async def run(self) -> None:
         """Write claims, responses and releases until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._batcher.run)
             nursery.start_soon(self._run_backlog)
+            nursery.start_soon(self._follow_eras)
 
     async def claim(
         self,
@@ -207,6 +230,12 @@
             outcome = held.pending.outcome
             if isinstance(outcome, kv_interface.Written):
                 held.revision = outcome.revision
+                if not self._is_settled(eras.era_of(outcome.revision)):
+                    self._abandon(held)
+                    return _unavailable(
+                        'the key-value service has just come back from an'
+                        ' older copy'
+                    )
                 return _claimed(held)
             if isinstance(outcome, kv_interface.Conflict) and outcome.items:
                 result = self._resolve_conflict(
@@ -268,13 +297,16 @@
         """Return the lease to attach new claims to, or None."""
         now = trio.current_time()
         lease = self._lease
-        if lease and now < lease.renew_at:
+        if lease and now < lease.renew_at and lease.era == self._kv.era:
             return lease
         granted = await self._kv.grant_lease(self._ttl + LEASE_SHARE_S)
         if not isinstance(granted, kv_interface.LeaseGranted):
             return None
         self._lease = _ClaimLease(
-            granted.lease_id, now + LEASE_SHARE_S, now + granted.ttl
+            granted.lease_id,
+            now + LEASE_SHARE_S,
+            now + granted.ttl,
+            self._kv.era,
         )
         return self._lease
 
@@ -287,6 +319,90 @@
             self._orphans.append(held)
         self._backlog_changed.set()
 
+    def _is_settled(self, era: ids.Era) -> bool:
+        """Return whether the claims of other hosts are stored in an era.
+
+        The first era that this host meets counts as settled.
+        """
+        if self._settled_era is None:
+            self._settled_era = era
+        return era == self._settled_era
+
+    async def _follow_eras(self) -> typing.NoReturn:
+        """Write the claims of this host again after each restore."""
+        era = await self._kv.wait_newer_era(ids.Era(0))
+        self._is_settled(era)
+        while True:
+            era = await self._kv.wait_newer_era(era)
+            noticed_at = trio.current_time()
+            self._lease = None
+            await self._claim_again()
+            await trio.sleep_until(noticed_at + RESTORE_GRACE_S)
+            self._settled_era = era
+
+    async def _claim_again(self) -> None:
+        """Write claims and responses that the service may have lost."""
+        oldest = trio.current_time() - RECENT_S
+        recent = [h for h, at in self._recent.values() if at >= oldest]
+        waiting = [*self._held.values(), *recent]
+        for _ in range(MAX_ATTEMPTS):
+            lease = await self._current_lease()
+            if lease is not None:
+                waiting = await self._write_again(waiting, lease)
+            if not waiting:
+                return
+            await trio.sleep(self._rng.uniform(0, RETRY_DELAY_S))
+        logger.error(
+            '%d claims were not written again after a restore of the'
+            ' key-value service',
+            len(waiting),
+        )
+
+    async def _write_again(
+        self, waiting: collections.abc.Sequence[_HeldClaim], lease: _ClaimLease
+    ) -> list[_HeldClaim]:
+        """Write claims that are not stored; return those to try again."""
+        for held in waiting:
+            held.lease = lease
+            held.pending = self._submit(held.key, held.record, lease)
+        failed = []
+        for held in waiting:
+            await held.pending.done.wait()
+            outcome = held.pending.outcome
+            if isinstance(outcome, kv_interface.Written):
+                held.revision = outcome.revision
+            elif isinstance(outcome, kv_interface.Conflict):
+                self._use_stored(held, outcome)
+            else:
+                failed.append(held)
+        return failed
+
+    def _use_stored(
+        self, held: _HeldClaim, conflict: kv_interface.Conflict
+    ) -> bool:
+        """Use what the service holds for a claim of this host.
+
+        Returns whether its response is still to be stored.
+        """
+        for item in conflict.items:
+            record = records.RECORD.validate_json(item.value)
+            if record.token != held.record.token:
+                logger.error(
+                    'another host holds the claim %s, which this host had'
+                    ' before the key-value service lost it',
+                    held.key,
+                )
+                return False
+            held.revision = item.mod_revision
+            if record.state is not held.record.state:
+                self._unstored[held.key] = held
+                self._backlog_changed.set()
+                return True
+            return False
+        # The service has lost the claim.
+        held.revision = None
+        return True
+
     async def _run_backlog(self) -> typing.NoReturn:
         backoff = RETRY_DELAY_S
         while True:
@@ -303,6 +419,9 @@
 
     async def _store_responses(self) -> None:
         waiting = list(self._unstored.items())
+        for _, held in waiting:
+            if held.lease.era != self._kv.era:
+                held.lease = await self._current_lease() or held.lease
         writes = [
             self._batcher.submit(
                 kv_interface.Compare(key, held.revision or ids.Revision(0)),
@@ -316,14 +435,31 @@
         ]
         for (key, held), pending in zip(waiting, writes, strict=True):
             await pending.done.wait()
-            stored = isinstance(
-                pending.outcome,
-                kv_interface.Written | kv_interface.Conflict,
-            )
+            outcome = pending.outcome
+            if isinstance(outcome, kv_interface.Conflict):
+                stored = not self._use_stored(held, outcome)
+            else:
+                stored = isinstance(outcome, kv_interface.Written)
+            if stored:
+                self._remember(held)
             if stored or trio.current_time() > held.lease.expires_at:
                 self._unstored.pop(key, None)
                 held.stored.set()
 
+    def _remember(self, held: _HeldClaim) -> None:
+        """Keep a stored response, in case the service loses it."""
+        now = trio.current_time()
+        self._recent[held.key] = held, now
+        self._recent.move_to_end(held.key)
+        while self._recent:
+            _, stored_at = next(iter(self._recent.values()))
+            if (
+                len(self._recent) <= MAX_BACKLOG_CLAIMS
+                and stored_at >= now - RECENT_S
+            ):
+                break
+            self._recent.popitem(last=False)
+
     async def _remove_orphans(self) -> None:
         for held in list(self._orphans):
             await held.pending.done.wait()
--- a/src/corianderloft/_internal/shared/state.py
+++ b/src/corianderloft/_internal/shared/state.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface as kv_interface
 from corianderloft._internal.models import backends
 from corianderloft._internal.models import catalog
@@ -78,6 +79,7 @@
         seeds = tuple(_parse_address(s) for s in settings.peers.seeds)
         self._detector = detector.Detector(self._view, peers, self, seeds, rng)
         self._no_known_peers = not seeds
+        self._newer_era_told = trio.Event()
         self._create_followers(kv)
         self._claims = claims.Claims(
             kv,
@@ -99,7 +101,7 @@
 
     def _create_followers(self, kv: kv_interface.KeyValueClient) -> None:
         rng = self._rng
-        configuration = follow.ConfigurationFollower(
+        self._follower = configuration = follow.ConfigurationFollower(
             kv,
             self._configuration,
             self._apply_configuration,
@@ -146,6 +148,7 @@
             nursery.start_soon(self._configuration_puller.run)
             nursery.start_soon(self._platform_puller.run)
             nursery.start_soon(self._claims.run)
+            nursery.start_soon(self._meet_new_eras)
             if self._settings.configuration.send_orders:
                 nursery.start_soon(self._orders.run)
 
@@ -248,6 +251,8 @@
         self, source: messages.Address, message: messages.Datagram
     ) -> None:
         """See `delegate.Delegate`."""
+        if eras.era_of(message.configuration) > self._kv.era:
+            self._newer_era_told.set()
         self._configuration_puller.hint(source, message.configuration)
         self._platform_puller.hint(source, message.platform)
 
@@ -287,6 +292,17 @@
                 mirror.Entry(item.key, item.value, item.mod_revision)
             )
 
+    async def _meet_new_eras(self) -> typing.NoReturn:
+        """Call the key-value service when a peer knows of a restore.
+
+        The reply states the new era, in which claims are written again.
+        """
+        while True:
+            await self._newer_era_told.wait()
+            self._newer_era_told = trio.Event()
+            await self._follower.verify()
+            await trio.sleep(self._rng.uniform(0.5, 1.0) * INITIAL_BACKOFF_S)
+
     def _handle_fetch(self, fetch: messages.Fetch) -> messages.Fetched:
         match fetch.kind:
             case messages.FetchKind.VIEW:
--- a/tests/unit/shared/test_state_thin.py
+++ b/tests/unit/shared/test_state_thin.py
@@ -1,9 +1,12 @@
 """Tests for a single host that has only the key-value service."""
 
+import types
+
 import orjson
 import pytest
 import trio
 
+from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface as kv
 from corianderloft._internal.models import catalog
 from corianderloft._internal.models import states
@@ -12,6 +15,7 @@
 from corianderloft._internal.shared import changes
 from corianderloft._internal.shared.configuration import edit
 from corianderloft._internal.shared import interface
+from corianderloft._internal.shared.peers import messages
 from corianderloft._internal.shared import start
 from tests.lib import fake_kv
 
@@ -92,3 +96,16 @@
 
 async def test_default_peer_keys_cause_a_warning(shared, caplog):
     assert 'peers.keys is not set' in caplog.text
+
+
+async def test_service_is_called_when_a_peer_knows_of_a_restore(
+    client, shared, autojump_clock
+):
+    await trio.sleep(0.1)
+    client.store.calls.clear()
+    told = types.SimpleNamespace(
+        configuration=eras.qualify(1, 5), platform=eras.qualify(0, 0)
+    )
+    shared.on_message(messages.Address('127.0.0.1', 9), told)
+    await trio.sleep(0.1)
+    assert client.store.calls['transact'] == 1
