--- a/tests/unit/shared/test_state_thin.py
+++ b/tests/unit/shared/test_state_thin.py
@@ -5,6 +5,7 @@
 import orjson
 import pytest
 import trio
+import trio.testing
 
 from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface as kv
@@ -107,5 +108,6 @@
         configuration=eras.qualify(1, 5), platform=eras.qualify(0, 0)
     )
     shared.on_message(messages.Address('127.0.0.1', 9), told)
-    await trio.sleep(0.1)
+    # Before time passes: a failed fetch from the peer leads to a call later.
+    await trio.testing.wait_all_tasks_blocked()
     assert client.store.calls['transact'] == 1
