Restore the store from older copies in the soak

The soak had no such fault. In each run the stand-in of the store now comes back from a copy half a second to four seconds old, again and again, beside the other faults; the store states its era.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -218,7 +218,10 @@
 
 async def _inject_faults(env, rng, log):
     """Start random faults at random intervals; they may overlap."""
+    # Restores draw from a source of their own: a seed keeps its other faults.
+    restores = random.Random(repr(rng.getstate()))
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(_restore_store, env, restores, log)
         while True:
             await trio.sleep(rng.expovariate(1 / 0.5))
             inject = rng.choice(faults.FAULTS)
@@ -227,6 +230,16 @@
             nursery.start_soon(_run_shielded, inject, env, source)
 
 
+async def _restore_store(env, rng, log):
+    """Let the store come back from an older copy, again and again."""
+    while True:
+        copied = env.store.store.copy()
+        await trio.sleep(rng.uniform(0.5, 4.0))
+        log.append((round(trio.current_time(), 2), 'restore_store'))
+        source = random.Random(rng.random())
+        await _run_shielded(faults.restore_store(copied), env, source)
+
+
 async def _run_shielded(inject, env, rng):
     """Run a fault to its end, with its cleanup, even after the run."""
     with trio.CancelScope(shield=True):
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -125,6 +125,7 @@
         self.bounds = bounds
         self.store = platform_store.PlatformStore()
         self.store.min_ttl_ms = min_ttl_ms
+        self.store.era = 1
         self.engines = [
             platform_engine.PlatformEngine(f'e-{n}', 'by_path')
             for n in range(engines)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -87,6 +87,18 @@
     await trio.sleep(0)
 
 
+def restore_store(copied):
+    """Return a fault: the store comes back from a copy after an outage."""
+
+    async def inject(env, rng):
+        env.store.down = True
+        await trio.sleep(rng.uniform(0.1, 1.5))
+        env.store.restore(copied)
+        env.store.down = False
+
+    return inject
+
+
 @fault
 async def reset_server_connections(env, rng):
     rng.choice(env.engine_relays).close_open()
