Do not wait for the own entry of before on a host that starts

A host that was killed and starts on a restored store finds its own entry of the earlier era. It waited up to 2.3 s for itself to register, which it does only once it is ready, and refused requests meanwhile. Tests: the own entry is not waited for (red before); another host's is, and for 2.3 s at most.

--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -95,6 +95,7 @@
             dependencies.store_layout,
             cfg.bounds.revocation_time,
             max(cfg.bounds.entry_expiry, membership.LEASE_TTL_S),
+            dependencies.store_layout.hosts_prefix + cfg.host_id,
         )
         self._retry_budget = budget.RetryBudget(
             cfg.bounds.retry_ratio,
--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -65,6 +65,8 @@
     entry_expiry : float
         Time after which the store removes the entry of a silent server or
         host, in seconds.
+    own_key : str
+        Key of the entry of this host.
 
     Attributes
     ----------
@@ -79,9 +81,11 @@
         store_layout: layout.StoreLayout,
         revocation_time: float | None,
         entry_expiry: float = 0.0,
+        own_key: str = '',
     ) -> None:
         self._layout = store_layout
         self._entry_expiry = entry_expiry
+        self._own_key = own_key
         self._departures = departures.Departures()
         self._held: dict[str, _HeldEntry] = {}
         self._entering_era = False
@@ -279,12 +283,16 @@
             self._departures.forget(key)
 
     def _hosts_of_earlier_eras(self) -> list[str]:
-        """Return the hosts that have not registered since the last restore.
+        """Return other hosts that have not registered since a restore.
 
         Entries that state no era are of an earlier release.
         """
         era = eras.era_of(self.revision)
-        return [k for k, m in self._members.items() if 0 < m.era < era]
+        return [
+            key
+            for key, member in self._members.items()
+            if 0 < member.era < era and key != self._own_key
+        ]
 
     def _wait_for_other_hosts(self) -> None:
         """Wait for the declarations of hosts that knew the store before.
--- a/tests/unit/gateway/test_view.py
+++ b/tests/unit/gateway/test_view.py
@@ -371,3 +371,36 @@
     time[0] += 5.1
     local_view.confirm(time[0])
     assert local_view.is_current()
+
+
+@pytest.mark.parametrize('own', [False, True], ids=['other', 'own'])
+def test_host_that_starts_waits_for_others_that_knew_the_store(time, own):
+    key = 'hosts/h-1'
+    local_view = view.View(daemon.LAYOUT, 5.0, 3.6, key if own else '')
+    revision = eras.qualify(2, 9)
+    member = dataclasses.replace(_member(1), version=4, era=1)
+    found = (
+        item('op/config', gateway.configuration(version=4), revision),
+        item(key, daemon.LAYOUT.encode_member(member), revision),
+    )
+    local_view.confirm(time[0])
+    local_view.load(kv.Found(revision, found))
+    assert local_view.is_current() is own
+    member = dataclasses.replace(member, era=2)
+    value = daemon.LAYOUT.encode_member(member)
+    local_view.apply([event(key, value, eras.qualify(2, 10))])
+    assert local_view.is_current()
+
+
+def test_host_that_starts_does_not_wait_for_others_for_long(time):
+    local_view = view.View(daemon.LAYOUT, 5.0)
+    revision = eras.qualify(2, 9)
+    member = dataclasses.replace(_member(1), version=4, era=1)
+    found = (
+        item('op/config', gateway.configuration(version=4), revision),
+        item('hosts/h-1', daemon.LAYOUT.encode_member(member), revision),
+    )
+    local_view.load(kv.Found(revision, found))
+    time[0] += 2.4
+    local_view.confirm(time[0])
+    assert local_view.is_current()
