Move log lines on entries and results of claims to modules of their own

Only moves: gateway/entry_log.py and shared/claims/results.py. The field `logger` of the lines on changed entries names the new module.

--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -6,6 +6,7 @@
 
 from corianderloft._internal.gateway import crash_messages
 from corianderloft._internal.gateway import departures
+from corianderloft._internal.gateway import entry_log
 from corianderloft._internal.gateway import layout
 from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface as kv
@@ -33,11 +34,6 @@
 the limit counts from when the caller sent it."""
 
 
-MAX_LOGGED_CHANGES = 8
-"""Changes that arrived together and are logged in a line each; more of them
-are logged in one line."""
-
-
 @dataclasses.dataclass
 class _MissingEntry:
     """When a missing entry is dropped, on `clock.now`, in seconds."""
@@ -305,7 +301,7 @@
             logger.info(
                 'the store was restored; waiting for other hosts to register',
                 extra={
-                    'keys': waiting_for[:MAX_LOGGED_CHANGES],
+                    'keys': waiting_for[: entry_log.MAX_LOGGED_CHANGES],
                     'wait_s': REREGISTRATION_GRACE_S,
                 },
             )
@@ -371,7 +367,7 @@
     def _apply_crash_report(self, item: kv.KeyValue) -> None:
         report = crash_messages.decode_report(item.value)
         if report is None:
-            _log_unreadable(item)
+            entry_log.log_unreadable(item)
             return
         for subscriber in self._listeners:
             subscriber.use_crash_report(report)
@@ -382,7 +378,7 @@
         key, now = item.key, clock.now()
         self._held.pop(key, None)
         if decoded is None:
-            _log_unreadable(item)
+            entry_log.log_unreadable(item)
             self._instances.pop(key, None)
             self._members.pop(key, None)
             return
@@ -465,44 +461,12 @@
         old_members: dict[str, members.Member],
     ) -> None:
         if old_instances != self._instances:
-            _log_changes('backend server', old_instances, self._instances)
+            entry_log.log_changes(
+                'backend server', old_instances, self._instances
+            )
             for subscriber in self._listeners:
                 subscriber.use_instances(self.current_instances)
         if old_members != self._members:
-            _log_changes('entry host', old_members, self._members)
+            entry_log.log_changes('entry host', old_members, self._members)
             for subscriber in self._listeners:
                 subscriber.use_members(self.current_members)
-
-
-def _log_unreadable(item: kv.KeyValue) -> None:
-    logger.warning(
-        'entry ignored: it cannot be read',
-        extra=eras.log_fields(item.mod_revision) | {'key': item.key},
-    )
-
-
-def _log_changes(
-    noun: str,
-    old: collections.abc.Mapping[str, object],
-    new: collections.abc.Mapping[str, object],
-) -> None:
-    changed = [
-        key for key in old.keys() | new.keys() if old.get(key) != new.get(key)
-    ]
-    if len(changed) > MAX_LOGGED_CHANGES:
-        logger.info(
-            '%ss changed',
-            noun,
-            extra={
-                'count': len(changed),
-                'known': len(new),
-                'keys': sorted(changed)[:MAX_LOGGED_CHANGES],
-            },
-        )
-        return
-    for key in changed:
-        logger.info(
-            '%s changed',
-            noun,
-            extra={'key': key, 'entry': str(new.get(key, 'gone'))},
-        )
--- a/src/corianderloft/_internal/shared/claims/claims.py
+++ b/src/corianderloft/_internal/shared/claims/claims.py
@@ -9,7 +9,6 @@
 have had time for that.
 """
 
-import base64
 import collections
 import collections.abc
 import dataclasses
@@ -28,6 +27,7 @@
 from corianderloft._internal.models import states
 from corianderloft._internal.shared.claims import batch
 from corianderloft._internal.shared.claims import records
+from corianderloft._internal.shared.claims import results
 from corianderloft._internal.shared import interface
 
 logger = logging.getLogger(__name__)
@@ -36,7 +36,6 @@
 RETRY_DELAY_S = 0.1
 MAX_BACKOFF_S = 5.0
 STORE_TIMEOUT_S = 1.0
-RETRY_AFTER_S = 1.0
 LEASE_SHARE_S = 600.0
 CLAIM_EXPIRY_MARGIN_S = 60.0
 MAX_BACKLOG_CLAIMS = 4096
@@ -149,7 +148,7 @@
             return self._result_for(known.record, body_hash)
         lease = await self._current_lease()
         if lease is None:
-            return _unavailable('no lease for the claim was granted')
+            return results.unavailable('no lease for the claim was granted')
         held = self._new_claim(kv_key, body_hash, lease)
         try:
             result = await self._await_outcome(held, body_hash)
@@ -232,7 +231,7 @@
                 held.revision = outcome.revision
                 if not self._is_settled(eras.era_of(outcome.revision)):
                     self._abandon(held)
-                    return _unavailable(
+                    return results.unavailable(
                         'the key-value service has just come back from an'
                         ' older copy'
                     )
@@ -251,10 +250,10 @@
             elif isinstance(outcome, kv_interface.Unavailable):
                 self._lease = None
                 if not outcome_unknown:
-                    return _unavailable(outcome.detail)
+                    return results.unavailable(outcome.detail)
         if outcome_unknown:
             self._abandon(held)
-        return _unavailable('the reply to the claim was lost')
+        return results.unavailable('the reply to the claim was lost')
 
     def _resolve_conflict(
         self,
@@ -279,13 +278,13 @@
                 'the idempotency key was used with another body',
             )
         if record.state is records.ClaimState.DONE:
-            return _stored_response(record)
+            return results.stored_response(record)
         if self._holder_alive(record.host_id, record.incarnation):
             return requests.Refused(
                 reasons.RefusalReason.CLAIM_IN_PROGRESS,
                 states.RunState.UNKNOWN,
                 f'the call is in progress at host {record.host_id}',
-                RETRY_AFTER_S,
+                results.RETRY_AFTER_S,
             )
         return requests.Refused(
             reasons.RefusalReason.OUTCOME_UNKNOWN,
@@ -498,27 +497,3 @@
     return interface.Claimed(
         held.record.token, held.lease.expires_at - CLAIM_EXPIRY_MARGIN_S
     )
-
-
-def _stored_response(
-    record: records.ClaimRecord,
-) -> interface.AlreadyDone | requests.Refused:
-    if not record.body_kept:
-        return requests.Refused(
-            reasons.RefusalReason.TOO_LARGE,
-            states.RunState.RAN,
-            f'the call ran with status {record.status};'
-            ' its answer was too long to keep',
-        )
-    return interface.AlreadyDone(
-        record.status, record.content_type, base64.b64decode(record.body)
-    )
-
-
-def _unavailable(detail: str) -> requests.Refused:
-    return requests.Refused(
-        reasons.RefusalReason.CLAIM_UNAVAILABLE,
-        states.RunState.NOT_RUN,
-        detail,
-        RETRY_AFTER_S,
-    )
