review: work goes to a server that left, after a restore (DRAIN)

The store, which counts its eras from 0, comes back from a copy 5 s old that lists a server whose entry was removed 3 s before. The hosts send bookings to it again, 3 to 5 s after the removal, and those that run as it exits are lost. Cause: gateway/view.py takes era 0 for none.

--- a/review/standins.py
+++ b/review/standins.py
@@ -196,10 +196,14 @@
     """The platform's store, as PROTOCOL.md describes it.
 
     `on_txn`, if set, is called with each transaction and returns None, or
-    the seconds after which it is executed without a reply.
+    the seconds after which it is executed without a reply. `era` is stated
+    in all answers unless it is None.
     """
 
-    def __init__(self):
+    def __init__(self, era=None):
+        self.era = era
+        self.away = False
+        self._writers = set()
         self.items = {}
         self.events = []
         self.revision = 10
@@ -256,14 +260,45 @@
             'lease': lease,
         }
 
+    def copy(self):
+        """Return a copy of what the store holds now."""
+        leases = {key: list(value) for key, value in self.leases.items()}
+        return dict(self.items), list(self.events), self.revision, leases
+
+    def leave(self):
+        """Be away: all connections are closed, and new ones at once."""
+        self.away = True
+        for writer in self._writers:
+            writer.transport.abort()
+
+    def come_back(self, copy):
+        """Come back from a copy, with the next era."""
+        items, events, self.revision, leases = copy
+        self.items, self.events = dict(items), list(events)
+        now = time.monotonic()
+        self.leases = {k: [ttl, now + ttl / 1e3] for k, (ttl, _) in leases.items()}
+        self.era += 1
+        self.away = False
+
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        try:
+            await self._serve_all(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def _serve_all(self, reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while (req := await read_request(reader)) is not None:
+                if self.away:
+                    break
                 answer = await self._answer(req)
-                if answer is None:
+                if answer is None or self.away:
                     break
                 status, body = answer
                 head = [('Content-Type', 'application/json')]
+                if self.era is not None:
+                    head.append(('Store-Era', str(self.era)))
                 writer.write(response(status, head, json.dumps(body).encode()))
                 await writer.drain()
         writer.close()
@@ -307,6 +342,8 @@
 
     async def _watch(self, fields):
         after, prefix = int(fields['after']), fields['path_prefix']
+        if after > self.revision:
+            return 410, {}
         until = time.monotonic() + int(fields['wait_ms']) / 1000
         while True:
             events = [
@@ -376,9 +413,32 @@
         )
         self.born = int(time.time() * 1000)
         self.sequence = 0
+        self.state = 'ready'
+        self._writers = set()
         self.register(store)
+        self._heartbeat = asyncio.create_task(self._beat(store))
+
+    async def _beat(self, store):
+        """Write the entry of this server every `heartbeat_ms`."""
+        while True:
+            await asyncio.sleep(1.2)
+            if not store.away:
+                self.register(store, self.state)
+
+    def leave_unannounced(self, store):
+        """Stop writing; the store removes the entry, and this serves on."""
+        self._heartbeat.cancel()
+        store.write([], [f'servers/{self.engine_id}'])
+
+    def exit(self):
+        """End as a process does: all connections are reset."""
+        self._heartbeat.cancel()
+        self.server.close()
+        for writer in self._writers:
+            writer.transport.abort()
 
     def register(self, store, state='ready'):
+        self.state = state
         self.sequence += 1
         entry = {
             'service': self.service,
@@ -394,6 +454,13 @@
         store.put(f'servers/{self.engine_id}', entry)
 
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        try:
+            await self._serve_all(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def _serve_all(self, reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while (req := await read_request(reader)) is not None:
                 target = req.get('corianderloft-target-instance')
@@ -661,17 +728,18 @@
 class System:
     """A store, backend servers and hosts, ended on exit."""
 
-    def __init__(self, case, engines, hosts=2):
+    def __init__(self, case, engines, hosts=2, era=None):
         self.trouble = os.environ.get('TROUBLE', '1') != '0'
         self.record = Record(pathlib.Path(case) / 'record.txt')
         self.record(f'TROUBLE={int(self.trouble)}')
         self._engines = engines
         self._host_count = hosts
         self.hosts = []
+        self._era = era
 
     async def __aenter__(self):
         self._directory = tempfile.TemporaryDirectory()
-        self.store = Store()
+        self.store = Store(self._era)
         await self.store.start()
         self.store.put('op/config', configuration())
         self.engines = [Engine(*row[:2], self.record, *row[2:]) for row in self._engines]
