--- a/review/standins.py
+++ b/review/standins.py
@@ -644,7 +644,7 @@
         self._reader = None
 
     async def request(
-        self, name, method, path, headers=(), body=b'', timeout=4.0
+        self, name, method, path, headers=(), body=b'', timeout=4.0, key=KEY
     ):
         """Send one request and return its answer.
 
@@ -657,7 +657,9 @@
         started = time.monotonic()
         try:
             async with asyncio.timeout(timeout):
-                await self._exchange(answer, name, method, path, headers, body)
+                await self._exchange(
+                    answer, name, method, path, headers, body, key
+                )
         except TimeoutError:
             self.close()
             answer.timed_out = True
@@ -669,7 +671,9 @@
         answer.took = time.monotonic() - started
         return answer
 
-    async def _exchange(self, answer, name, method, path, headers, body):
+    async def _exchange(
+        self, answer, name, method, path, headers, body, key
+    ):
         if self._reader is None:
             self._reader, self._writer = await asyncio.open_connection(
                 LOOPBACK, self._port, limit=2**22
@@ -677,7 +681,7 @@
         lines = [
             f'{method} {path} HTTP/1.1',
             f'Host: {HOSTNAME}',
-            f'Authorization: Bearer {KEY}',
+            f'Authorization: Bearer {key}',
             f'Corianderloft-Attempt-Id: {name}',
         ]
         lines += [f'{key}: {value}' for key, value in headers]
@@ -786,7 +790,7 @@
         broken = asyncio.run(_run(main))
         status = 1 if broken else 0
         print(broken or 'the rule held')
-    except Exception as exc:
+    except (Exception, asyncio.CancelledError) as exc:
         status = 2
         print(f'the case could not run: {exc!r}')
     sys.stdout.flush()
@@ -797,5 +801,8 @@
 async def _run(main):
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda *_: None)
+    # The processes are ended also if the case is told to stop.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, asyncio.current_task().cancel)
     async with asyncio.timeout(110):
         return await main()
