Answer 502 where a server failed a request without saying that it did not run

Cause: forwarding judged a response by one threshold, 500, and passed any error on to a caller whose request may not be repeated. 408, 421, 429 and 503 promise that nothing ran; only a server that states it can promise that.

Evidence: the 503s carried the server's signature and their requests ended as answered, so they were passed on. Ruled out: that the host counted the 503 as not run (it then answers itself), and that a later send cleared the record of an earlier one (a tried server is never chosen again).

Change: response_rules classifies a complete response; a status that would promise "not run" without the statement is an unknown outcome, which is repeated where allowed and else answered 502. 408 and 429 went the same way, and 503 of requests that may be repeated. 421 stays not run: the host names the server that is meant.

--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -12,6 +12,7 @@
 from corianderloft._internal.gateway import metrics
 from corianderloft._internal.gateway import refusals
 from corianderloft._internal.gateway import request_log
+from corianderloft._internal.gateway import response_rules
 from corianderloft._internal.gateway import routed_request
 from corianderloft._internal.gateway import sending
 from corianderloft._internal.models import routing
@@ -296,25 +297,28 @@
         self, received: sending.ReceivedHead, body: bytes
     ) -> Result | sending.SendFailure:
         """Deliver a complete response unless the request should be retried."""
-        if received.head.not_run:
-            return sending.SendFailure(
-                interface.AttemptOutcome.NOT_RUN,
-                False,
-                f'status {received.status}',
-            )
-        if received.status < 300 and not received.head.signed:
-            return sending.SendFailure(
-                interface.AttemptOutcome.BROKEN,
-                True,
-                'an answer without signature',
-            )
-        if received.status >= 500 and self._request.kind.repeatable:
-            self._fallback_response = received, body
-            return sending.SendFailure(
-                interface.AttemptOutcome.ERROR_ANSWER,
-                True,
-                f'status {received.status}',
-            )
+        disposition = response_rules.classify(
+            received.status, received.head, self._request.kind.repeatable
+        )
+        detail = f'status {received.status}'
+        match disposition:
+            case response_rules.Disposition.NOT_RUN:
+                return sending.SendFailure(
+                    interface.AttemptOutcome.NOT_RUN, False, detail
+                )
+            case response_rules.Disposition.OUTCOME_UNKNOWN:
+                if received.status < 300:
+                    return _unsigned('an answer')
+                return sending.SendFailure(
+                    interface.AttemptOutcome.ERROR_ANSWER,
+                    True,
+                    f'{detail} without the statement that it did not run',
+                )
+            case response_rules.Disposition.REPEAT_OR_DELIVER:
+                self._fallback_response = received, body
+                return sending.SendFailure(
+                    interface.AttemptOutcome.ERROR_ANSWER, True, detail
+                )
         return await self._deliver(received, body)
 
     async def _deliver(
@@ -348,11 +352,7 @@
         not read is disconnected by the server's stall timeout.
         """
         if not received.head.signed:
-            return sending.SendFailure(
-                interface.AttemptOutcome.BROKEN,
-                True,
-                'a stream without signature',
-            )
+            return _unsigned('a stream')
         event_buffer = sse.EventBuffer()
         timeout_s = self._gap_timeout()
         while True:
@@ -454,3 +454,9 @@
             return
         if last_id is not None:
             self._last_event_id = last_id
+
+
+def _unsigned(response: str) -> sending.SendFailure:
+    return sending.SendFailure(
+        interface.AttemptOutcome.BROKEN, True, f'{response} without signature'
+    )
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -51,6 +51,8 @@
     endless_pause : float
         Delay after each piece of an endless response in seconds. Without
         one, the pieces are sent in bulk.
+    error_status : int
+        Status of the responses in mode ``error``.
     crash_part : str
         ID of a prompt part. The server crashes when it begins a response to a
         request with this part.
@@ -83,6 +85,7 @@
         self.disconnects = 0
         self.endless_kind = 'junk'
         self.endless_pause = 0.0
+        self.error_status = 500
         self.crash_part = ''
         self.rate_limit = ''
         self._scope = trio.CancelScope()
@@ -166,7 +169,7 @@
         if mode == 'cut':
             await self._respond(stream, http, headers, 200, b'part', cut=True)
             return False
-        status = 500 if mode == 'error' else 200
+        status = self.error_status if mode == 'error' else 200
         signed = mode != 'unsigned'
         body = f'answer of {self.engine_id}'.encode()
         await self._respond(stream, http, headers, status, body, signed=signed)
