Take a 429 of an engine for "not run" only with a code that says so

On entry hosts a 429 with any code counted as not run: a request that may run only once was sent to another engine, and the caller was told not_run. The engine protocol names the codes "leaving" and "overloaded" for that statement.

test_promises.py demanded the fault: it took a 429 with the code "busy" for a statement. It now sends one that states it there, and 408, 429 and 503 without are among the failures that must never be reported as not run; that test failed before (not_run for a 429) and passes now. Calls of plain services are as they should be: a test that they keep the claim and are not repeated.

--- a/src/corianderloft/_internal/entry/backend_responses.py
+++ b/src/corianderloft/_internal/entry/backend_responses.py
@@ -14,6 +14,10 @@
 NOT_RUN_CODES = frozenset({LEAVING_CODE, 'overloaded'})
 """Error codes of an engine that did not run the request."""
 
+NOT_RUN_STATUSES = frozenset({429, 503})
+"""HTTP statuses with which such a code counts; alone they state nothing, since
+an engine may also fail a request that it ran with them."""
+
 INVALID_REQUEST_STATUSES = frozenset({400, 413, 422})
 """HTTP statuses for invalid requests, which any backend would reject."""
 
@@ -45,7 +49,7 @@
             states.RunState.NOT_RUN,
             detail,
         )
-    if status == 429 or (status == 503 and code in NOT_RUN_CODES):
+    if status in NOT_RUN_STATUSES and code in NOT_RUN_CODES:
         return outbound.Failure(
             interface.AttemptEnd.BACKEND_REFUSED, False, detail
         )
--- a/tests/unit/entry/test_plain.py
+++ b/tests/unit/entry/test_plain.py
@@ -110,6 +110,22 @@
     assert len(refusing.seen) == 1
 
 
+@pytest.mark.parametrize('status', [408, 429, 503])
+async def test_status_alone_does_not_say_that_a_call_did_not_run(
+    nursery: trio.Nursery, status: int
+) -> None:
+    # A service may fail a call that it ran with any status.
+    failing, first = await engines.start(
+        nursery, 't1', engines.refuses(status, 'crash'), 'till'
+    )
+    other, second = await engines.start(nursery, 't2', charges, 'till')
+    async with entry.running_host(first, second) as fixture:
+        answers = [await call(fixture, Idempotency_Key='k1') for _ in range(2)]
+        assert not fixture.shared.released
+    assert [answer.status for answer in answers] == [status, status]
+    assert (len(failing.seen), len(other.seen)) == (1, 0)
+
+
 async def test_claim_is_released_when_nothing_ran(
     nursery: trio.Nursery,
 ) -> None:
--- a/tests/unit/entry/test_promises.py
+++ b/tests/unit/entry/test_promises.py
@@ -66,15 +66,20 @@
     [
         engines.refuses(503, 'overloaded'),
         engines.refuses(503, 'leaving'),
-        engines.refuses(429, 'busy'),
+        engines.refuses(429, 'overloaded'),
     ]
 )
+FAILED_RUNS = st.sampled_from([408, 429, 500, 503]).map(
+    lambda status: engines.refuses(status, 'crash')
+)
+"""Errors that do not state that the request did not run."""
+
 FAULTS = st.one_of(
     REFUSALS,
     TOKEN_COUNTS.map(engines.dies_after),
     TOKEN_COUNTS.map(ends_after),
     GARBAGE.map(sends_garbage),
-    st.just(engines.refuses(500, 'crash')),
+    FAILED_RUNS,
     st.just(engines.silent_after(4)),
 )
 ENDS = st.sampled_from([engines.serves, restarts, engines.dies_after(3)])
@@ -153,13 +158,14 @@
         st.one_of(
             TOKEN_COUNTS.map(engines.dies_after),
             GARBAGE.map(sends_garbage),
-            st.just(engines.refuses(500, 'crash')),
+            FAILED_RUNS,
         ),
         min_size=1,
         max_size=3,
     )
 )
 @hypothesis.example([sends_garbage(sse.DONE)])
+@hypothesis.example([engines.refuses(429, 'crash')])
 def test_request_that_ran_is_never_reported_as_not_run(
     faults: list[engines.Script],
 ) -> None:
