Parse received data in turns, and search an event only once

Cause: the parser returns received parts without waiting, and nothing counted them: a receive of 64 KB holds up to 11,000 chunks, 0.11 s of parsing alone, and each chunk was forwarded or assembled by itself. Assembling copied and searched all that was buffered of the event for each chunk.

Change: a connection parses 64 parts, then other tasks run; connections that still have data share one pause, so that their number does not add up. Chunks that arrived together are returned together. On both request paths. The buffered part of an event is searched once.

--- a/src/corianderloft/_internal/entry/sse.py
+++ b/src/corianderloft/_internal/entry/sse.py
@@ -22,31 +22,36 @@
 
     def __init__(self, limit: int = 1048576) -> None:
         self._limit = limit
-        self._incomplete = b''
+        self._incomplete = bytearray()
 
     def feed(self, data: bytes) -> bytes:
         """Return all events completed by ``data``, possibly none.
 
+        The time it takes does not depend on the length of the buffered part.
+
         Raises
         ------
         ValueError
             If an event is longer than the limit.
         """
-        if self._incomplete:
-            data = self._incomplete + data
-            self._incomplete = b''
-        if data.endswith(EVENT_END):
+        if not self._incomplete and data.endswith(EVENT_END):
             return data
-        last_end = data.rfind(EVENT_END)
-        complete = data[: last_end + len(EVENT_END)] if last_end >= 0 else b''
-        self._incomplete = data[len(complete) :]
+        # The end of an event may have been split.
+        search_from = max(0, len(self._incomplete) - len(EVENT_END) + 1)
+        self._incomplete += data
+        last_end = self._incomplete.rfind(EVENT_END, search_from)
+        complete = b''
+        if last_end >= 0:
+            length = last_end + len(EVENT_END)
+            complete = bytes(self._incomplete[:length])
+            del self._incomplete[:length]
         if len(self._incomplete) > self._limit:
             raise ValueError(f'an event is longer than {self._limit} bytes')
         return complete
 
     def incomplete(self) -> bytes:
         """Return the buffered part of an incomplete event."""
-        return self._incomplete
+        return bytes(self._incomplete)
 
 
 def last_id(events: bytes) -> int | None:
--- a/src/corianderloft/_internal/network/engine_connection.py
+++ b/src/corianderloft/_internal/network/engine_connection.py
@@ -8,10 +8,13 @@
 import dataclasses
 import enum
 import socket
+import typing
 
 import h11
 import trio
 
+from corianderloft._internal.network import turns
+
 Headers = list[tuple[bytes, bytes]]
 
 MAX_RECEIVE_BYTES = 65536
@@ -104,6 +107,8 @@
         )
         self._sent = False
         self._ended = False
+        self._parsed_ahead: h11.Event | ConnectionFailure | None = None
+        self._turns = turns.Turns()
         self._placeholder_request: h11.Request | None = None
         self.idle_since = 0.0
         self.idle_limit: float | None = None
@@ -149,12 +154,15 @@
         )
 
     async def read(self) -> bytes | ConnectionFailure | None:
-        """Return the next chunk of the body; None at its end."""
+        """Return the next part of the body; None at its end.
+
+        Chunks that have arrived together are returned together.
+        """
         event = await self._next()
         if isinstance(event, ConnectionFailure):
             return event
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            return b''.join([event.data, *self._buffered_chunks()])
         if isinstance(event, h11.EndOfMessage):
             return None
         return self._failure(FailureKind.MALFORMED, repr(event))
@@ -229,28 +237,53 @@
         self._stream.socket.close()
 
     async def _next(self) -> h11.Event | ConnectionFailure:
-        while True:
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as exc:
-                return self._failure(self._protocol_failure(), exc)
-            if event is h11.PAUSED:
-                return self._failure(
-                    FailureKind.MALFORMED, 'bytes after its end'
-                )
-            if isinstance(event, h11.ConnectionClosed):
-                return self._failure(FailureKind.CLOSED, 'closed')
-            if event is not h11.NEED_DATA:
-                return event  # type: ignore[return-value]
-            try:
-                data = await self._stream.receive_some(MAX_RECEIVE_BYTES)
-            except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-                return self._failure(FailureKind.RESET, exc)
-            self._ended = not data
-            try:
-                self._http.receive_data(data)
-            except h11.RemoteProtocolError as exc:
-                return self._failure(self._protocol_failure(), exc)
+        await self._turns.wait()
+        event, self._parsed_ahead = self._parsed_ahead, None
+        while event is None:
+            event = self._parse()
+            if event is None:
+                failure = await self._receive()
+                if failure is not None:
+                    return failure
+        self._turns.spend(1)
+        return event
+
+    def _buffered_chunks(self) -> typing.Iterator[bytes]:
+        """Yield the chunks that have been received, for one turn at most."""
+        for _ in range(turns.MAX_PARTS_PER_TURN):
+            event = self._parse()
+            if not isinstance(event, h11.Data):
+                self._parsed_ahead = event
+                return
+            self._turns.spend(1)
+            yield event.data
+
+    def _parse(self) -> h11.Event | ConnectionFailure | None:
+        """Return the next event in the received data, if it is complete."""
+        try:
+            event = self._http.next_event()
+        except h11.RemoteProtocolError as exc:
+            return self._failure(self._protocol_failure(), exc)
+        if event is h11.PAUSED:
+            return self._failure(FailureKind.MALFORMED, 'bytes after its end')
+        if isinstance(event, h11.ConnectionClosed):
+            return self._failure(FailureKind.CLOSED, 'closed')
+        if event is h11.NEED_DATA:
+            return None
+        return event  # type: ignore[return-value]
+
+    async def _receive(self) -> ConnectionFailure | None:
+        try:
+            data = await self._stream.receive_some(MAX_RECEIVE_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            return self._failure(FailureKind.RESET, exc)
+        self._turns.received()
+        self._ended = not data
+        try:
+            self._http.receive_data(data)
+        except h11.RemoteProtocolError as exc:
+            return self._failure(self._protocol_failure(), exc)
+        return None
 
     def _protocol_failure(self) -> FailureKind:
         """Tell a response that ends early from one that is malformed."""
--- a/src/corianderloft/_internal/network/outbound.py
+++ b/src/corianderloft/_internal/network/outbound.py
@@ -148,6 +148,10 @@
     async def read(self) -> bytes | Failure | None:
         """Return the next chunk of the body; None at its end."""
         assert self._chunks is not None
+        assert self._connection is not None
+        connection_turns = self._connection.network.turns
+        await connection_turns.wait()
+        connection_turns.spend(1)
         try:
             return await anext(self._chunks)
         except StopAsyncIteration:
--- a/src/corianderloft/_internal/network/streams.py
+++ b/src/corianderloft/_internal/network/streams.py
@@ -9,6 +9,8 @@
 import httpcore
 import trio
 
+from corianderloft._internal.network import turns
+
 SocketOption = typing.Any
 _CONNECTION_ERRORS = (
     OSError,
@@ -32,8 +34,11 @@
         the read may block.
     """
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(
+        self, stream: trio.SocketStream, connection_turns: turns.Turns
+    ) -> None:
         self._stream = stream
+        self._turns = connection_turns
         self._tls: trio.SSLStream[trio.SocketStream] | None = None
         self._fileno = stream.socket.fileno()
         self.before_read: Hook | None = None
@@ -48,6 +53,7 @@
         httpcore.ReadError
             If the connection failed.
         """
+        self._turns.received()
         if self.before_read is not None:
             await self.before_read()
         try:
@@ -127,10 +133,13 @@
     ----------
     stream : Stream or None
         The connection, once it is open.
+    turns : Turns
+        Counts the parts of responses that are parsed.
     """
 
     def __init__(self) -> None:
         self.stream: Stream | None = None
+        self.turns = turns.Turns()
 
     async def connect_tcp(
         self,
@@ -157,7 +166,7 @@
             raise httpcore.ConnectTimeout(f'{host}:{port}') from exc
         except OSError as exc:
             raise httpcore.ConnectError(f'{host}:{port}: {exc}') from exc
-        self.stream = Stream(stream)
+        self.stream = Stream(stream, self.turns)
         return self.stream
 
     async def connect_unix_socket(
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -10,6 +10,9 @@
 
 _HEAD = b'HTTP/1.1 200 OK\r\nCorianderloft-Response-Signature: s\r\n'
 _CHUNKED = _HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+_ERROR = (
+    b'HTTP/1.1 500 Internal Server Error\r\nTransfer-Encoding: chunked\r\n\r\n'
+)
 _EVENT = b'id: 0\ndata: token 0\n\n'
 ENDLESS = {
     'junk': (b'', b'\x00\x01 no answer'),
@@ -19,6 +22,10 @@
     'body': (_CHUNKED, b'10\r\n0123456789abcdef\r\n'),
     'body_until_close': (_HEAD + b'\r\n', b'0123456789abcdef'),
     'chunk_size': (_CHUNKED, b'0'),
+    'tiny_chunks': (_CHUNKED, b'1\r\na\r\n'),
+    'error': (_ERROR, b'2\r\nab\r\n'),
+    'comments': (_CHUNKED, b'5\r\n: a\n\n\r\n'),
+    'empty_events': (_CHUNKED, b'2\r\n\n\n\r\n'),
     'event': (
         _CHUNKED + b'%x\r\n%b\r\n' % (len(_EVENT), _EVENT),
         b'10\r\n0123456789abcdef\r\n',
@@ -48,6 +55,8 @@
         ``cut_stream``, ``unframed_stream``, ``half_event``, ``unsigned``,
         ``twice``, ``reset``, ``by_path``, or ``endless`` with
         ``endless_kind``, a key of `ENDLESS`.
+    endless_path : str
+        Prefix of the paths with endless responses; others get a whole one.
     endless_pause : float
         Delay after each piece of an endless response in seconds. Without
         one, the pieces are sent in bulk.
@@ -84,6 +93,7 @@
         self.seen_at = []
         self.disconnects = 0
         self.endless_kind = 'junk'
+        self.endless_path = ''
         self.endless_pause = 0.0
         self.error_status = 500
         self.crash_part = ''
@@ -192,6 +202,8 @@
         streams = target.startswith(('/chat/', '/quote/'))
         if self.mode == 'by_path':
             return 'stream' if streams else 'whole'
+        if self.mode == 'endless' and not target.startswith(self.endless_path):
+            return 'whole'
         return self.mode
 
     async def _respond(
--- a/tests/unit/entry/test_sse.py
+++ b/tests/unit/entry/test_sse.py
@@ -46,3 +46,11 @@
     event_buffer = sse.EventBuffer(limit=8)
     with pytest.raises(ValueError, match='longer than 8 bytes'):
         event_buffer.feed(b'data: 123')
+
+
+def test_long_event_in_small_chunks_is_assembled_in_linear_time() -> None:
+    """An event that was searched anew for each chunk took minutes."""
+    event_buffer = sse.EventBuffer(limit=2**20)
+    for _ in range(2**20):
+        assert event_buffer.feed(b'a') == b''
+    assert event_buffer.feed(b'\n\n') == b'a' * 2**20 + b'\n\n'
--- a/tests/unit/gateway/test_endless_responses.py
+++ b/tests/unit/gateway/test_endless_responses.py
@@ -5,6 +5,8 @@
 truth: the request may have run.
 """
 
+import functools
+
 import pytest
 import trio
 
@@ -19,6 +21,9 @@
 RESUMABLE_TIMEOUT_S = 3.0
 SLACK_S = 1.0
 
+ENDLESS_AT_ONCE = 6
+LOOK_TIMEOUT_MS = 1000
+
 
 async def _set_endless(system, kind, pause=0.0):
     engine = system.engines[0]
@@ -97,6 +102,51 @@
         await _assert_left(engine)
 
 
+@pytest.mark.parametrize(
+    ('kind', 'path'),
+    [
+        ('tiny_chunks', '/chat/'),
+        ('body', '/chat/'),
+        ('comments', '/chat/'),
+        ('empty_events', '/chat/'),
+        ('error', '/book/'),
+        ('error', '/quote/'),
+        ('tiny_chunks', '/book/'),
+    ],
+)
+async def test_no_response_keeps_the_host_from_other_requests(kind, path):
+    # One endless event in small chunks stopped a host until its deadline.
+    async with gateway.running(('whole',)) as system:
+        engine = await _set_endless(system, kind)
+        engine.endless_path = path
+        async with trio.open_nursery() as nursery:
+            for number in range(ENDLESS_AT_ONCE):
+                nursery.start_soon(
+                    functools.partial(
+                        system.request, 'POST', f'{path}{number}'
+                    )
+                )
+            await processes.wait_for(lambda: engine.seen, 'one has begun', 5)
+            for number in range(10):
+                response = await system.request(
+                    'GET', f'/look/{number}', deadline_ms=LOOK_TIMEOUT_MS
+                )
+                assert response is not None
+                assert (response.status, response.complete) == (200, True)
+            nursery.cancel_scope.cancel()
+
+
+async def test_stream_of_comments_makes_no_progress():
+    async with gateway.running(('stream', 'stream')) as system:
+        engine = await _set_endless(system, 'comments', 0.02)
+        for number in range(4):
+            response = await system.request('POST', f'/quote/{number}')
+            assert (response.status, response.complete) == (200, True)
+            assert response.body.count(b'data: token') == 4
+        if engine.seen:
+            await _assert_left(engine)
+
+
 async def test_informational_responses_are_not_skipped_for_ever():
     async with gateway.running() as system:
         engine = await _set_endless(system, 'informational')
