Count only events with a field as progress of a stream

A stalled engine that sent a comment or an empty event now and then was not given up before the deadline of a resumable stream; at entry hosts any byte kept it, and callers waited without end although another engine could go on.

Cause: whatever completed an event counted as progress in the gateway; the entry hosts restarted their silence timeout with each read.

Now only events with a field count. At entry hosts the timeout goes on where it was stopped while a caller is written to.

--- a/src/corianderloft/_internal/entry/attempts.py
+++ b/src/corianderloft/_internal/entry/attempts.py
@@ -137,8 +137,10 @@
 
             async def before_read() -> None:
                 guard.end_wait()
-                await stream.flush()
-                guard.start_wait()
+                if await stream.flush():
+                    guard.start_wait()
+                else:
+                    guard.resume_wait()
 
             self._outbound.set_read_hook(before_read)
             try:
@@ -204,8 +206,8 @@
         with self._components.silence_watch.guard(
             self._first_token_timeout_s
         ) as guard:
+            guard.start_wait()
             while True:
-                guard.start_wait()
                 data = await self._outbound.read()
                 if isinstance(data, outbound.Failure):
                     return self._record_failure(data)
@@ -225,7 +227,7 @@
                     return self._record_failure(
                         self._connection_lost('its answer is empty')
                     )
-                if events:
+                if sse.has_content(events):
                     self._grant.first_token()
                     return ResponseStarted(events)
         return self._record_failure(
--- a/src/corianderloft/_internal/entry/sse.py
+++ b/src/corianderloft/_internal/entry/sse.py
@@ -1,5 +1,6 @@
 """Assembly and filtering of server-sent events."""
 
+import re
 import typing
 
 import orjson
@@ -9,6 +10,7 @@
 _DATA = b'data:'
 _ID = b'id:'
 _NEXT_ID = b'\nid:'
+_FIELD = re.compile(rb'^[^:\n]', re.MULTILINE)
 
 
 class EventBuffer:
@@ -54,6 +56,11 @@
         return bytes(self._incomplete)
 
 
+def has_content(events: bytes) -> bool:
+    """Return whether there is more than comments and empty events."""
+    return _FIELD.search(events) is not None
+
+
 def last_id(events: bytes) -> int | None:
     """Return the id of the last event that has one, or None.
 
--- a/src/corianderloft/_internal/entry/stream_relay.py
+++ b/src/corianderloft/_internal/entry/stream_relay.py
@@ -52,15 +52,23 @@
         self._on_tokens = on_tokens
         self._sink = sink
 
-    async def flush(self) -> None:
-        """Forward all complete events."""
+    async def flush(self) -> bool:
+        """Forward all complete events.
+
+        Returns
+        -------
+        bool
+            Whether the stream has made progress: comments and parts of an
+            event are none, since a stalled engine may still send them.
+        """
         events = self._pending_events
         if self.pending_chunks:
             events += self._event_buffer.feed(b''.join(self.pending_chunks))
             self.pending_chunks.clear()
         if not events or self.complete:
-            return
+            return False
         self._pending_events = b''
         self._on_tokens(self._sink.append(events))
         self.complete = events.endswith(sse.DONE)
         await self._sink.send(events)
+        return sse.has_content(events)
--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -355,6 +355,7 @@
             return _unsigned('a stream')
         event_buffer = sse.EventBuffer()
         timeout_s = self._gap_timeout()
+        has_begun = False
         while True:
             data = await attempt.read()
             if isinstance(data, sending.SendFailure):
@@ -367,15 +368,17 @@
                 return sending.SendFailure(
                     interface.AttemptOutcome.BROKEN, True, str(exc)
                 )
-            if events:
-                # Only whole events are progress: a server that has stalled
-                # may still send a byte now and then.
+            if sse.has_content(events):
+                # A server that has stalled may still send a byte or a
+                # comment now and then.
+                has_begun = True
                 if math.isfinite(silence_scope.deadline):
                     silence_scope.deadline = trio.current_time() + timeout_s
                 grant.started()
+            if events:
                 with trio.CancelScope(shield=True):
                     await self._forward_events(received, events)
-        failure = self._early_end(attempt, received, event_buffer)
+        failure = _early_end(received, event_buffer, has_begun)
         if failure is not None:
             return failure
         remainder = event_buffer.incomplete()
@@ -388,33 +391,6 @@
             await self._caller.end_stream()
         return Result.ANSWERED
 
-    def _early_end(
-        self,
-        attempt: sending.SendAttempt,
-        received: sending.ReceivedHead,
-        event_buffer: sse.EventBuffer,
-    ) -> sending.SendFailure | None:
-        """Return why a stream that has ended is incomplete, if it is.
-
-        Where the end of the connection ends the stream, only its content
-        shows that the server broke it off.
-        """
-        if event_buffer.incomplete().strip():
-            detail = 'the stream ended inside an event'
-        elif (
-            received.ends_with_connection
-            and attempt.progress is not sending.Progress.CONTENT
-        ):
-            detail = 'the connection ended before any event'
-        else:
-            return None
-        return sending.SendFailure(
-            interface.AttemptOutcome.BROKEN,
-            True,
-            detail,
-            disconnected=received.ends_with_connection,
-        )
-
     def _gap_timeout(self) -> float:
         gap = (
             self._request.job.route.gap_target
@@ -460,3 +436,36 @@
     return sending.SendFailure(
         interface.AttemptOutcome.BROKEN, True, f'{response} without signature'
     )
+
+
+def _early_end(
+    received: sending.ReceivedHead,
+    event_buffer: sse.EventBuffer,
+    has_begun: bool,
+) -> sending.SendFailure | None:
+    """Return why a stream that has ended is incomplete, if it is.
+
+    Where the end of the connection ends the stream, only its content shows
+    that the server broke it off.
+
+    Parameters
+    ----------
+    received : ReceivedHead
+        Head of the response.
+    event_buffer : EventBuffer
+        What came after the last complete event.
+    has_begun : bool
+        Whether an event came.
+    """
+    if event_buffer.incomplete().strip():
+        detail = 'the stream ended inside an event'
+    elif received.ends_with_connection and not has_begun:
+        detail = 'the connection ended before any event'
+    else:
+        return None
+    return sending.SendFailure(
+        interface.AttemptOutcome.BROKEN,
+        True,
+        detail,
+        disconnected=received.ends_with_connection,
+    )
--- a/src/corianderloft/_internal/network/silence.py
+++ b/src/corianderloft/_internal/network/silence.py
@@ -19,12 +19,13 @@
         Whether the timeout expired and the wait was cancelled.
     """
 
-    __slots__ = ('_bound', '_scope', '_since', 'silent')
+    __slots__ = ('_bound', '_scope', '_since', '_waited', 'silent')
 
     def __init__(self, timeout: float, scope: trio.CancelScope) -> None:
         self._bound = timeout
         self._scope = scope
         self._since = math.inf
+        self._waited = 0.0
         self.silent = False
 
     def start_wait(self) -> None:
@@ -33,8 +34,14 @@
 
     def end_wait(self) -> None:
         """Stop the timeout: nobody waits for the peer."""
+        if math.isfinite(self._since):
+            self._waited = trio.current_time() - self._since
         self._since = math.inf
 
+    def resume_wait(self) -> None:
+        """Go on with the timeout from where it was stopped."""
+        self._since = trio.current_time() - self._waited
+
     def set_timeout(self, timeout: float) -> None:
         """Replace the timeout, in seconds."""
         self._bound = timeout
--- a/tests/lib/engines.py
+++ b/tests/lib/engines.py
@@ -211,6 +211,19 @@
     return script
 
 
+def trickles_after(count: int, data: bytes) -> Script:
+    """Return a script that only sends ``data`` again and again at the end."""
+
+    async def script(wire: EngineConnection, seen: ReceivedRequest) -> None:
+        await wire.head()
+        await wire.tokens(seen.last_event_id + 1, count)
+        while True:
+            await wire.send(h11.Data(data=data))
+            await trio.sleep(0.01)
+
+    return script
+
+
 def refuses(status: int, code: str) -> Script:
     """Return a script that responds to every request with an error."""
 
--- a/tests/unit/entry/test_chat.py
+++ b/tests/unit/entry/test_chat.py
@@ -119,6 +119,27 @@
     assert len(fixture.dispatcher.grants) == 2
 
 
+@pytest.mark.parametrize('data', [b': still here\n\n', b'\n\n', b'x'])
+@pytest.mark.parametrize('have', [0, 5])
+async def test_stream_without_events_counts_as_silent(
+    nursery: trio.Nursery, have: int, data: bytes
+) -> None:
+    # A stalled engine that sent a byte now and then was never given up.
+    _, one = await engines.start(
+        nursery, 'e1', engines.trickles_after(have, data)
+    )
+    other, two = await engines.start(nursery, 'e2', engines.serves)
+    quick = {'silent_first_tokens': 1.01, 'silent_floor': 0.1}
+    async with entry.running_host(one, two, backends=quick) as fixture:
+        fixture.shared.catalog = entry.catalog_of(
+            first_token_target=0.1, token_gap_target=0.001
+        )
+        with trio.fail_after(20):
+            answer = await entry.chat(fixture)
+    assert answer.tokens() == list(range(1, engines.TOKENS + 1))
+    assert other.seen[0].last_event_id == have
+
+
 async def test_resumes_only_on_the_same_model_version(
     nursery: trio.Nursery,
 ) -> None:
--- a/tests/unit/entry/test_sse.py
+++ b/tests/unit/entry/test_sse.py
@@ -54,3 +54,20 @@
     for _ in range(2**20):
         assert event_buffer.feed(b'a') == b''
     assert event_buffer.feed(b'\n\n') == b'a' * 2**20 + b'\n\n'
+
+
+@pytest.mark.parametrize(
+    ('events', 'expected'),
+    [
+        (b'', False),
+        (b'\n\n', False),
+        (b': still here\n\n', False),
+        (b'\n\n: a\n: b\n\n', False),
+        (b'id: 1\n\n', True),
+        (b': a\n\ndata: b\n\n', True),
+    ],
+)
+def test_comments_and_empty_events_have_no_content(
+    events: bytes, expected: bool
+) -> None:
+    assert sse.has_content(events) is expected
