Leave a silent backend server only when another one takes over

Idempotent requests whose only server needed longer than three targets were answered 502.

Cause: a request that may be repeated left a server that sent nothing for three times its target, whether or not another could take it; attempts of the route were counted, not servers. It was then refused by the queue, and what had begun was aborted. Two such requests ejected the server, and new ones were refused.

At the timeout the request acquires a place at another server first; only with that, and with a repeat left in the budget, does it leave. The only server of a service is not ejected for silence.

--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -2,7 +2,6 @@
 
 import enum
 import logging
-import math
 
 import trio
 
@@ -15,6 +14,7 @@
 from corianderloft._internal.gateway import response_rules
 from corianderloft._internal.gateway import routed_request
 from corianderloft._internal.gateway import sending
+from corianderloft._internal.gateway import silence
 from corianderloft._internal.models import routing
 from corianderloft._internal.network import engine_pool
 from corianderloft._internal.network import exchange
@@ -27,13 +27,6 @@
 MAX_SENDS = 6
 """Maximum number of sends per request, including those that did not run."""
 
-SILENCE_TIMEOUT_RATIO = 3.0
-"""Multiple of the latency target after which a silent backend server is
-abandoned and a request that may be repeated is sent to another one."""
-
-MIN_SILENCE_TIMEOUT_S = 0.25
-"""Lower bound of the silence timeout."""
-
 MIN_TIME_LEFT_S = 0.02
 """A request with less time left before its deadline is not sent again."""
 
@@ -106,6 +99,7 @@
         )
         self._tried: set[engines.Key] = set()
         self._may_have_run_on: set[engines.Key] = set()
+        self._silent: set[engines.Key] = set()
         self._last_event_id = request.head.resume_after
         self._started = False
         self.complete = False
@@ -117,6 +111,7 @@
         self.engine = ''
         self.longest_gap = 0.0
         self._last_event_at = 0.0
+        self._successor: placer.Grant | None = None
         self.refusal: refusals.Refusal | None = None
 
     @property
@@ -127,7 +122,10 @@
     async def run(self) -> Result:
         """Forward the request until it is answered or its deadline passes."""
         with trio.CancelScope(deadline=self._request.job.deadline) as timeout:
-            return await self._send_all()
+            try:
+                return await self._send_all()
+            finally:
+                self._release_successor()
         assert timeout.cancelled_caught
         if self._started:
             self._caller.abort()
@@ -146,17 +144,20 @@
             refusals.Reason.NOT_RUN, placer.DEFAULT_RETRY_AFTER_S
         )
         for prior_sends in range(MAX_SENDS):
-            if prior_sends and not self._may_resend():
-                break
-            grant = await self._acquire()
-            if isinstance(grant, refusals.Refusal):
-                refusal = grant
-                break
+            grant = self._take_successor()
+            if grant is None:
+                if prior_sends and not self._may_resend():
+                    break
+                acquired = await self._acquire()
+                if isinstance(acquired, refusals.Refusal):
+                    refusal = acquired
+                    break
+                grant = acquired
+                if prior_sends and not self._consume_retry(grant):
+                    break
             if self._caller.caller_has_left():
                 grant.close(interface.AttemptOutcome.CALLER_LEFT)
                 return Result.CALLER_LEFT
-            if prior_sends and not self._consume_retry(grant):
-                break
             self.sends += 1
             result = await self._send_once(grant)
             if result is not None:
@@ -204,6 +205,32 @@
         request_log.retry_refused(job, self.sends)
         return False
 
+    def _find_successor(self) -> bool:
+        """Acquire a server that takes the request over now, if there is one.
+
+        The present server is left only after that: a request that had left
+        it without would be refused or cut although it may still be served.
+        """
+        job = self._request.job
+        now = trio.current_time()
+        if not self._may_resend() or not self._placer.retries.allows(
+            job.service, now
+        ):
+            return False
+        self._successor = self._placer.try_acquire(job, self._tried)
+        if self._successor is None:
+            return False
+        return self._placer.retries.try_acquire(job.service, now)
+
+    def _take_successor(self) -> placer.Grant | None:
+        successor, self._successor = self._successor, None
+        return successor
+
+    def _release_successor(self) -> None:
+        successor = self._take_successor()
+        if successor is not None:
+            successor.close(interface.AttemptOutcome.CALLER_LEFT)
+
     async def _give_up(self, refusal: refusals.Refusal) -> Result:
         if self._started:
             self._caller.abort()
@@ -252,46 +279,70 @@
                 self._request.job, engine, result, attempt.progress
             )
             return None
-        except trio.Cancelled:
-            if trio.current_time() >= self._request.job.deadline:
-                outcome = interface.AttemptOutcome.TIMED_OUT
-            raise
         finally:
+            if (
+                outcome is interface.AttemptOutcome.CALLER_LEFT
+                and trio.current_time() >= self._request.job.deadline
+            ):
+                outcome = interface.AttemptOutcome.TIMED_OUT
             attempt.close()
             grant.close(outcome)
 
     async def _send_with_timeout(
         self, attempt: sending.SendAttempt, grant: placer.Grant
     ) -> Result | sending.SendFailure:
-        """Send once; abandon a silent server if another may be tried."""
-        timeout_s = self._silence_timeout()
-        with trio.move_on_after(timeout_s) as silence_scope:
-            received = await attempt.open(self._last_event_id)
-            if isinstance(received, sending.SendFailure):
-                return received
-            if sending.is_stream(self._request.kind, received):
-                return await self._relay(
-                    attempt, received, grant, silence_scope
-                )
-            grant.started()
-            body = await attempt.read_all()
-            silence_scope.deadline = math.inf
-            if isinstance(body, sending.SendFailure):
-                return body
-            return await self._check_response(received, body)
-        detail = f'nothing for {timeout_s:.2f} s'
-        return sending.SendFailure(
-            interface.AttemptOutcome.SILENT, True, detail
-        )
-
-    def _silence_timeout(self) -> float:
+        """Send once; leave a silent server if another one takes over."""
         job = self._request.job
         attempts_left = job.route.attempts > len(self._may_have_run_on)
         if not self._request.kind.repeatable or not attempts_left:
-            return math.inf
-        return max(
-            MIN_SILENCE_TIMEOUT_S, SILENCE_TIMEOUT_RATIO * job.route.target
+            return await self._receive(attempt, grant, None)
+        watch = silence.SilenceWatch(
+            silence.timeout(job.route.target),
+            silence.timeout(job.route.gap_target or job.route.target),
+            lambda: self._leave_silent(grant.engine),
         )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch.run, nursery.cancel_scope)
+            result = await self._receive(attempt, grant, watch)
+            watch.pause()
+            nursery.cancel_scope.cancel()
+            # The watch may have expired while the result was on its way.
+            self._release_successor()
+            return result
+        assert watch.expired
+        return sending.SendFailure(
+            interface.AttemptOutcome.SILENT, True, 'nothing in time'
+        )
+
+    def _leave_silent(self, engine: engines.Engine) -> bool:
+        if self._find_successor():
+            return True
+        self._release_successor()
+        if engine.key not in self._silent:
+            self._silent.add(engine.key)
+            self._placer.record_silence(engine)
+            request_log.silent_server_kept(self._request.job, engine)
+        return False
+
+    async def _receive(
+        self,
+        attempt: sending.SendAttempt,
+        grant: placer.Grant,
+        watch: silence.SilenceWatch | None,
+    ) -> Result | sending.SendFailure:
+        """Send the request and deliver the response."""
+        received = await attempt.open(self._last_event_id)
+        if isinstance(received, sending.SendFailure):
+            return received
+        if sending.is_stream(self._request.kind, received):
+            return await self._relay(attempt, received, grant, watch)
+        grant.started()
+        body = await attempt.read_all()
+        if watch is not None:
+            watch.pause()
+        if isinstance(body, sending.SendFailure):
+            return body
+        return await self._check_response(received, body)
 
     async def _check_response(
         self, received: sending.ReceivedHead, body: bytes
@@ -343,7 +394,7 @@
         attempt: sending.SendAttempt,
         received: sending.ReceivedHead,
         grant: placer.Grant,
-        silence_scope: trio.CancelScope,
+        watch: silence.SilenceWatch | None,
     ) -> Result | sending.SendFailure:
         """Relay a stream to the caller, only complete events at a time.
 
@@ -354,7 +405,6 @@
         if not received.head.signed:
             return _unsigned('a stream')
         event_buffer = sse.EventBuffer()
-        timeout_s = self._gap_timeout()
         has_begun = False
         while True:
             data = await attempt.read()
@@ -368,16 +418,20 @@
                 return sending.SendFailure(
                     interface.AttemptOutcome.BROKEN, True, str(exc)
                 )
-            if sse.has_content(events):
-                # A server that has stalled may still send a byte or a
-                # comment now and then.
+            if not events:
+                continue
+            # A server that has stalled may still send a byte or a comment
+            # now and then.
+            is_progress = sse.has_content(events)
+            if is_progress:
                 has_begun = True
-                if math.isfinite(silence_scope.deadline):
-                    silence_scope.deadline = trio.current_time() + timeout_s
                 grant.started()
-            if events:
-                with trio.CancelScope(shield=True):
-                    await self._forward_events(received, events)
+                if watch is not None:
+                    watch.pause()
+            with trio.CancelScope(shield=True):
+                await self._forward_events(received, events)
+            if is_progress and watch is not None:
+                watch.restart()
         failure = _early_end(received, event_buffer, has_begun)
         if failure is not None:
             return failure
@@ -391,13 +445,6 @@
             await self._caller.end_stream()
         return Result.ANSWERED
 
-    def _gap_timeout(self) -> float:
-        gap = (
-            self._request.job.route.gap_target
-            or self._request.job.route.target
-        )
-        return max(MIN_SILENCE_TIMEOUT_S, SILENCE_TIMEOUT_RATIO * gap)
-
     async def _forward_events(
         self, received: sending.ReceivedHead, events: bytes
     ) -> None:
--- a/src/corianderloft/_internal/gateway/request_log.py
+++ b/src/corianderloft/_internal/gateway/request_log.py
@@ -82,6 +82,18 @@
     )
 
 
+def silent_server_kept(job: interface.Job, engine: engines.Engine) -> None:
+    """Log that a request stays with a server that sends nothing."""
+    logger.info(
+        'silent backend server kept: no other takes the request over',
+        extra={
+            'request_id': job.request_id,
+            'engine': engine.engine_id,
+            'time_left_s': round(job.deadline - trio.current_time(), 3),
+        },
+    )
+
+
 def _shared_part_ids(job: interface.Job) -> list[str]:
     prompt = job.prompt
     return [] if prompt is None else [p.part_id for p in prompt.shared_parts]
--- a/src/corianderloft/_internal/placement/budget.py
+++ b/src/corianderloft/_internal/placement/budget.py
@@ -50,15 +50,19 @@
 
     def try_acquire(self, service: ids.ServiceName, now: float) -> bool:
         """Count one retry if the budget allows it; return whether it does."""
+        if not self.allows(service, now):
+            return False
+        self._recent(self._retries, service, now).append(now)
+        return True
+
+    def allows(self, service: ids.ServiceName, now: float) -> bool:
+        """Return whether the budget allows one more retry."""
         requests = len(self._recent(self._requests, service, now))
-        retries = self._recent(self._retries, service, now)
+        retries = len(self._recent(self._retries, service, now))
         slack = self._slack / self._host_count
-        if len(retries) + 1 > USABLE_BUDGET_RATIO * (
+        return retries + 1 <= USABLE_BUDGET_RATIO * (
             self._ratio * requests + slack
-        ):
-            return False
-        retries.append(now)
-        return True
+        )
 
     def _recent(
         self,
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -209,6 +209,29 @@
             return refusal
         return Grant(self, waiter.engine, waiter.number)
 
+    def try_acquire(
+        self,
+        job: interface.Job,
+        exclude: collections.abc.Set[engines.Key],
+    ) -> Grant | None:
+        """Return a permission that can be given now, or None.
+
+        Requests in the queue go first.
+
+        Parameters
+        ----------
+        job : Job
+            The request.
+        exclude : set of Key
+            Backend servers that must not be chosen.
+        """
+        self.dispatch()
+        waiter = queue.Waiter(job, exclude, next(self._request_numbers))
+        self._try_dispatch(waiter, trio.current_time())
+        if waiter.engine is None:
+            return None
+        return Grant(self, waiter.engine, waiter.number)
+
     def wake(self) -> None:
         """Schedule another pass over the queue."""
         if self._queue:
@@ -377,6 +400,15 @@
             decision_log.readmitted(engine, outcome)
         self.load_changed()
 
+    def record_silence(self, engine: engines.Engine) -> None:
+        """Record that a server sends nothing to a request that stays there.
+
+        New requests avoid it if there are others. The only server of a
+        service is not ejected: it may be sound, and nothing else is left.
+        """
+        if len(self._view(engine.instance.service).live) > 1:
+            self.record_outcome(engine, interface.AttemptOutcome.SILENT)
+
     def _context(
         self, waiter: queue.Waiter, now: float, last_chance: bool
     ) -> interface.Context:
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -73,6 +73,9 @@
         Number of events in a stream.
     pause : float
         Delay between two events in seconds.
+    stall : float
+        Delay before a whole response, and in a stream before the event
+        ``cut_after``, in seconds.
     cut_after : int
         Event at which ``cut_stream`` truncates a stream.
     seen : list of ExecutedRequest
@@ -89,6 +92,7 @@
         self.events = 4
         self.pause = 0.0
         self.cut_after = 2
+        self.stall = 0.0
         self.seen = []
         self.seen_at = []
         self.disconnects = 0
@@ -179,6 +183,8 @@
         if mode == 'cut':
             await self._respond(stream, http, headers, 200, b'part', cut=True)
             return False
+        if self.stall:
+            await trio.sleep(self.stall)
         status = self.error_status if mode == 'error' else 200
         signed = mode != 'unsigned'
         body = f'answer of {self.engine_id}'.encode()
@@ -284,6 +290,8 @@
             if truncates and number == self.cut_after:
                 await stream.send_all(http.send(h11.Data(data=b'id: 9')))
                 return False
+            if self.stall and number == self.cut_after:
+                await trio.sleep(self.stall)
             event = f'id: {number}\ndata: token {number}\n\n'.encode()
             await stream.send_all(http.send(h11.Data(data=event)))
             if self.pause:
