Keep a silent server for requests that entry hosts may not repeat

Callers of entry hosts were answered "unknown" after a silence of a few targets, and an answer that came later was lost, though no other server could have served them: a request that may run only once cannot go on elsewhere.

Requests that may be repeated do go on, at another engine or at the same one on a new connection; they are unchanged.

Now such requests wait until the deadline of their class. The class of bookings in tests/lib/entry.py has a deadline of 1 s, so that the tests with a server that never answers still see "unknown".

--- a/src/corianderloft/_internal/entry/attempts.py
+++ b/src/corianderloft/_internal/entry/attempts.py
@@ -81,8 +81,8 @@
         self._first_token_timeout_s = timeouts.first_token_timeout(
             cfg, request_class
         )
-        self._token_gap_timeout_s = max(
-            cfg.silent_floor, cfg.silent_gaps * request_class.token_gap_target
+        self._token_gap_timeout_s = timeouts.token_gap_timeout(
+            cfg, request_class
         )
         self._outbound = outbound.Outbound(
             components.connections,
@@ -235,12 +235,13 @@
         )
 
     async def _read_whole_response(self) -> StartResult:
-        generation_timeout_s = (
-            self._call.ticket.max_tokens * self._token_gap_timeout_s
-        )
         body = await self._outbound.read_all(
             self._cfg.max_answer_bytes,
-            self._first_token_timeout_s + generation_timeout_s,
+            timeouts.whole_response_timeout(
+                self._cfg,
+                self._call.origin.request_class,
+                self._call.ticket.max_tokens,
+            ),
         )
         if isinstance(body, outbound.Failure):
             return self._record_failure(body)
--- a/tests/lib/entry.py
+++ b/tests/lib/entry.py
@@ -45,6 +45,7 @@
         ids.Tier(0),
         first_token_target=0.1,
         idempotent=False,
+        deadline=1.0,
     )
     route = catalog.SupplierRoute(ids.SupplierName('s'), ids.ModelVersion('m'))
     return catalog.Catalog(
--- a/tests/unit/entry/test_chat.py
+++ b/tests/unit/entry/test_chat.py
@@ -140,6 +140,31 @@
     assert other.seen[0].last_event_id == have
 
 
+@pytest.mark.parametrize('have', [0, 5])
+async def test_stalled_stream_that_may_not_be_repeated_is_kept(
+    nursery: trio.Nursery, have: int
+) -> None:
+    async def stalls(
+        wire: engines.EngineConnection, seen: engines.ReceivedRequest
+    ) -> None:
+        await wire.head()
+        await wire.tokens(1, have)
+        await trio.sleep(0.4)
+        await wire.tokens(have + 1, engines.TOKENS)
+        await wire.done()
+
+    engine, one = await engines.start(nursery, 'e1', stalls)
+    _, two = await engines.start(nursery, 'e2', engines.serves)
+    quick = {'silent_first_tokens': 1.01, 'silent_floor': 0.05}
+    async with entry.running_host(one, two, backends=quick) as fixture:
+        fixture.shared.catalog = entry.catalog_of(
+            first_token_target=0.05, token_gap_target=0.001, idempotent=False
+        )
+        answer = await entry.chat(fixture)
+    assert answer.body == engines.whole_body()
+    assert len(engine.seen) == 1
+
+
 async def test_resumes_only_on_the_same_model_version(
     nursery: trio.Nursery,
 ) -> None:
--- a/tests/unit/entry/test_plain.py
+++ b/tests/unit/entry/test_plain.py
@@ -84,6 +84,25 @@
         assert again.refusal() == ('claim_in_progress', 'unknown')
 
 
+async def test_late_response_to_a_call_that_may_not_be_repeated_is_delivered(
+    nursery: trio.Nursery,
+) -> None:
+    # It was given up as unknown after a silence of a few targets, although no
+    # other server could take it over.
+    async def charges_late(
+        wire: engines.EngineConnection, seen: engines.ReceivedRequest
+    ) -> None:
+        await trio.sleep(0.4)
+        await charges(wire, seen)
+
+    engine, one = await engines.start(nursery, 't1', charges_late, 'till')
+    quick = {'silent_first_tokens': 1.01, 'silent_floor': 0.05}
+    async with entry.running_host(one, backends=quick) as fixture:
+        answer = await call(fixture, Idempotency_Key='k1')
+    assert answer.status == 201
+    assert len(engine.seen) == 1
+
+
 async def test_retry_rule_cannot_repeat_a_call_that_may_have_run(
     nursery: trio.Nursery,
 ) -> None:
