Take a response without a length for incomplete if its server has ended

Callers got streams that looked complete before their last event (ORDER), and parts of whole responses (MIXED).

Cause: the kernel closes the connections of a killed process. Where the end of the connection is that of the response, nothing in it tells a crash between two events.

Change: the host opens a connection to the server. If that is refused, or closed within 50 ms, the response is incomplete; otherwise the connection is kept for later requests. Plain services of entry hosts likewise.

--- a/src/corianderloft/_internal/entry/plain.py
+++ b/src/corianderloft/_internal/entry/plain.py
@@ -13,10 +13,12 @@
 from corianderloft._internal.entry import records
 from corianderloft._internal.entry import retrying
 from corianderloft._internal.entry import timeouts
+from corianderloft._internal.models import backends
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import reasons
 from corianderloft._internal.models import requests
 from corianderloft._internal.models import states
+from corianderloft._internal.network import engine_connection
 from corianderloft._internal.network import outbound
 from corianderloft._internal.shared import interface as shared_state
 
@@ -165,9 +167,7 @@
         attempt_record = self._record.begin_attempt(grant.backend.engine_id)
         attempt_record.end = interface.AttemptEnd.CANCELLED
         try:
-            result = await self._fetch_response(
-                exchange, grant.backend.engine_id
-            )
+            result = await self._fetch_response(exchange, grant.backend)
             attempt_record.end = interface.AttemptEnd.COMPLETE
             if isinstance(result, outbound.Failure):
                 attempt_record.end = result.end
@@ -182,9 +182,10 @@
             await exchange.close()
 
     async def _fetch_response(
-        self, exchange: outbound.Outbound, engine_id: ids.EngineId
+        self, exchange: outbound.Outbound, backend: backends.Backend
     ) -> PlainResponse | outbound.Failure:
         cfg = self._components.settings.backends
+        engine_id = backend.engine_id
         timeout_s = timeouts.first_token_timeout(
             cfg, self._call.origin.request_class
         )
@@ -194,6 +195,13 @@
         body = await exchange.read_all(cfg.max_answer_bytes, timeout_s)
         if isinstance(body, outbound.Failure):
             return body
+        if head.ends_with_connection and await self._has_ended(backend):
+            return outbound.Failure(
+                interface.AttemptEnd.CONNECTION_LOST,
+                True,
+                f'backend server {backend.engine_id!r} ended together with '
+                'its response',
+            )
         if backend_responses.reports_leaving(head.status, body):
             self._components.shared.note_backend_leaving(engine_id)
         failure = backend_responses.classify_service_response(head, engine_id)
@@ -206,6 +214,28 @@
         ]
         return PlainResponse(head.status, headers, body)
 
+    async def _has_ended(self, backend: backends.Backend) -> bool:
+        """Return whether the process of a live server has just ended.
+
+        Its connections are closed then, and a response without a length looks
+        complete. A server that leaves may end right after its last response.
+        """
+        known = self._components.shared.current_backends()
+        if not any(
+            b.engine_id == backend.engine_id
+            and b.state is states.BackendState.LIVE
+            for b in known
+        ):
+            return False
+        conn = await engine_connection.connect_unless_ended(
+            backend.address,
+            backend.port,
+            self._components.settings.backends.connect_time,
+        )
+        if isinstance(conn, engine_connection.EngineConnection):
+            conn.close()
+        return conn is None
+
     def _claim_expired(self) -> requests.Refused:
         return requests.Refused(
             reasons.RefusalReason.CLAIM_UNAVAILABLE,
--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -16,6 +16,7 @@
 from corianderloft._internal.gateway import sending
 from corianderloft._internal.gateway import silence
 from corianderloft._internal.models import routing
+from corianderloft._internal.models import states
 from corianderloft._internal.network import engine_pool
 from corianderloft._internal.network import exchange
 from corianderloft._internal.placement import engines
@@ -342,6 +343,9 @@
             watch.pause()
         if isinstance(body, sending.SendFailure):
             return body
+        failure = await _end_by_crash(attempt, received, grant.engine)
+        if failure is not None:
+            return failure
         return await self._check_response(received, body)
 
     async def _check_response(
@@ -433,6 +437,10 @@
             if is_progress and watch is not None:
                 watch.restart()
         failure = _early_end(received, event_buffer, has_begun)
+        if failure is None:
+            if watch is not None:
+                watch.pause()
+            failure = await _end_by_crash(attempt, received, grant.engine)
         if failure is not None:
             return failure
         remainder = event_buffer.incomplete()
@@ -485,6 +493,40 @@
     )
 
 
+async def _end_by_crash(
+    attempt: sending.SendAttempt,
+    received: sending.ReceivedHead,
+    engine: engines.Engine,
+) -> sending.SendFailure | None:
+    """Return a failure if the end of a response was that of its server.
+
+    The operating system closes the connections of a process that ends, and a
+    response without a length then looks complete. A server that leaves may
+    end right after its last response.
+
+    Parameters
+    ----------
+    attempt : SendAttempt
+        The attempt.
+    received : ReceivedHead
+        Head of the response.
+    engine : Engine
+        The server.
+    """
+    if (
+        not received.ends_with_connection
+        or engine.instance.state is not states.BackendState.LIVE
+        or not await attempt.server_has_ended()
+    ):
+        return None
+    return sending.SendFailure(
+        interface.AttemptOutcome.BROKEN,
+        True,
+        'the server ended together with its response',
+        disconnected=True,
+    )
+
+
 def _early_end(
     received: sending.ReceivedHead,
     event_buffer: sse.EventBuffer,
--- a/src/corianderloft/_internal/gateway/sending.py
+++ b/src/corianderloft/_internal/gateway/sending.py
@@ -162,15 +162,23 @@
 
     async def server_is_gone(self) -> bool:
         """Return whether the server accepts no connections any more."""
-        instance = self._engine.instance
-        conn = await engine_connection.connect(
-            instance.address, instance.port, CONNECT_TIMEOUT_S
-        )
+        conn = await self._connect()
         if isinstance(conn, engine_connection.ConnectionFailure):
             return True
-        conn.close()
+        self._pool.add(self._engine.key, conn)
         return False
 
+    async def server_has_ended(self) -> bool:
+        """Return whether the process of the server has just ended."""
+        self._pool.opened += 1
+        instance = self._engine.instance
+        conn = await engine_connection.connect_unless_ended(
+            instance.address, instance.port, CONNECT_TIMEOUT_S
+        )
+        if isinstance(conn, engine_connection.EngineConnection):
+            self._pool.add(self._engine.key, conn)
+        return conn is None
+
     def close(self) -> None:
         """Pool the connection after a complete response, or close it."""
         conn, self._conn = self._conn, None
@@ -192,6 +200,14 @@
         )
         if pooled is not None:
             return pooled
+        return await self._connect()
+
+    async def _connect(
+        self,
+    ) -> (
+        engine_connection.EngineConnection
+        | engine_connection.ConnectionFailure
+    ):
         self._pool.opened += 1
         instance = self._engine.instance
         return await engine_connection.connect(
--- a/src/corianderloft/_internal/network/engine_connection.py
+++ b/src/corianderloft/_internal/network/engine_connection.py
@@ -31,6 +31,10 @@
 KEEPALIVE_PROBES = 3
 """Unanswered probes, one second apart, after which a connection is dead."""
 
+END_SETTLING_S = 0.05
+"""Time in which all sockets of a process that has ended are closed. The one
+that listens may be the last of them."""
+
 IDLE_TIMEOUT_FRACTION = 0.6
 """Fraction of a backend server's idle timeout for which a connection is
 reused. The rest is a margin for bytes in transit."""
@@ -232,6 +236,12 @@
         # Data or EOF on an idle connection means that it cannot be reused.
         return not self._stream.socket.is_readable()
 
+    async def _is_closed_soon(self) -> bool:
+        with trio.move_on_after(END_SETTLING_S):
+            await trio.lowlevel.wait_readable(self._stream.socket)
+            return True
+        return False
+
     def close(self) -> None:
         """Close immediately; the backend server then cancels the request."""
         self._stream.socket.close()
@@ -334,6 +344,29 @@
     )
 
 
+async def connect_unless_ended(
+    address: str, port: int, timeout: float
+) -> EngineConnection | ConnectionFailure | None:
+    """Open a connection; return None if the peer's process has just ended.
+
+    Parameters
+    ----------
+    address : str
+        IP address.
+    port : int
+        TCP port.
+    timeout : float
+        Timeout in seconds.
+    """
+    conn = await connect(address, port, timeout)
+    if isinstance(conn, ConnectionFailure):
+        return None if conn.kind is FailureKind.REFUSED else conn
+    if await conn._is_closed_soon():
+        conn.close()
+        return None
+    return conn
+
+
 def _set_options(sock: trio.socket.SocketType) -> None:
     """Disable Nagle's algorithm and enable TCP keep-alive probes."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/src/corianderloft/_internal/network/engine_pool.py
+++ b/src/corianderloft/_internal/network/engine_pool.py
@@ -52,6 +52,11 @@
         else:
             conn.close()
 
+    def add(self, key: Key, conn: engine_connection.EngineConnection) -> None:
+        """Keep a connection that has carried no request yet."""
+        conn.idle_since = trio.current_time()
+        self._idle.setdefault(key, collections.deque()).append(conn)
+
     def drop(self, key: Key) -> None:
         """Close the idle connections to a backend server."""
         for conn in self._idle.pop(key, ()):
--- a/src/corianderloft/_internal/network/outbound.py
+++ b/src/corianderloft/_internal/network/outbound.py
@@ -56,6 +56,14 @@
     status: int
     headers: Headers
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the body has no length and ends with the connection."""
+        return (
+            self.header(b'content-length') is None
+            and self.header(b'transfer-encoding') is None
+        )
+
     def header(self, name: bytes) -> bytes | None:
         """Return the first header called ``name`` (lower case), or None."""
         return next((v for n, v in self.headers if n.lower() == name), None)
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -10,9 +10,7 @@
 
 _HEAD = b'HTTP/1.1 200 OK\r\nCorianderloft-Response-Signature: s\r\n'
 _CHUNKED = _HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
-_ERROR = (
-    b'HTTP/1.1 500 Internal Server Error\r\nTransfer-Encoding: chunked\r\n\r\n'
-)
+_ERROR = b'HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n\r\n'
 _EVENT = b'id: 0\ndata: token 0\n\n'
 ENDLESS = {
     'junk': (b'', b'\x00\x01 no answer'),
@@ -52,8 +50,9 @@
     ----------
     mode : str
         ``whole``, ``stream``, ``error``, ``reject``, ``hang``, ``cut``,
-        ``cut_stream``, ``unframed_stream``, ``half_event``, ``unsigned``,
-        ``twice``, ``reset``, ``by_path``, or ``endless`` with
+        ``cut_stream``, ``unframed_stream``, ``half_event``, ``end_stream``
+        and ``end_whole`` (the server ends in a response without a length),
+        ``unsigned``, ``twice``, ``reset``, ``by_path``, or ``endless`` with
         ``endless_kind``, a key of `ENDLESS`.
     endless_path : str
         Prefix of the paths with endless responses; others get a whole one.
@@ -76,6 +75,11 @@
     stall : float
         Delay before a whole response, and in a stream before the event
         ``cut_after``, in seconds.
+    may_end : Event, optional
+        Awaited before the end of a stream without a length; the server ends
+        with it.
+    connections : int
+        Connections accepted so far.
     cut_after : int
         Event at which ``cut_stream`` truncates a stream.
     seen : list of ExecutedRequest
@@ -93,6 +97,8 @@
         self.pause = 0.0
         self.cut_after = 2
         self.stall = 0.0
+        self.may_end = None
+        self.connections = 0
         self.seen = []
         self.seen_at = []
         self.disconnects = 0
@@ -125,6 +131,7 @@
 
     async def _connection(self, stream):
         http = h11.Connection(h11.SERVER)
+        self.connections += 1
         try:
             while await self._request(stream, http):
                 http.start_next_cycle()
@@ -176,7 +183,9 @@
             return False
         if mode == 'endless':
             await self._send_endlessly(stream)
-        if mode in ('unframed_stream', 'half_event'):
+        if mode == 'end_whole':
+            return await self._end_whole(stream, headers)
+        if mode in ('unframed_stream', 'half_event', 'end_stream'):
             return await self._stream_until_close(stream, headers)
         if mode in ('stream', 'cut_stream'):
             return await self._stream(stream, http, headers)
@@ -261,11 +270,27 @@
         )
         for number in range(first, self.events):
             event = b'id: %d\ndata: token %d\n\n' % (number, number)
+            if self.mode == 'end_stream' and number == self.cut_after:
+                self._scope.cancel()
+                break
             if self.mode == 'half_event' and number == self.cut_after:
                 # Without any event, the stream ends behind its head.
                 await stream.send_all(event[:9] if number else b'')
                 break
             await stream.send_all(event)
+            await trio.sleep(self.pause)
+        if self.may_end is not None:
+            await self.may_end.wait()
+            self._scope.cancel()
+        return False
+
+    async def _end_whole(self, stream, headers):
+        """Send a part of a response without a length, and end."""
+        request_id = headers['corianderloft-attempt-id'].encode()
+        await stream.send_all(
+            _HEAD + b'Corianderloft-Attempt-Id: %b\r\n\r\npart' % request_id
+        )
+        self._scope.cancel()
         return False
 
     async def _stream(self, stream, http, headers):
--- a/tests/unit/entry/test_plain.py
+++ b/tests/unit/entry/test_plain.py
@@ -4,6 +4,8 @@
 again unless it is idempotent or certainly did not run.
 """
 
+import dataclasses
+
 import pytest
 import trio
 
@@ -103,6 +105,31 @@
     assert len(engine.seen) == 1
 
 
+async def test_response_that_ends_with_its_server_is_not_relayed(
+    nursery: trio.Nursery,
+) -> None:
+    # Without a length, the end of the process looks like that of the body.
+    listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+    process = trio.CancelScope()
+
+    async def ends(stream: trio.SocketStream) -> None:
+        await stream.receive_some(65536)
+        await stream.send_all(b'HTTP/1.1 200 OK\r\n\r\npart')
+        process.cancel()
+
+    async def serve() -> None:
+        with process:
+            await trio.serve_listeners(ends, listeners)
+
+    _, other = await engines.start(nursery, 't1', charges, 'till')
+    port = listeners[0].socket.getsockname()[1]
+    ending = dataclasses.replace(other, port=port)
+    nursery.start_soon(serve)
+    async with entry.running_host(ending) as fixture:
+        answer = await call(fixture)
+    assert answer.refusal() == ('outcome_unknown', 'unknown')
+
+
 async def test_retry_rule_cannot_repeat_a_call_that_may_have_run(
     nursery: trio.Nursery,
 ) -> None:
--- /dev/null
+++ b/tests/unit/gateway/test_servers_that_end.py
@@ -0,0 +1,74 @@
+"""Servers whose process ends within a response that has no length.
+
+The operating system closes the connections of the process. If that happens
+between two events, the response looks as if it were complete.
+"""
+
+import pytest
+import trio
+
+from tests.lib import gateway
+from tests.lib import processes
+
+
+async def test_a_stream_that_ends_with_its_server_does_not_look_complete():
+    async with gateway.running(('end_stream',)) as system:
+        response = await system.request('POST', '/chat/1')
+        assert len(system.runs()) == 1
+    assert response.status == 200
+    assert not response.complete
+    assert response.body.count(b'data: token') == 2
+
+
+async def test_a_stream_that_ends_with_its_server_resumes_elsewhere():
+    async with gateway.running(('end_stream', 'stream')) as system:
+        responses = [
+            await system.request('POST', f'/quote/{number}')
+            for number in range(4)
+        ]
+        resumed = [r.headers.get('last-event-id') for r in system.runs()]
+    assert [response.complete for response in responses] == [True] * 4
+    for response in responses:
+        assert response.body.count(b'data: token') == 4
+    assert resumed.count('1') == 1
+
+
+async def test_a_response_that_ends_with_its_server_is_not_delivered():
+    async with gateway.running(('end_whole',)) as system:
+        response = await system.request('POST', '/book/1')
+        assert len(system.runs()) == 1
+    assert response.status == 502
+
+
+@pytest.mark.parametrize('mode', ['unframed_stream', 'stream'])
+async def test_connections_to_a_live_server_are_kept(mode):
+    # The connection that shows that the server lives carries a request.
+    async with gateway.running((mode,)) as system:
+        for number in range(3):
+            response = await system.request('POST', f'/chat/{number}')
+            assert response.complete
+        assert system.engines[0].connections <= 4
+
+
+async def test_the_last_response_of_a_server_that_leaves_is_complete():
+    async with gateway.running(('unframed_stream',)) as system:
+        engine = system.engines[0]
+        engine.may_end = trio.Event()
+        responses = []
+
+        async def ask():
+            responses.append(await system.request('POST', '/chat/1'))
+
+        async def is_left():
+            response = await system.request(deadline_ms=300)
+            return response.status == 503
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await processes.wait_for(lambda: engine.seen, 'it is sent')
+            system.register(engine, state='draining')
+            await processes.wait_for(is_left, 'the server gets no requests')
+            engine.may_end.set()
+    (response,) = responses
+    assert response.complete
+    assert response.body.count(b'data: token') == 4
