Keep to what servers say of themselves: Server-Leaving and Retry-After

A server that leaves says so in all its responses, and one that turns a request away with 503 may name a time for which it wants nothing.

placement/statements.py keeps both by the start of the server, apart from its entry, so an older entry, an outage or a restore does not end them. Hosts do not tell each other: see docs/design/45. If all servers of a service want nothing, a request is refused at once with the time until the first is back; hosts come back spread, with one request at first. Bad values are ignored or bounded.

--- a/src/corianderloft/_internal/gateway/dialect.py
+++ b/src/corianderloft/_internal/gateway/dialect.py
@@ -84,6 +84,11 @@
     rate_limit : float or None
         Requests per second that the backend server takes from all hosts
         together, while it is under pressure.
+    leaving : bool
+        Whether the backend server says that it leaves.
+    refuses_for : float or None
+        Time for which the backend server, which turned the request away,
+        wants no requests from this host, in seconds.
     forwarded_headers : list of (bytes, bytes)
         Headers that are forwarded to the caller unchanged.
     """
@@ -93,6 +98,8 @@
     not_run: bool
     load: instances.LoadSample | None
     rate_limit: float | None
+    leaving: bool
+    refuses_for: float | None
     forwarded_headers: Headers
 
 
--- a/src/corianderloft/_internal/gateway/metrics_page.py
+++ b/src/corianderloft/_internal/gateway/metrics_page.py
@@ -7,6 +7,7 @@
 from corianderloft._internal.gateway import metrics
 from corianderloft._internal.metrics import exposition
 from corianderloft._internal.metrics import registry
+from corianderloft._internal.placement import statements
 
 LATENCY_BUCKETS_S = (
     0.01,
@@ -33,6 +34,10 @@
     'gateway_repeats_refused_total',
     'Repeated sends refused by the budget, by service.',
 )
+_STATEMENTS = registry.counter(
+    'gateway_server_statements_total',
+    'Servers that said that they leave, or want no requests for a time.',
+)
 _FIRST_BYTE_SECONDS = registry.histogram(
     'gateway_first_byte_seconds',
     'Time from arrival to the first byte of an answer, by route.',
@@ -67,6 +72,8 @@
         _SENDS_FAILED.set({'cause': cause}, count)
     for service, count in metrics.retries_refused.items():
         _RETRIES_REFUSED.set({'service': service}, count)
+    for kind, count in statements.counts.items():
+        _STATEMENTS.set({'kind': kind}, count)
     for route, first_byte_s, total_s in metrics.take_latencies():
         if first_byte_s is not None:
             _FIRST_BYTE_SECONDS.observe({'route': route}, first_byte_s)
--- a/src/corianderloft/_internal/gateway/sending.py
+++ b/src/corianderloft/_internal/gateway/sending.py
@@ -237,6 +237,12 @@
         if isinstance(head, engine_connection.ConnectionFailure):
             return _as_send_failure(head)
         response_head = self._dialect.read_response(head.status, head.headers)
+        if head.status != MISDIRECTED:
+            self._engine.statements.record_response(
+                response_head.leaving,
+                response_head.refuses_for,
+                trio.current_time(),
+            )
         if response_head.load is not None:
             self._engine.record_sample(response_head.load, trio.current_time())
         if response_head.request_id in (None, self._request.head.request_id):
--- a/src/corianderloft/_internal/placement/decision_log.py
+++ b/src/corianderloft/_internal/placement/decision_log.py
@@ -43,6 +43,7 @@
             'waiting_here': waiting,
             'live': len(live),
             'usable': sum(engine.health.usable(now) for engine in live),
+            'refusing': sum(e.statements.refuses_until > now for e in live),
             'limited': sum(e.rate_limit.limit is not None for e in live),
             'tried': len(waiter.exclude),
             'least_reading_s': round(min(prefill_times, default=0.0), 3),
--- a/src/corianderloft/_internal/placement/engines.py
+++ b/src/corianderloft/_internal/placement/engines.py
@@ -4,6 +4,7 @@
 import dataclasses
 import math
 import operator
+import random
 import typing
 
 from corianderloft._internal.models import ids
@@ -12,6 +13,7 @@
 from corianderloft._internal.placement import engine_model
 from corianderloft._internal.placement import health
 from corianderloft._internal.placement import rate_limits
+from corianderloft._internal.placement import statements
 
 SLOWDOWN_EWMA_WEIGHT = 0.2
 """Weight of the newest answer in the moving average of the slowdown."""
@@ -100,6 +102,8 @@
         Model that it serves; None for a plain service.
     speed : EngineModel or None
         Speed of the engines of its service; None for a new estimate.
+    said : Statements or None
+        What it has said of itself; None if nothing is known.
 
     Attributes
     ----------
@@ -115,6 +119,8 @@
         When ``sample`` was received, on trio's clock.
     rate_limit : RateLimit
         Limit that it names, and the requests sent to it.
+    statements : Statements
+        What it has said of itself in its responses.
     """
 
     def __init__(
@@ -122,8 +128,12 @@
         instance: instances.Instance,
         model: routing.ModelService | None,
         speed: engine_model.EngineModel | None = None,
+        said: statements.Statements | None = None,
     ) -> None:
         self.instance = instance
+        self.statements = said or statements.Statements(
+            instance.engine_id, random.Random(), lambda: None
+        )
         self.serves_model = model is not None
         self.speed = speed or engine_model.EngineModel()
         self._slowdown = 1.0
--- a/src/corianderloft/_internal/placement/interface.py
+++ b/src/corianderloft/_internal/placement/interface.py
@@ -153,6 +153,7 @@
         """Return whether a backend server may receive the request."""
         return (
             engine.health.usable(self.now)
+            and engine.statements.admits(self.now)
             and engine.rate_limit.admits(self.now, self.hosts)
             and engine.key not in self.exclude
         )
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -1,6 +1,7 @@
 """Assigns the requests of this host to backend servers."""
 
 import collections.abc
+import dataclasses
 import itertools
 import math
 import random
@@ -27,6 +28,7 @@
 from corianderloft._internal.placement import rate_limits
 from corianderloft._internal.placement import service_view
 from corianderloft._internal.placement import sizes
+from corianderloft._internal.placement import statements
 
 MODEL_CHOOSER = 'lanes'
 PLAIN_CHOOSER = 'fewest_requests'
@@ -119,6 +121,9 @@
         self._model_chooser = _create_chooser(model_chooser)
         self._plain_chooser = _create_chooser(PLAIN_CHOOSER)
         self._sizes = sizes.RouteSizes()
+        self._statements = statements.StatementBook(
+            rng, self._apply_departures
+        )
         self._speeds: dict[ids.ServiceName, engine_model.EngineModel] = {}
         self._meters: dict[ids.ServiceName, lane_demand.DemandMeter] = {}
         self._peer_demands: dict[str, Demands] = {}
@@ -144,12 +149,21 @@
                     instance,
                     self._model_of(instance),
                     self._speed(instance.service),
+                    self._statements.of(key),
                 )
-            engine.instance = instance
+            engine.instance = _with_statements(engine, instance)
             kept[key] = engine
             if key not in self._engines:
                 self._add_peer_loads(engine)
         self._engines = kept
+        self._statements.prune()
+        self._update_views()
+        self.wake()
+
+    def _apply_departures(self) -> None:
+        """Take the servers that have said that they leave out of use."""
+        for engine in self._engines.values():
+            engine.instance = _with_statements(engine, engine.instance)
         self._update_views()
         self.wake()
 
@@ -190,7 +204,7 @@
         self._queue.add(waiter)
         self.dispatch()
         try:
-            with trio.move_on_at(waiter.wait_deadline):
+            with trio.move_on_at(self._wait_deadline(waiter)):
                 await waiter.granted.wait()
         except trio.Cancelled:
             if waiter.engine is not None:
@@ -209,6 +223,16 @@
             return refusal
         return Grant(self, waiter.engine, waiter.number)
 
+    def _wait_deadline(self, waiter: queue.Waiter) -> float:
+        """Return until when a request is queued, on trio's clock.
+
+        It is refused at once if all servers want nothing for longer.
+        """
+        live = self._view(waiter.job.service).live
+        if live and _refused_until(live) > waiter.wait_deadline:
+            return trio.current_time()
+        return waiter.wait_deadline
+
     def try_acquire(
         self,
         job: interface.Job,
@@ -288,6 +312,7 @@
         after = job.route.target * self._rng.uniform(
             *RETRY_AFTER_TARGET_RATIOS
         )
+        after += max(0.0, _refused_until(self._view(job.service).live) - now)
         return interface.Refused(interface.RefusalReason.OVERLOADED, after)
 
     def own_loads(self) -> dict[engines.Key, engines.PeerLoad]:
@@ -374,6 +399,7 @@
     ) -> None:
         """Update the health of an engine from the outcome of an attempt."""
         now = trio.current_time()
+        engine.statements.record_end()
         suspected = engine.health.suspected
         match outcome:
             case (
@@ -490,6 +516,7 @@
         )
         engine.add(waiter.number, request)
         engine.health.record_sent()
+        engine.statements.record_sent()
         engine.rate_limit.record_send(context.now)
         waiter.grant(engine)
         self._on_load_change()
@@ -509,3 +536,23 @@
 
 def _do_nothing() -> None:
     """Do nothing."""
+
+
+def _with_statements(
+    engine: engines.Engine, instance: instances.Instance
+) -> instances.Instance:
+    """Return an entry, corrected by what the server has said of itself."""
+    if (
+        not engine.statements.leaving
+        or instance.state is not states.BackendState.LIVE
+    ):
+        return instance
+    return dataclasses.replace(instance, state=states.BackendState.LEAVING)
+
+
+def _refused_until(live: collections.abc.Iterable[engines.Engine]) -> float:
+    """Return when the first of some servers wants requests again."""
+    return min(
+        (engine.statements.refuses_until for engine in live),
+        default=float('-inf'),
+    )
--- a/src/corianderloft/_internal/platform/headers.py
+++ b/src/corianderloft/_internal/platform/headers.py
@@ -1,6 +1,7 @@
 """Headers of requests and responses in the platform's format."""
 
 import math
+import re
 
 from corianderloft._internal.gateway import dialect
 from corianderloft._internal.models import ids
@@ -30,6 +31,7 @@
     | {b'authorization', b'content-length', names.RESUME_AFTER}
 )
 _BEARER = 'bearer '
+_SECONDS = re.compile(rb'[0-9]{1,15}(\.[0-9]{1,15})?')
 
 
 class PlatformDialect:
@@ -91,6 +93,8 @@
             not_run=names.NOT_RUN in values or status == 421,
             load=_load(values.get(names.ENGINE_LOAD)),
             rate_limit=_rate(values.get(names.SERVER_LIMIT)),
+            leaving=_is_leaving(headers),
+            refuses_for=_refusal_time(headers) if status == 503 else None,
             forwarded_headers=[
                 (name, value)
                 for name, value in headers
@@ -128,6 +132,26 @@
     return rate if math.isfinite(rate) and rate >= 0 else None
 
 
+def _is_leaving(headers: Headers) -> bool:
+    return any(
+        name.lower() == names.SERVER_LEAVING and value.strip() == b'1'
+        for name, value in headers
+    )
+
+
+def _refusal_time(headers: Headers) -> float | None:
+    """Return the longest of the times that are decimal numbers of seconds."""
+    return max(
+        (
+            float(value)
+            for name, value in headers
+            if name.lower() == names.RETRY_AFTER
+            and _SECONDS.fullmatch(value.strip())
+        ),
+        default=None,
+    )
+
+
 def _bearer_token(value: bytes | None) -> str | None:
     text = _text(value)
     if text is None or not text.lower().startswith(_BEARER):
--- a/src/corianderloft/_internal/platform/names.py
+++ b/src/corianderloft/_internal/platform/names.py
@@ -11,6 +11,8 @@
 NOT_RUN = b'corianderloft-not-executed'
 ENGINE_LOAD = b'corianderloft-engine-load'
 SERVER_LIMIT = b'server-limit'
+SERVER_LEAVING = b'server-leaving'
+RETRY_AFTER = b'retry-after'
 RESUME_AFTER = b'last-event-id'
 
 SYSTEM_HEADERS = frozenset(
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -66,6 +66,10 @@
         request with this part.
     rate_limit : str
         Requests per second that responses name, if any.
+    leaving : bool
+        Whether responses say that the server leaves.
+    retry_after : str
+        Time that rejections name, if any.
     sent_bytes : int
         Bytes of endless responses sent so far.
     events : int
@@ -108,6 +112,9 @@
         self.error_status = 500
         self.crash_part = ''
         self.rate_limit = ''
+        self.leaving = False
+        self.retry_after = ''
+        self.rejected_at = []
         self._scope = trio.CancelScope()
         self.sent_bytes = 0
         self._duplicate_response_due = set()
@@ -163,6 +170,7 @@
             return True
         if self.mode == 'reject':
             headers['not-run'] = '1'
+            self.rejected_at.append(trio.current_time())
             await self._respond(stream, http, headers, 503, b'', signed=False)
             return True
         self.seen_at.append(trio.current_time())
@@ -253,6 +261,10 @@
             fields.append((SIGNATURE, f'signed-by-{self.engine_id}'))
         if self.rate_limit:
             fields.append(('Server-Limit', self.rate_limit))
+        if self.leaving:
+            fields.append(('Server-Leaving', '1'))
+        if self.retry_after and status == 503:
+            fields.append(('Retry-After', self.retry_after))
         if 'not-run' in headers:
             fields.append(('Corianderloft-Not-Executed', '1'))
         data = http.send(h11.Response(status_code=status, headers=fields))
@@ -303,6 +315,8 @@
             ),
             (SIGNATURE, f'signed-by-{self.engine_id}'),
         ]
+        if self.leaving:
+            fields.append(('Server-Leaving', '1'))
         data = http.send(h11.Response(status_code=200, headers=fields))
         await stream.send_all(data)
         if self.crash_part and self.crash_part in headers.get(
