Notice the first restore of a store that counts its eras from 0

Cause: 0 stood for "no era stated yet" where a view enters a new era, where hosts of earlier eras are looked for, and where crash records and claims wait for the first era. "None" is a value of its own now: BEFORE_ANY for who waits, None in the entry of a host, and a view that has not read the store yet.

test_server_of_the_copy_that_had_left_gets_no_requests[0] and test_first_era_may_be_zero failed before.

--- a/src/corianderloft/_internal/gateway/crash_record.py
+++ b/src/corianderloft/_internal/gateway/crash_record.py
@@ -74,7 +74,7 @@
 
     async def _follow_eras(self) -> typing.NoReturn:
         """Correct the entries each time that the store was restored."""
-        era = await self._store.wait_newer_era(ids.Era(0))
+        era = await self._store.wait_newer_era(eras.BEFORE_ANY)
         while True:
             era = await self._store.wait_newer_era(era)
             await trio.sleep(random.uniform(0, RESTORE_SPREAD_S))
--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -196,7 +196,8 @@
         If it is of a new era, entries may be missing that their owners write
         again, as after an outage.
         """
-        if eras.era_of(revision) > eras.era_of(self.revision) > 0:
+        knew_store = bool(self.revision)
+        if knew_store and eras.era_of(revision) > eras.era_of(self.revision):
             self._last_outage_at = clock.now()
             self._entering_era = True
         self.revision = max(self.revision, revision)
@@ -287,7 +288,9 @@
         return [
             key
             for key, member in self._members.items()
-            if 0 < member.era < era and key != self._own_key
+            if member.era is not None
+            and member.era < era
+            and key != self._own_key
         ]
 
     def _wait_for_other_hosts(self) -> None:
--- a/src/corianderloft/_internal/kv/eras.py
+++ b/src/corianderloft/_internal/kv/eras.py
@@ -25,6 +25,9 @@
 """Greatest era with which a revision fits into 63 bits, as messages in JSON
 and Cap'n Proto need."""
 
+BEFORE_ANY = ids.Era(-1)
+"""Earlier than the first era that a store states."""
+
 MAX_LEASES = 1024
 """Leases remembered; those that were not renewed for longest are dropped."""
 
@@ -77,19 +80,23 @@
     Attributes
     ----------
     current : Era
-        The era; 0 until the store has stated one.
+        The era; 0 until the store has stated one. It may count from 0.
     """
 
     def __init__(self) -> None:
         self.current = ids.Era(0)
+        self._stated = False
         self._leases: collections.OrderedDict[ids.LeaseId, None] = (
             collections.OrderedDict()
         )
         self._changed = trio.Event()
 
     async def wait_newer(self, era: ids.Era) -> ids.Era:
-        """Wait until an era later than ``era`` is seen, and return it."""
-        while self.current <= era:
+        """Wait until the store has stated an era later than ``era``.
+
+        Returns the era.
+        """
+        while not self._stated or self.current <= era:
             await self._changed.wait()
         return self.current
 
@@ -133,13 +140,14 @@
         era = ids.Era(int(text))
         if not 0 <= era <= MAX_ERA:
             raise ValueError(f'era {era} is out of range')
-        if era > self.current:
-            if self.current:
+        if era > self.current or not self._stated:
+            if self._stated:
                 logger.warning(
                     'the store came back from an older copy',
                     extra={'era': era, 'previous_era': self.current},
                 )
             self.current = era
+            self._stated = True
             self._leases.clear()
             self._changed.set()
             self._changed = trio.Event()
--- a/src/corianderloft/_internal/models/members.py
+++ b/src/corianderloft/_internal/models/members.py
@@ -26,8 +26,8 @@
     version : int
         Version of the declarations that it had in force when it registered;
         0 if unknown.
-    era : Era
-        Era of the store in which it registered; 0 if unknown.
+    era : Era or None
+        Era of the store in which it registered; None if unknown.
     """
 
     host_id: ids.HostId
@@ -37,4 +37,4 @@
     failure_domain: ids.FailureDomain
     start: str
     version: int = dataclasses.field(default=0, compare=False)
-    era: ids.Era = dataclasses.field(default=ids.Era(0), compare=False)
+    era: ids.Era | None = dataclasses.field(default=None, compare=False)
--- a/src/corianderloft/_internal/platform/entries.py
+++ b/src/corianderloft/_internal/platform/entries.py
@@ -1,5 +1,7 @@
 """Store entries of backend servers and entry hosts."""
 
+import typing
+
 import orjson
 
 from corianderloft._internal.models import ids
@@ -62,12 +64,21 @@
             failure_domain=ids.FailureDomain(_text(entry['zone'])),
             start=_text(entry['start']),
             version=int(entry.get('version', 0)),
-            era=ids.Era(int(entry.get('era', 0))),
+            era=_era(entry.get('era')),
         )
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
 
 
+def _era(value: object) -> ids.Era | None:
+    """Return an era; None for an entry of a release that states none."""
+    if value is None:
+        return None
+    if not _is_integer(value, 0):
+        raise ValueError(f'{value!r} is not an era')
+    return ids.Era(typing.cast(int, value))
+
+
 def _address(text: object) -> tuple[str, int]:
     address, _, port = _text(text).rpartition(':')
     port_number = int(port)
--- a/src/corianderloft/_internal/shared/claims/claims.py
+++ b/src/corianderloft/_internal/shared/claims/claims.py
@@ -329,7 +329,7 @@
 
     async def _follow_eras(self) -> typing.NoReturn:
         """Write the claims of this host again after each restore."""
-        era = await self._kv.wait_newer_era(ids.Era(0))
+        era = await self._kv.wait_newer_era(eras.BEFORE_ANY)
         self._is_settled(era)
         while True:
             era = await self._kv.wait_newer_era(era)
--- a/tests/lib/platform_store.py
+++ b/tests/lib/platform_store.py
@@ -31,7 +31,9 @@
     min_ttl_ms : int
         Shortest accepted lease duration.
     era : int
-        Times that the store came back from a copy; not stated while it is 0.
+        Times that the store came back from a copy, or one more.
+    states_first_era : bool
+        Whether responses state an era of 0.
     """
 
     def __init__(self):
@@ -41,6 +43,7 @@
         self.compacted = 0
         self.min_ttl_ms = 0
         self.era = 0
+        self.states_first_era = False
         self.calls = self.store.calls
 
     def put(self, key, value, lease=None):
@@ -102,7 +105,8 @@
         return handle_with_faults
 
     async def _reply(self, call, body, status=200):
-        stated = {'Store-Era': str(self.era)} if self.era else None
+        is_stated = self.era or self.states_first_era
+        stated = {'Store-Era': str(self.era)} if is_stated else None
         await call.reply(body, status, stated)
 
     async def _get_key(self, call):
--- a/tests/unit/gateway/test_restored_store.py
+++ b/tests/unit/gateway/test_restored_store.py
@@ -6,6 +6,7 @@
 import signal
 
 import orjson
+import pytest
 import trio
 
 from tests.lib import gateway
@@ -15,10 +16,11 @@
 
 
 @contextlib.asynccontextmanager
-async def running(**options):
+async def running(era=1, **options):
     """Run a system whose store states its era."""
     async with gateway.running(start=False, **options) as system:
-        system.store.era = 1
+        system.store.era = era
+        system.store.states_first_era = True
         await system.start_host()
         yield system
 
@@ -194,3 +196,35 @@
             await trio.sleep(0.05)
         declare(system, 2, tenants=[{'name': 'aswan', 'api_keys': ['new']}])
         await wait_served(system, '/look/1', 401)
+
+
+@pytest.mark.parametrize('era', [0, 1])
+async def test_server_of_the_copy_that_had_left_gets_no_requests(era):
+    # A first era of 0 was taken for none, so the restore was not noticed.
+    async with running(era, engines=('whole', 'whole')) as system:
+        left, other = system.engines
+        await processes.wait_for(
+            lambda: _reaches(system, left), 'it gets requests'
+        )
+        copied = system.store.store.copy()
+        system.store.remove(f'servers/{left.engine_id}')
+
+        async def is_left_alone():
+            count = len(left.seen)
+            for _ in range(6):
+                await system.request()
+            return len(left.seen) == count
+
+        await processes.wait_for(is_left_alone, 'it gets no more requests')
+        count = len(left.seen)
+        system.store.restore(copied, rewrite=False)
+        until = trio.current_time() + APPLY_S / 2
+        while trio.current_time() < until:
+            assert (await system.request()).status == 200
+        assert len(left.seen) == count
+        assert len(other.seen) > count
+
+
+async def _reaches(system, engine):
+    await system.request()
+    return bool(engine.seen)
--- a/tests/unit/kv/test_eras.py
+++ b/tests/unit/kv/test_eras.py
@@ -3,8 +3,10 @@
 import hypothesis
 from hypothesis import strategies as st
 import pytest
+import trio
 
 from corianderloft._internal.kv import eras
+from corianderloft._internal.models import ids
 
 ERAS = st.integers(0, eras.MAX_ERA)
 COUNTERS = st.integers(0, eras.UNMATCHED_COUNTER - 1)
@@ -44,3 +46,14 @@
     assert tracker.expected_counter(0) == 0
     assert tracker.expected_counter(eras.qualify(2, 7)) == 7
     assert tracker.expected_counter(eras.qualify(1, 7)) != 7
+
+
+async def test_first_era_may_be_zero():
+    tracker = eras.EraTracker()
+    with trio.move_on_after(0.01) as scope:
+        await tracker.wait_newer(eras.BEFORE_ANY)
+    assert scope.cancelled_caught
+    tracker.observe(b'0')
+    assert await tracker.wait_newer(eras.BEFORE_ANY) == 0
+    tracker.observe(b'1')
+    assert await tracker.wait_newer(ids.Era(0)) == 1
