Write the entry of a host only over the one that it knows

A host was ready and not listed, and got no new callers until its restart (seen once in the review): a write of its entry had got no reply, was repeated with a new lease, and was then executed late, with the old lease. The entry went with that lease, and the host renewed the other one.

Cause: the write had no condition. A call without a reply may be executed later if its condition still holds.

Now it has the revision that this host knows, 0 for none. Where another entry is there, as after a restart, it is read and replaced.

test_write_executed_late_does_not_replace_the_entry failed before.

--- a/src/corianderloft/_internal/gateway/membership.py
+++ b/src/corianderloft/_internal/gateway/membership.py
@@ -25,6 +25,10 @@
 """Delay after a failed call: allows three tries before the lease expires
 without adding needless load while the store is unavailable."""
 
+MAX_CONFLICTS = 3
+"""Attempts to write the entry over one that this host did not know of, as
+after a restart, before the next retry."""
+
 DEREGISTER_TIMEOUT_S = 1.0
 """Timeout for removing the entry at shutdown."""
 
@@ -66,6 +70,7 @@
         self._lease: ids.LeaseId | None = None
         self._written = False
         self._lease_era = ids.Era(0)
+        self._known_revision = ids.Revision(0)
         self._failing = False
 
     async def run(self) -> typing.NoReturn:
@@ -112,8 +117,7 @@
             return
         self._lease, self._lease_era = granted.lease_id, self._store.era
         self._value = self._encode_entry()
-        put = kv.Put(self._key, self._value, granted.lease_id)
-        written = await self._store.transact((), (put,))
+        written = await self._write_entry(granted.lease_id)
         if not isinstance(written, kv.Written):
             await self._wait_to_retry(str(written))
             return
@@ -124,11 +128,34 @@
         )
         await self._wait_to_renew()
 
+    async def _write_entry(self, lease_id: ids.LeaseId) -> kv.Write:
+        """Write the entry if it is as this host knows it.
+
+        A write without a reply may be executed seconds later. The condition
+        keeps it from replacing a later entry, with a lease that has ended.
+        """
+        put = kv.Put(self._key, self._value, lease_id)
+        for _ in range(MAX_CONFLICTS):
+            compare = kv.Compare(self._key, self._known_revision)
+            written = await self._store.transact((compare,), (put,))
+            if isinstance(written, kv.Written):
+                self._known_revision = written.revision
+            if not isinstance(written, kv.Conflict):
+                break
+            found = await self._store.get(self._key)
+            if isinstance(found, kv.Unavailable):
+                return found
+            self._known_revision = next(
+                (item.mod_revision for item in found.items), ids.Revision(0)
+            )
+        return written
+
     async def _renew(self, lease: ids.LeaseId) -> None:
         renewed = await self._store.renew_lease(lease)
         if isinstance(renewed, kv.LeaseLost):
             logger.warning('lease of this host expired; registering again')
             self._written = False
+            self._known_revision = ids.Revision(0)
         elif isinstance(renewed, kv.Unavailable):
             await self._wait_to_retry(renewed.detail)
         else:
--- a/tests/lib/platform_store.py
+++ b/tests/lib/platform_store.py
@@ -26,6 +26,9 @@
         Whether every call fails with status 503.
     lose_replies : int
         Number of next writes that are applied but get no response.
+    hold_writes : int
+        Number of next writes that get no response and are held until
+        `execute_held`.
     compacted : int
         Watches that start before this revision get status 410.
     min_ttl_ms : int
@@ -40,6 +43,8 @@
         self.store = fake_kv.FakeStore()
         self.down = False
         self.lose_replies = 0
+        self.hold_writes = 0
+        self._held = []
         self.compacted = 0
         self.min_ttl_ms = 0
         self.era = 0
@@ -50,6 +55,11 @@
         """Write a key, as the operator or a backend server would."""
         self.store.write([kv.Put(key, value, lease)])
 
+    def execute_held(self):
+        """Execute the writes that were held, if their conditions hold."""
+        held, self._held = self._held, []
+        return [self._execute(body) is None for body in held]
+
     def remove(self, key):
         """Remove a key."""
         self.store.write([kv.Delete(key)])
@@ -172,7 +182,23 @@
         ]
 
     async def _txn(self, call):
-        body = call.json()
+        if self.hold_writes:
+            self.hold_writes -= 1
+            self._held.append(call.json())
+            await call.drop_connection()
+            return
+        refusal = self._execute(call.json())
+        if refusal is not None:
+            await self._reply(call, *refusal)
+            return
+        if self.lose_replies:
+            self.lose_replies -= 1
+            await call.drop_connection()
+            return
+        await self._reply(call, {'revision': self.store.revision})
+
+    def _execute(self, body):
+        """Execute a transaction; return the reply if it is refused."""
         expected = body.get('expected_revision', [])
         items = self.store.items
         for row in expected:
@@ -183,23 +209,17 @@
                     for r in expected
                     if r['key'] in items
                 ]
-                await self._reply(call, {'items': current_items}, 412)
-                return
+                return {'items': current_items}, 412
         leases = {w.get('lease') or None for w in body.get('writes', [])}
         if leases - {None} - set(self.store.leases):
-            await self._reply(call, {}, 404)
-            return
+            return {}, 404
         writes = [
             kv.Put(w['key'], base64.b64decode(w['value']), w.get('lease'))
             for w in body.get('writes', [])
         ]
         removals = [kv.Delete(key) for key in body.get('remove', [])]
         self.store.write([*writes, *removals])
-        if self.lose_replies:
-            self.lose_replies -= 1
-            await call.drop_connection()
-            return
-        await self._reply(call, {'revision': self.store.revision})
+        return None
 
     async def _grant_lease(self, call):
         ttl = call.json()['ttl_ms']
--- a/tests/unit/gateway/test_membership.py
+++ b/tests/unit/gateway/test_membership.py
@@ -5,6 +5,8 @@
 from corianderloft._internal.gateway import membership
 from corianderloft._internal.kv import interface as kv
 from corianderloft._internal.models import ids
+from tests.lib import gateway
+from tests.lib import processes
 
 LEASE = ids.LeaseId(7)
 
@@ -30,6 +32,9 @@
         await self.released.wait()
         return kv.Written(ids.Revision(1))
 
+    async def get(self, key):
+        return kv.Found(ids.Revision(1), ())
+
     async def renew_lease(self, lease_id):
         return kv.LeaseGranted(lease_id, 3.0)
 
@@ -68,3 +73,37 @@
     await _stop_while(store, registration, store.writing)
     await registration.deregister()
     assert store.revoked == [LEASE]
+
+
+async def test_write_executed_late_does_not_replace_the_entry():
+    """A late write took the host off the list until it restarted.
+
+    It came with the lease of the first attempt, which nobody renews.
+    """
+    key = 'hosts/edge-1'
+    async with gateway.running(start=False) as system:
+        system.store.hold_writes = 1
+        await system.start_host(wait=False)
+        items = system.store.store.items
+        await processes.wait_for(lambda: key in items, 'it registers')
+        lease = items[key].lease_id
+        system.store.execute_held()
+        assert items[key].lease_id == lease
+        leases = system.store.store.leases
+        for other in [held for held in leases if held != lease]:
+            system.store.store.drop_lease(other)
+        assert key in items
+
+
+async def test_restarted_host_replaces_its_entry_of_before():
+    key = 'hosts/edge-1'
+    async with gateway.running() as system:
+        items = system.store.store.items
+        await processes.wait_for(lambda: key in items, 'it registers')
+        before = items[key].lease_id
+        system.kill_host()
+        await system.start_host()
+        await processes.wait_for(
+            lambda: key in items and items[key].lease_id != before,
+            'it registers again',
+        )
