Go on serving when the log cannot be written

A host ended, and cut the requests that it served, when the reader of its log closed the pipe or the file system of the log was full: os.write raised, and the task that writes the log took the others with it (found by reading).

Now the lines are dropped and counted in corianderloft_log_lines_dropped, and later ones are tried again.

--- a/src/corianderloft/_internal/logs/bounded.py
+++ b/src/corianderloft/_internal/logs/bounded.py
@@ -15,6 +15,9 @@
 """Maximum size of one write, in bytes: a write of this size to a writable
 pipe does not block."""
 
+RETRY_INTERVAL_S = 0.1
+"""Delay after a write that failed."""
+
 FLUSH_TIMEOUT_S = 0.3
 """Time limit for writing the remaining lines at shutdown."""
 
@@ -30,7 +33,8 @@
     Attributes
     ----------
     dropped : int
-        Number of lines dropped because the buffer was full.
+        Number of lines dropped because the buffer was full or they could not
+        be written.
     """
 
     def __init__(self, fileno: int = 1) -> None:
@@ -68,7 +72,19 @@
         data = self._take_batch()
         while data:
             await self._wait_writable()
-            data = data[os.write(self._fileno, data[:MAX_WRITE_BYTES]) :]
+            try:
+                written = os.write(self._fileno, data[:MAX_WRITE_BYTES])
+            except BlockingIOError:
+                # A file that cannot be polled, such as a terminal.
+                await trio.sleep(RETRY_INTERVAL_S)
+                continue
+            except OSError:
+                # Nobody reads the log any more, or its file system is full.
+                # Requests go on, and later lines may be written again.
+                self.dropped += data.count(b'\n')
+                await trio.sleep(RETRY_INTERVAL_S)
+                return
+            data = data[written:]
 
     async def _wait_writable(self) -> None:
         if not self._pollable:
