Bound numbers from outside where they are decoded

Cause: the number went as it was into the load of the engine; the sum of two does not fit into the datagram with the loads, and the task that failed took the others of the process with it.

Numbers of callers and engines now count as a bound at most, those of entries and datagrams are malformed beyond it. A request occupies no more of an engine than its memory. A background task that fails is logged with its trace and started again.

--- a/src/corianderloft/_internal/gateway/crash_messages.py
+++ b/src/corianderloft/_internal/gateway/crash_messages.py
@@ -15,6 +15,7 @@
 from corianderloft._internal.models import crashes
 from corianderloft._internal.models import ids
 from corianderloft._internal.placement import crash_evidence
+from corianderloft._internal.utils import integers
 
 MAX_PARTS_PER_DATAGRAM = 32
 """Parts in one datagram; the rest goes into the next ones."""
@@ -158,5 +159,6 @@
 
 def _runs(pairs: typing.Any) -> frozenset[crashes.ServerRun]:
     return frozenset(
-        (ids.EngineId(str(engine_id)), int(born)) for engine_id, born in pairs
+        (ids.EngineId(str(engine_id)), integers.bounded(born, 0))
+        for engine_id, born in pairs
     )
--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -30,6 +30,7 @@
 from corianderloft._internal.network import serving
 from corianderloft._internal.placement import budget
 from corianderloft._internal.placement import placer
+from corianderloft._internal.utils import supervision
 
 logger = logging.getLogger(__name__)
 
@@ -155,14 +156,17 @@
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._follower.run)
-                nursery.start_soon(self._follower.expire_missing)
-                nursery.start_soon(self._placer.run)
-                nursery.start_soon(self._load_exchange.run)
-                nursery.start_soon(self._crash_record.run)
-                nursery.start_soon(self._run_membership)
-                nursery.start_soon(self._housekeeping)
-                nursery.start_soon(self._poll_settings)
+                for task in (
+                    self._follower.run,
+                    self._follower.expire_missing,
+                    self._placer.run,
+                    self._load_exchange.run,
+                    self._crash_record.run,
+                    self._run_membership,
+                    self._housekeeping,
+                    self._poll_settings,
+                ):
+                    nursery.start_soon(supervision.restarting, task)
                 for server in servers:
                     nursery.start_soon(server.serve, stopped)
                 logger.info(
--- a/src/corianderloft/_internal/gateway/load_messages.py
+++ b/src/corianderloft/_internal/gateway/load_messages.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import enum
+import math
 import typing
 
 import orjson
@@ -11,6 +12,10 @@
 from corianderloft._internal.models import members
 from corianderloft._internal.placement import engines
 from corianderloft._internal.placement import lane_demand
+from corianderloft._internal.utils import integers
+
+MAX_COUNT = 10**12
+"""Bound on each count of a load, so that sums fit into a datagram."""
 
 SENDS_PER_CHANGE = 2
 """Number of datagrams that contain each change, as one may be lost."""
@@ -105,25 +110,44 @@
         host_id, scope, start, sequence, full, rows, *rest = orjson.loads(data)
         demand_rows = rest[0] if rest else ()
         loads = {
-            (ids.EngineId(str(engine_id)), int(born)): engines.PeerLoad(
-                *map(int, counts)
-            )
+            (
+                ids.EngineId(str(engine_id)),
+                integers.bounded(born, 0),
+            ): engines.PeerLoad(*map(_count, counts))
             for engine_id, born, *counts in rows
         }
         demands = {
             ids.ServiceName(str(service)): lane_demand.Demand(
-                *map(float, values)
+                *map(_demand, values)
             )
             for service, *values in demand_rows
         }
         source = Source(ids.HostId(str(host_id)), Scope(scope))
         return Message(
-            source, str(start), int(sequence), bool(full), loads, demands
+            source,
+            str(start),
+            integers.bounded(sequence, 0),
+            bool(full),
+            loads,
+            demands,
         )
     except (ValueError, TypeError):
         return None
 
 
+def _count(value: object) -> int:
+    """Return a count that may be summed over all hosts."""
+    return integers.bounded(value, -MAX_COUNT, MAX_COUNT)
+
+
+def _demand(value: object) -> float:
+    """Return a finite number."""
+    number = float(value)  # type: ignore[arg-type]
+    if not math.isfinite(number):
+        raise ValueError(f'{number} is not finite')
+    return number
+
+
 class DatagramBuilder:
     """Builds the datagrams of one scope.
 
--- a/src/corianderloft/_internal/gateway/rate_messages.py
+++ b/src/corianderloft/_internal/gateway/rate_messages.py
@@ -5,6 +5,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import typing
 
 import orjson
@@ -16,6 +17,7 @@
 from corianderloft._internal.placement import engines
 from corianderloft._internal.placement import placer
 from corianderloft._internal.placement import rate_limits
+from corianderloft._internal.utils import integers
 
 Uses = dict[engines.Key, rate_limits.RateUse]
 
@@ -114,7 +116,8 @@
             source = load_messages.Source(
                 ids.HostId(str(message['host'])), scope
             )
-            start, sequence = str(message['start']), int(message['sequence'])
+            start = str(message['start'])
+            sequence = integers.bounded(message['sequence'], 0)
             uses = dict(_decode_row(*row) for row in message['rows'])
             full = bool(message['full'])
         except (ValueError, TypeError, KeyError):
@@ -177,7 +180,16 @@
     limit: typing.Any,
     age_s: typing.Any,
 ) -> tuple[engines.Key, rate_limits.RateUse]:
-    key = ids.EngineId(str(engine_id)), int(born)
+    key = ids.EngineId(str(engine_id)), integers.bounded(born, 0)
     return key, rate_limits.RateUse(
-        int(sent), None if limit is None else float(limit), float(age_s)
+        integers.bounded(sent, 0, load_messages.MAX_COUNT),
+        None if limit is None else _finite(limit),
+        _finite(age_s),
     )
+
+
+def _finite(value: typing.Any) -> float:
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f'{number} is not finite')
+    return number
--- a/src/corianderloft/_internal/placement/engines.py
+++ b/src/corianderloft/_internal/placement/engines.py
@@ -109,6 +109,8 @@
     ----------
     speed : EngineModel
         Speed of the engines of its service.
+    memory_tokens : int
+        Tokens that its KV cache holds; 0 for a plain service.
     cache : PrefixCache
         Estimated content of its prefix cache.
     health : Health
@@ -140,7 +142,8 @@
         self._slowdown_at = float('-inf')
         self._in_flight: dict[int, InFlightRequest] = {}
         self._own = NO_LOAD
-        self.cache = PrefixCache(model.memory_tokens if model else 0)
+        self.memory_tokens = model.memory_tokens if model else 0
+        self.cache = PrefixCache(self.memory_tokens)
         self.health = health.Health()
         self.sample: instances.LoadSample | None = None
         self.sampled_at = float('-inf')
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -29,6 +29,7 @@
 from corianderloft._internal.placement import service_view
 from corianderloft._internal.placement import sizes
 from corianderloft._internal.placement import statements
+from corianderloft._internal.utils import integers
 
 MODEL_CHOOSER = 'lanes'
 PLAIN_CHOOSER = 'fewest_requests'
@@ -501,8 +502,13 @@
         prompt = waiter.job.prompt
         prefill_tokens, kv_tokens = 0, 0
         if prompt is not None:
-            prefill_tokens = prompt.tokens - engine.cache.cached_tokens(prompt)
-            kv_tokens = prompt.tokens + prompt.max_output // 2
+            # A request that is larger than the memory of the server is turned
+            # away there; it occupies no more than that.
+            limit = engine.memory_tokens or integers.MAX_INTEGER
+            prefill_tokens = min(
+                limit, prompt.tokens - engine.cache.cached_tokens(prompt)
+            )
+            kv_tokens = min(limit, prompt.tokens + prompt.max_output // 2)
             engine.cache.add(prompt)
             self._meter(waiter.job.service).record(
                 not context.long_prompts, prompt.unshared_tokens, context.now
--- a/src/corianderloft/_internal/platform/entries.py
+++ b/src/corianderloft/_internal/platform/entries.py
@@ -1,13 +1,16 @@
 """Store entries of backend servers and entry hosts."""
 
-import typing
-
 import orjson
 
+from corianderloft._internal.kv import eras
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import instances
 from corianderloft._internal.models import members
 from corianderloft._internal.models import states
+from corianderloft._internal.utils import integers
+
+MAX_SLOTS = 10**6
+MAX_PORT = 65535
 
 _STATES = {
     'ready': states.BackendState.LIVE,
@@ -20,17 +23,14 @@
     try:
         entry = orjson.loads(value)
         address, port = _address(entry['address'])
-        slots, born = entry['slots'], entry.get('born', 0)
-        if not _is_integer(slots, 1) or not _is_integer(born, 0):
-            return None
         return instances.Instance(
             engine_id=ids.EngineId(engine_id),
-            started_at_ms=born,
+            started_at_ms=integers.bounded(entry.get('born', 0), 0),
             service=ids.ServiceName(_text(entry['service'])),
             address=address,
             port=port,
             failure_domain=ids.FailureDomain(_text(entry['zone'])),
-            slots=slots,
+            slots=integers.bounded(entry['slots'], 1, MAX_SLOTS),
             state=_STATES[entry['state']],
         )
     except (ValueError, KeyError, TypeError, AttributeError):
@@ -60,10 +60,10 @@
             host_id=ids.HostId(host_id),
             address=address,
             port=port,
-            peer_port=int(entry['peer']),
+            peer_port=integers.bounded(entry['peer'], 1, MAX_PORT),
             failure_domain=ids.FailureDomain(_text(entry['zone'])),
             start=_text(entry['start']),
-            version=int(entry.get('version', 0)),
+            version=integers.bounded(entry.get('version', 0), 0),
             era=_era(entry.get('era')),
         )
     except (ValueError, KeyError, TypeError, AttributeError):
@@ -74,15 +74,13 @@
     """Return an era; None for an entry of a release that states none."""
     if value is None:
         return None
-    if not _is_integer(value, 0):
-        raise ValueError(f'{value!r} is not an era')
-    return ids.Era(typing.cast(int, value))
+    return ids.Era(integers.bounded(value, 0, eras.MAX_ERA))
 
 
 def _address(text: object) -> tuple[str, int]:
     address, _, port = _text(text).rpartition(':')
     port_number = int(port)
-    if not address or not 0 < port_number < 65536:
+    if not address or not 0 < port_number <= MAX_PORT:
         raise ValueError(f'{text!r} is not of the form IP:PORT')
     return address, port_number
 
@@ -91,11 +89,3 @@
     if not isinstance(value, str) or not value:
         raise ValueError(f'{value!r} is not a non-empty string')
     return value
-
-
-def _is_integer(value: object, minimum: int) -> bool:
-    return (
-        isinstance(value, int)
-        and not isinstance(value, bool)
-        and value >= minimum
-    )
--- a/src/corianderloft/_internal/platform/headers.py
+++ b/src/corianderloft/_internal/platform/headers.py
@@ -8,6 +8,7 @@
 from corianderloft._internal.models import instances
 from corianderloft._internal.models import routing
 from corianderloft._internal.platform import names
+from corianderloft._internal.utils import integers
 
 Headers = dialect.Headers
 
@@ -31,6 +32,16 @@
     | {b'authorization', b'content-length', names.RESUME_AFTER}
 )
 _BEARER = 'bearer '
+
+MAX_TOKENS = 10**9
+"""Bound on tokens that a caller states; no engine holds as many."""
+
+MAX_LOAD = 10**6
+"""Bound on counts and percentages that an engine states."""
+
+MAX_RATE = 1e9
+"""Bound on the requests per second that an engine states."""
+
 _SECONDS = re.compile(rb'[0-9]{1,15}(\.[0-9]{1,15})?')
 
 
@@ -42,7 +53,7 @@
         values = {name.lower(): value for name, value in reversed(headers)}
         dropped = _NOT_FORWARDED_TO_BACKENDS | _listed_in_connection(headers)
         host = _text(values.get(b'host')) or ''
-        deadline_ms = _number(values.get(names.DEADLINE))
+        deadline_ms = integers.parse(values.get(names.DEADLINE))
         return dialect.RequestHead(
             request_id=_text(values.get(names.ATTEMPT_ID)) or '',
             host=host.partition(':')[0].lower(),
@@ -51,7 +62,7 @@
             prompt=_prompt(
                 values.get(names.TOKEN_USAGE), values.get(names.PREFIX_HASH)
             ),
-            resume_after=_number(values.get(names.RESUME_AFTER)),
+            resume_after=integers.parse(values.get(names.RESUME_AFTER)),
             forwarded_headers=[
                 (name, value)
                 for name, value in headers
@@ -117,19 +128,15 @@
     return None if value is None else value.decode('latin-1').strip()
 
 
-def _number(value: bytes | None) -> int | None:
-    if value is None or not value.strip().isdigit():
-        return None
-    return int(value)
-
-
 def _rate(value: bytes | None) -> float | None:
     """Return a non-negative decimal number; None if it is malformed."""
     try:
         rate = float(value or b'')
     except ValueError:
         return None
-    return rate if math.isfinite(rate) and rate >= 0 else None
+    if not math.isfinite(rate) or rate < 0:
+        return None
+    return min(rate, MAX_RATE)
 
 
 def _is_leaving(headers: Headers) -> bool:
@@ -163,11 +170,11 @@
     usage: bytes | None, prefix: bytes | None
 ) -> instances.Prompt | None:
     fields = (usage or b'').split(b',')
-    if len(fields) != 2 or not all(
-        field.strip().isdigit() for field in fields
-    ):
+    if len(fields) != 2:
+        return None
+    tokens, max_output = (integers.parse(f, MAX_TOKENS) for f in fields)
+    if tokens is None or max_output is None:
         return None
-    tokens, max_output = map(int, fields)
     return instances.Prompt(tokens, max_output, _parts(prefix))
 
 
@@ -182,7 +189,8 @@
         return ()
     return tuple(
         instances.PromptPart(
-            ids.PromptPartId(name.decode('latin-1')), int(tokens)
+            ids.PromptPartId(name.decode('latin-1')),
+            integers.parse(tokens, MAX_TOKENS) or 0,
         )
         for name, _, tokens in entries
     )
@@ -190,9 +198,14 @@
 
 def _load(value: bytes | None) -> instances.LoadSample | None:
     fields = (value or b'').split(b',')
-    if len(fields) < 3 or not all(field.strip().isdigit() for field in fields):
+    numbers = [
+        number
+        for field in fields
+        if (number := integers.parse(field, MAX_LOAD)) is not None
+    ]
+    if len(fields) < 3 or len(numbers) < len(fields):
         return None
-    running, waiting, slots = map(int, fields[:3])
+    running, waiting, slots = numbers[:3]
     # The fourth field is a percentage of the usual processing time.
-    slowdown = int(fields[3]) / 100 if len(fields) > 3 else 1.0
+    slowdown = numbers[3] / 100 if len(numbers) > 3 else 1.0
     return instances.LoadSample(running, waiting, slots, slowdown or 1.0)
