--- a/bench/placement/simulate.py
+++ b/bench/placement/simulate.py
@@ -15,6 +15,7 @@
 from corianderloft._internal.models import routing
 from corianderloft._internal.models import states
 from corianderloft._internal.placement import budget
+from corianderloft._internal.placement import grants
 from corianderloft._internal.placement import interface
 from corianderloft._internal.placement import placer
 
@@ -175,7 +176,7 @@
 
     async def _send_with_retry(
         self, arrival: workload.Arrival, started_at: float
-    ) -> placer.Grant | None:
+    ) -> grants.Grant | None:
         """Send to a host, with one retry; None if refused again."""
         deadline = started_at + arrival.kind.timeout
         for retries_left in reversed(range(1 + CALLER_RETRIES)):
@@ -190,7 +191,7 @@
 
     async def _send_once(
         self, arrival: workload.Arrival, deadline: float
-    ) -> placer.Grant | interface.Refused:
+    ) -> grants.Grant | interface.Refused:
         """Send to a random host once."""
         kind = arrival.kind
         now = trio.current_time()
--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -11,15 +11,16 @@
 from corianderloft._internal.gateway import metrics
 from corianderloft._internal.gateway import refusals
 from corianderloft._internal.gateway import request_log
+from corianderloft._internal.gateway import response_ends
 from corianderloft._internal.gateway import response_rules
 from corianderloft._internal.gateway import routed_request
 from corianderloft._internal.gateway import sending
 from corianderloft._internal.gateway import silence
 from corianderloft._internal.models import routing
-from corianderloft._internal.models import states
 from corianderloft._internal.network import engine_pool
 from corianderloft._internal.network import exchange
 from corianderloft._internal.placement import engines
+from corianderloft._internal.placement import grants
 from corianderloft._internal.placement import interface
 from corianderloft._internal.placement import placer
 
@@ -112,7 +113,7 @@
         self.engine = ''
         self.longest_gap = 0.0
         self._last_event_at = 0.0
-        self._successor: placer.Grant | None = None
+        self._successor: grants.Grant | None = None
         self.refusal: refusals.Refusal | None = None
 
     @property
@@ -165,7 +166,7 @@
                 return result
         return await self._give_up(refusal)
 
-    async def _acquire(self) -> placer.Grant | refusals.Refusal:
+    async def _acquire(self) -> grants.Grant | refusals.Refusal:
         """Wait for a backend server, unless the prompt is quarantined.
 
         That is checked again after the wait in the queue, since other
@@ -196,7 +197,7 @@
             return False
         return len(self._may_have_run_on) < job.route.attempts
 
-    def _consume_retry(self, grant: placer.Grant) -> bool:
+    def _consume_retry(self, grant: grants.Grant) -> bool:
         job = self._request.job
         now = trio.current_time()
         if self._placer.retries.try_acquire(job.service, now):
@@ -223,7 +224,7 @@
             return False
         return self._placer.retries.try_acquire(job.service, now)
 
-    def _take_successor(self) -> placer.Grant | None:
+    def _take_successor(self) -> grants.Grant | None:
         successor, self._successor = self._successor, None
         return successor
 
@@ -254,7 +255,7 @@
             await self._caller.respond_raw(refusal.status, headers, body)
         return Result.REFUSED
 
-    async def _send_once(self, grant: placer.Grant) -> Result | None:
+    async def _send_once(self, grant: grants.Grant) -> Result | None:
         """Send once; return None if another backend server may be tried."""
         engine = grant.engine
         self._tried.add(engine.key)
@@ -290,7 +291,7 @@
             grant.close(outcome)
 
     async def _send_with_timeout(
-        self, attempt: sending.SendAttempt, grant: placer.Grant
+        self, attempt: sending.SendAttempt, grant: grants.Grant
     ) -> Result | sending.SendFailure:
         """Send once; leave a silent server if another one takes over."""
         job = self._request.job
@@ -328,7 +329,7 @@
     async def _receive(
         self,
         attempt: sending.SendAttempt,
-        grant: placer.Grant,
+        grant: grants.Grant,
         watch: silence.SilenceWatch | None,
     ) -> Result | sending.SendFailure:
         """Send the request and deliver the response."""
@@ -343,7 +344,9 @@
             watch.pause()
         if isinstance(body, sending.SendFailure):
             return body
-        failure = await _end_by_crash(attempt, received, grant.engine)
+        failure = await response_ends.ended_with_server(
+            attempt, received, grant.engine
+        )
         if failure is not None:
             return failure
         return await self._check_response(received, body)
@@ -363,7 +366,7 @@
                 )
             case response_rules.Disposition.OUTCOME_UNKNOWN:
                 if received.status < 300:
-                    return _unsigned('an answer')
+                    return response_ends.unsigned('an answer')
                 return sending.SendFailure(
                     interface.AttemptOutcome.ERROR_ANSWER,
                     True,
@@ -397,7 +400,7 @@
         self,
         attempt: sending.SendAttempt,
         received: sending.ReceivedHead,
-        grant: placer.Grant,
+        grant: grants.Grant,
         watch: silence.SilenceWatch | None,
     ) -> Result | sending.SendFailure:
         """Relay a stream to the caller, only complete events at a time.
@@ -407,7 +410,7 @@
         not read is disconnected by the server's stall timeout.
         """
         if not received.head.signed:
-            return _unsigned('a stream')
+            return response_ends.unsigned('a stream')
         event_buffer = sse.EventBuffer()
         has_begun = False
         while True:
@@ -436,11 +439,13 @@
                 await self._forward_events(received, events)
             if is_progress and watch is not None:
                 watch.restart()
-        failure = _early_end(received, event_buffer, has_begun)
+        failure = response_ends.broken_off(received, event_buffer, has_begun)
         if failure is None:
             if watch is not None:
                 watch.pause()
-            failure = await _end_by_crash(attempt, received, grant.engine)
+            failure = await response_ends.ended_with_server(
+                attempt, received, grant.engine
+            )
         if failure is not None:
             return failure
         remainder = event_buffer.incomplete()
@@ -485,76 +490,3 @@
             return
         if last_id is not None:
             self._last_event_id = last_id
-
-
-def _unsigned(response: str) -> sending.SendFailure:
-    return sending.SendFailure(
-        interface.AttemptOutcome.BROKEN, True, f'{response} without signature'
-    )
-
-
-async def _end_by_crash(
-    attempt: sending.SendAttempt,
-    received: sending.ReceivedHead,
-    engine: engines.Engine,
-) -> sending.SendFailure | None:
-    """Return a failure if the end of a response was that of its server.
-
-    The operating system closes the connections of a process that ends, and a
-    response without a length then looks complete. A server that leaves may
-    end right after its last response.
-
-    Parameters
-    ----------
-    attempt : SendAttempt
-        The attempt.
-    received : ReceivedHead
-        Head of the response.
-    engine : Engine
-        The server.
-    """
-    if (
-        not received.ends_with_connection
-        or engine.instance.state is not states.BackendState.LIVE
-        or not await attempt.server_has_ended()
-    ):
-        return None
-    return sending.SendFailure(
-        interface.AttemptOutcome.BROKEN,
-        True,
-        'the server ended together with its response',
-        disconnected=True,
-    )
-
-
-def _early_end(
-    received: sending.ReceivedHead,
-    event_buffer: sse.EventBuffer,
-    has_begun: bool,
-) -> sending.SendFailure | None:
-    """Return why a stream that has ended is incomplete, if it is.
-
-    Where the end of the connection ends the stream, only its content shows
-    that the server broke it off.
-
-    Parameters
-    ----------
-    received : ReceivedHead
-        Head of the response.
-    event_buffer : EventBuffer
-        What came after the last complete event.
-    has_begun : bool
-        Whether an event came.
-    """
-    if event_buffer.incomplete().strip():
-        detail = 'the stream ended inside an event'
-    elif received.ends_with_connection and not has_begun:
-        detail = 'the connection ended before any event'
-    else:
-        return None
-    return sending.SendFailure(
-        interface.AttemptOutcome.BROKEN,
-        True,
-        detail,
-        disconnected=received.ends_with_connection,
-    )
--- a/src/corianderloft/_internal/placement/engines.py
+++ b/src/corianderloft/_internal/placement/engines.py
@@ -10,6 +10,7 @@
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import instances
 from corianderloft._internal.models import routing
+from corianderloft._internal.models import states
 from corianderloft._internal.placement import engine_model
 from corianderloft._internal.placement import health
 from corianderloft._internal.placement import rate_limits
@@ -151,6 +152,17 @@
         self._peers: dict[str, PeerLoad] = {}
         self._peer_total = NO_LOAD
 
+    def use_instance(self, instance: instances.Instance) -> None:
+        """Use a newer registration, corrected by what the server has said."""
+        if (
+            self.statements.leaving
+            and instance.state is states.BackendState.LIVE
+        ):
+            instance = dataclasses.replace(
+                instance, state=states.BackendState.LEAVING
+            )
+        self.instance = instance
+
     @property
     def key(self) -> Key:
         """Key of this run of the backend server."""
--- /dev/null
+++ b/src/corianderloft/_internal/placement/grants.py
@@ -0,0 +1,43 @@
+"""Permissions to send a request to a backend server."""
+
+import typing
+
+import trio
+
+from corianderloft._internal.placement import engines
+from corianderloft._internal.placement import interface
+
+
+class Issuer(typing.Protocol):
+    """Hears how the attempts that it permitted went on."""
+
+    def load_changed(self) -> None:
+        """React to a change of the load by requests of this host."""
+
+    def record_outcome(
+        self, engine: engines.Engine, outcome: interface.AttemptOutcome
+    ) -> None:
+        """Update what is known of an engine from the end of an attempt."""
+
+
+class Grant:
+    """Permission to send one request to one backend server."""
+
+    def __init__(
+        self, issuer: Issuer, engine: engines.Engine, number: int
+    ) -> None:
+        self._issuer = issuer
+        self._request_number = number
+        self.engine = engine
+
+    def started(self) -> None:
+        """Record that the answer has started."""
+        if self.engine.record_started(
+            self._request_number, trio.current_time()
+        ):
+            self._issuer.load_changed()
+
+    def close(self, outcome: interface.AttemptOutcome) -> None:
+        """Record how the attempt ended; further calls have no effect."""
+        if self.engine.remove(self._request_number):
+            self._issuer.record_outcome(self.engine, outcome)
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -1,7 +1,6 @@
 """Assigns the requests of this host to backend servers."""
 
 import collections.abc
-import dataclasses
 import itertools
 import math
 import random
@@ -22,8 +21,10 @@
 from corianderloft._internal.placement import decision_log
 from corianderloft._internal.placement import engine_model
 from corianderloft._internal.placement import engines
+from corianderloft._internal.placement import grants
 from corianderloft._internal.placement import interface
 from corianderloft._internal.placement import lane_demand
+from corianderloft._internal.placement import outcomes
 from corianderloft._internal.placement import queue
 from corianderloft._internal.placement import rate_limits
 from corianderloft._internal.placement import service_view
@@ -57,29 +58,6 @@
 Demands = collections.abc.Mapping[ids.ServiceName, lane_demand.Demand]
 
 
-class Grant:
-    """Permission to send one request to one backend server."""
-
-    def __init__(
-        self, placer: 'Placer', engine: engines.Engine, number: int
-    ) -> None:
-        self._placer = placer
-        self._request_number = number
-        self.engine = engine
-
-    def started(self) -> None:
-        """Record that the answer has started."""
-        if self.engine.record_started(
-            self._request_number, trio.current_time()
-        ):
-            self._placer.load_changed()
-
-    def close(self, outcome: interface.AttemptOutcome) -> None:
-        """Record how the attempt ended; further calls have no effect."""
-        if self.engine.remove(self._request_number):
-            self._placer.record_outcome(self.engine, outcome)
-
-
 class Placer(listener.Listener):
     """Selects backend servers for all services of one host.
 
@@ -152,7 +130,7 @@
                     self._speed(instance.service),
                     self._statements.of(key),
                 )
-            engine.instance = _with_statements(engine, instance)
+            engine.use_instance(instance)
             kept[key] = engine
             if key not in self._engines:
                 self._add_peer_loads(engine)
@@ -164,7 +142,7 @@
     def _apply_departures(self) -> None:
         """Take the servers that have said that they leave out of use."""
         for engine in self._engines.values():
-            engine.instance = _with_statements(engine, engine.instance)
+            engine.use_instance(engine.instance)
         self._update_views()
         self.wake()
 
@@ -190,7 +168,7 @@
         self,
         job: interface.Job,
         exclude: collections.abc.Set[engines.Key] = frozenset(),
-    ) -> Grant | interface.Refused:
+    ) -> grants.Grant | interface.Refused:
         """Wait until a request may be sent to a backend server.
 
         Parameters
@@ -209,7 +187,7 @@
                 await waiter.granted.wait()
         except trio.Cancelled:
             if waiter.engine is not None:
-                Grant(self, waiter.engine, waiter.number).close(
+                grants.Grant(self, waiter.engine, waiter.number).close(
                     interface.AttemptOutcome.CALLER_LEFT
                 )
             raise
@@ -222,15 +200,15 @@
             live = self._view(job.service).live
             decision_log.refused(waiter, refusal, live, len(self._queue))
             return refusal
-        return Grant(self, waiter.engine, waiter.number)
+        return grants.Grant(self, waiter.engine, waiter.number)
 
     def _wait_deadline(self, waiter: queue.Waiter) -> float:
         """Return until when a request is queued, on trio's clock.
 
         It is refused at once if all servers want nothing for longer.
         """
-        live = self._view(waiter.job.service).live
-        if live and _refused_until(live) > waiter.wait_deadline:
+        view = self._view(waiter.job.service)
+        if view.refused_until() > waiter.wait_deadline:
             return trio.current_time()
         return waiter.wait_deadline
 
@@ -238,7 +216,7 @@
         self,
         job: interface.Job,
         exclude: collections.abc.Set[engines.Key],
-    ) -> Grant | None:
+    ) -> grants.Grant | None:
         """Return a permission that can be given now, or None.
 
         Requests in the queue go first.
@@ -255,7 +233,7 @@
         self._try_dispatch(waiter, trio.current_time())
         if waiter.engine is None:
             return None
-        return Grant(self, waiter.engine, waiter.number)
+        return grants.Grant(self, waiter.engine, waiter.number)
 
     def wake(self) -> None:
         """Schedule another pass over the queue."""
@@ -313,7 +291,7 @@
         after = job.route.target * self._rng.uniform(
             *RETRY_AFTER_TARGET_RATIOS
         )
-        after += max(0.0, _refused_until(self._view(job.service).live) - now)
+        after += max(0.0, self._view(job.service).refused_until() - now)
         return interface.Refused(interface.RefusalReason.OVERLOADED, after)
 
     def own_loads(self) -> dict[engines.Key, engines.PeerLoad]:
@@ -400,27 +378,8 @@
     ) -> None:
         """Update the health of an engine from the outcome of an attempt."""
         now = trio.current_time()
-        engine.statements.record_end()
         suspected = engine.health.suspected
-        match outcome:
-            case (
-                interface.AttemptOutcome.COMPLETE
-                | interface.AttemptOutcome.NOT_RUN
-            ):
-                engine.health.record_answer(False)
-            case interface.AttemptOutcome.ERROR_ANSWER:
-                engine.health.record_answer(True)
-            case (
-                interface.AttemptOutcome.NOT_CONNECTED
-                | interface.AttemptOutcome.CRASHED
-            ):
-                engine.health.record_unreachable(now)
-            case interface.AttemptOutcome.SILENT:
-                engine.health.record_timeout(now)
-            case interface.AttemptOutcome.BROKEN:
-                engine.health.record_answer(True)
-            case _:
-                engine.health.record_inconclusive()
+        outcomes.apply(engine, outcome, now)
         if engine.health.ejected(now):
             decision_log.ejected(engine, outcome)
         if suspected and not engine.health.suspected:
@@ -542,23 +501,3 @@
 
 def _do_nothing() -> None:
     """Do nothing."""
-
-
-def _with_statements(
-    engine: engines.Engine, instance: instances.Instance
-) -> instances.Instance:
-    """Return an entry, corrected by what the server has said of itself."""
-    if (
-        not engine.statements.leaving
-        or instance.state is not states.BackendState.LIVE
-    ):
-        return instance
-    return dataclasses.replace(instance, state=states.BackendState.LEAVING)
-
-
-def _refused_until(live: collections.abc.Iterable[engines.Engine]) -> float:
-    """Return when the first of some servers wants requests again."""
-    return min(
-        (engine.statements.refuses_until for engine in live),
-        default=float('-inf'),
-    )
--- a/src/corianderloft/_internal/placement/service_view.py
+++ b/src/corianderloft/_internal/placement/service_view.py
@@ -42,6 +42,16 @@
         """All servers in the order in which they join the short lane."""
         return hashing.ranked('short lane', self.live, _engine_id)
 
+    def refused_until(self) -> float:
+        """Return when the first of the servers wants requests again.
+
+        That is in the past if one does now, or if there is none.
+        """
+        return min(
+            (engine.statements.refuses_until for engine in self.live),
+            default=float('-inf'),
+        )
+
     def _preferred(self, key: str) -> list[engines.Engine]:
         """Return the first servers in the hash order of a key."""
         return heapq.nsmallest(
