Tell a server over its limit of connections from one that has ended

Found while reading the change: a response with status 204 or 304 and without a length counted as one that ends with its connection, so each opened another connection to the server; and a server that closes connections over its limit would have counted as ended, and a complete stream as broken off.

Now such a response has no body that could end, and a server has ended only if it refuses a connection, and no idle connection to it is open.

--- a/src/corianderloft/_internal/gateway/sending.py
+++ b/src/corianderloft/_internal/gateway/sending.py
@@ -177,7 +177,7 @@
         )
         if isinstance(conn, engine_connection.EngineConnection):
             self._pool.add(self._engine.key, conn)
-        return conn is None
+        return conn is None and not self._pool.has_open(self._engine.key)
 
     def close(self) -> None:
         """Pool the connection after a complete response, or close it."""
--- a/src/corianderloft/_internal/network/engine_connection.py
+++ b/src/corianderloft/_internal/network/engine_connection.py
@@ -25,6 +25,8 @@
 MAX_INFORMATIONAL_RESPONSES = 16
 """Responses with a status below 200 that are skipped before the response."""
 
+STATUSES_WITHOUT_BODY = (204, 304)
+
 KEEPALIVE_IDLE_S = 1
 """Idle time before the kernel sends the first TCP keep-alive probe."""
 
@@ -71,18 +73,41 @@
 
 @dataclasses.dataclass(frozen=True)
 class Head:
-    """Status and headers of a response."""
+    """Status and headers of a response.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status code.
+    headers : list of (bytes, bytes)
+        Headers.
+    ends_with_connection : bool
+        Whether the body has no length and ends with the connection.
+    """
 
     status: int
     headers: Headers
+    ends_with_connection: bool = False
 
-    @property
-    def ends_with_connection(self) -> bool:
-        """Whether the body has no length and ends with the connection."""
-        return not any(
-            name.lower() in (b'content-length', b'transfer-encoding')
-            for name, _ in self.headers
-        )
+
+def ends_with_connection(method: str, status: int, headers: Headers) -> bool:
+    """Return whether the end of a response is that of its connection.
+
+    Parameters
+    ----------
+    method : str
+        Method of the request.
+    status : int
+        HTTP status code.
+    headers : list of (bytes, bytes)
+        Headers of the response.
+    """
+    if method == 'HEAD' or status in STATUSES_WITHOUT_BODY:
+        return False
+    return not any(
+        name.lower() in (b'content-length', b'transfer-encoding')
+        for name, _ in headers
+    )
 
 
 class EngineConnection:
@@ -109,6 +134,7 @@
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
+        self._method = ''
         self._sent = False
         self._ended = False
         self._parsed_ahead: h11.Event | ConnectionFailure | None = None
@@ -133,6 +159,7 @@
         if body:
             data += self._http.send(h11.Data(data=body)) or b''
         data += self._http.send(h11.EndOfMessage()) or b''
+        self._method = method
         self._sent = True
         try:
             await self._stream.send_all(data)
@@ -150,7 +177,13 @@
             if isinstance(event, h11.Response):
                 self._update_idle_limit(event)
                 headers = [(n, v) for n, v in event.headers.raw_items()]
-                return Head(event.status_code, headers)
+                return Head(
+                    event.status_code,
+                    headers,
+                    ends_with_connection(
+                        self._method, event.status_code, headers
+                    ),
+                )
             if not isinstance(event, h11.InformationalResponse):
                 return self._failure(FailureKind.MALFORMED, repr(event))
         return self._failure(
@@ -358,13 +391,15 @@
     timeout : float
         Timeout in seconds.
     """
-    conn = await connect(address, port, timeout)
-    if isinstance(conn, ConnectionFailure):
-        return None if conn.kind is FailureKind.REFUSED else conn
-    if await conn._is_closed_soon():
+    for _ in range(2):
+        conn = await connect(address, port, timeout)
+        if isinstance(conn, ConnectionFailure):
+            return None if conn.kind is FailureKind.REFUSED else conn
+        if not await conn._is_closed_soon():
+            return conn
         conn.close()
-        return None
-    return conn
+    # Something listens there: a server closes connections over its limit.
+    return ConnectionFailure(FailureKind.RESET, False, 'closed at once')
 
 
 def _set_options(sock: trio.socket.SocketType) -> None:
--- a/src/corianderloft/_internal/network/engine_pool.py
+++ b/src/corianderloft/_internal/network/engine_pool.py
@@ -57,6 +57,13 @@
         conn.idle_since = trio.current_time()
         self._idle.setdefault(key, collections.deque()).append(conn)
 
+    def has_open(self, key: Key) -> bool:
+        """Return whether an idle connection to a server is still open."""
+        now = trio.current_time()
+        return any(
+            conn.usable(now, MAX_IDLE_S) for conn in self._idle.get(key, ())
+        )
+
     def drop(self, key: Key) -> None:
         """Close the idle connections to a backend server."""
         for conn in self._idle.pop(key, ()):
--- a/src/corianderloft/_internal/network/outbound.py
+++ b/src/corianderloft/_internal/network/outbound.py
@@ -9,6 +9,7 @@
 
 from corianderloft._internal.decisions import interface
 from corianderloft._internal.network import connections
+from corianderloft._internal.network import engine_connection
 from corianderloft._internal.network import silence
 from corianderloft._internal.network import streams
 
@@ -51,18 +52,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class Head:
-    """Status and headers of a response."""
+    """Status and headers of a response.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status code.
+    headers : list of (bytes, bytes)
+        Headers.
+    ends_with_connection : bool
+        Whether the body has no length and ends with the connection.
+    """
 
     status: int
     headers: Headers
-
-    @property
-    def ends_with_connection(self) -> bool:
-        """Whether the body has no length and ends with the connection."""
-        return (
-            self.header(b'content-length') is None
-            and self.header(b'transfer-encoding') is None
-        )
+    ends_with_connection: bool = False
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first header called ``name`` (lower case), or None."""
@@ -150,7 +154,13 @@
                 )
             self._response = response
             self._chunks = response.aiter_stream().__aiter__()
-            return Head(response.status, response.headers)
+            return Head(
+                response.status,
+                response.headers,
+                engine_connection.ends_with_connection(
+                    message.method, response.status, response.headers
+                ),
+            )
         return self.silence_failure(timeout)
 
     async def read(self) -> bytes | Failure | None:
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -1,6 +1,7 @@
 """Stand-in for a backend server of the users' platform, on raw sockets."""
 
 import dataclasses
+import math
 
 import h11
 import trio
@@ -52,8 +53,8 @@
         ``whole``, ``stream``, ``error``, ``reject``, ``hang``, ``cut``,
         ``cut_stream``, ``unframed_stream``, ``half_event``, ``end_stream``
         and ``end_whole`` (the server ends in a response without a length),
-        ``unsigned``, ``twice``, ``reset``, ``by_path``, or ``endless`` with
-        ``endless_kind``, a key of `ENDLESS`.
+        ``unsigned``, ``no_body``, ``twice``, ``reset``, ``by_path``, or
+        ``endless`` with ``endless_kind``, a key of `ENDLESS`.
     endless_path : str
         Prefix of the paths with endless responses; others get a whole one.
     endless_pause : float
@@ -84,6 +85,8 @@
         with it.
     connections : int
         Connections accepted so far.
+    max_connections : int or None
+        Number of them after which the server resets new ones.
     cut_after : int
         Event at which ``cut_stream`` truncates a stream.
     seen : list of ExecutedRequest
@@ -103,6 +106,7 @@
         self.stall = 0.0
         self.may_end = None
         self.connections = 0
+        self.max_connections = None
         self.seen = []
         self.seen_at = []
         self.disconnects = 0
@@ -139,6 +143,9 @@
     async def _connection(self, stream):
         http = h11.Connection(h11.SERVER)
         self.connections += 1
+        if self.connections > (self.max_connections or math.inf):
+            await trio.aclose_forcefully(stream)
+            return
         try:
             while await self._request(stream, http):
                 http.start_next_cycle()
@@ -189,6 +196,16 @@
             return False
         if mode == 'reset':
             return False
+        if mode == 'no_body':
+            request_id = headers['corianderloft-attempt-id'].encode()
+            await stream.send_all(
+                b'HTTP/1.1 204 No Content\r\n'
+                b'Corianderloft-Response-Signature: s\r\n'
+                b'Corianderloft-Attempt-Id: %b\r\n\r\n' % request_id
+            )
+            http.send(h11.Response(status_code=204, headers=[]))
+            http.send(h11.EndOfMessage())
+            return True
         if mode == 'endless':
             await self._send_endlessly(stream)
         if mode == 'end_whole':
--- a/tests/unit/gateway/test_servers_that_end.py
+++ b/tests/unit/gateway/test_servers_that_end.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from corianderloft._internal.network import engine_connection
 from tests.lib import gateway
 from tests.lib import processes
 
@@ -72,3 +73,39 @@
     (response,) = responses
     assert response.complete
     assert response.body.count(b'data: token') == 4
+
+
+async def test_a_server_at_its_limit_of_connections_has_not_ended():
+    async with gateway.running(('unframed_stream',)) as system:
+        engine = system.engines[0]
+        engine.max_connections = 1
+        response = await system.request('POST', '/chat/1')
+    assert response.complete
+    assert response.body.count(b'data: token') == 4
+
+
+async def test_a_response_without_a_body_needs_no_other_connection():
+    async with gateway.running(('no_body',)) as system:
+        for _ in range(5):
+            response = await system.request('POST', '/book/1')
+            assert response.status == 204
+        assert system.engines[0].connections == 1
+
+
+@pytest.mark.parametrize(
+    ('method', 'status', 'headers', 'expected'),
+    [
+        ('GET', 200, [], True),
+        ('GET', 500, [(b'Date', b'-')], True),
+        ('GET', 200, [(b'Content-Length', b'1')], False),
+        ('GET', 200, [(b'Transfer-Encoding', b'chunked')], False),
+        ('HEAD', 200, [], False),
+        ('POST', 204, [], False),
+        ('GET', 304, [], False),
+    ],
+)
+def test_which_responses_end_with_their_connection(
+    method, status, headers, expected
+):
+    ends = engine_connection.ends_with_connection(method, status, headers)
+    assert ends is expected
