Log what continued a stream and what told its end

Now a line tells of each response to a request for the rest of a stream, and 'request ended' has 'asked_after', 'last_event', 'end' and 'http'. No decision is changed.

--- a/src/corianderloft/_internal/gateway/app.py
+++ b/src/corianderloft/_internal/gateway/app.py
@@ -191,7 +191,13 @@
             prompt=head.prompt,
         )
         return routed_request.RoutedRequest(
-            caller.method, target, head, body, workspace, job
+            caller.method,
+            target,
+            head,
+            body,
+            workspace,
+            job,
+            caller.http_version,
         )
 
     async def _refuse(
@@ -244,6 +250,10 @@
                 'run': 'maybe' if forwarder.may_have_run else 'not_run',
                 'engine': forwarder.engine,
                 'sends': forwarder.sends,
+                'asked_after': request.head.resume_after,
+                'last_event': forwarder.last_event_id,
+                'end': forwarder.ended_by.value,
+                'http': request.http_version,
                 'first_s': first_byte_s,
                 'longest_gap_s': round(forwarder.longest_gap, 4),
                 'total_s': round(now - job.arrived, 4),
--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -79,6 +79,11 @@
         Longest time between two writes of stream events, in seconds.
     refusal : Refusal or None
         Error response sent instead of a backend server's response.
+    last_event_id : int or None
+        ID of the last event that was passed on, if the caller or this host
+        may ask for the events after it.
+    ended_by : ResponseEnd
+        What ended the complete response.
     """
 
     def __init__(
@@ -102,7 +107,8 @@
         self._tried: set[engines.Key] = set()
         self._may_have_run_on: set[engines.Key] = set()
         self._silent: set[engines.Key] = set()
-        self._last_event_id = request.head.resume_after
+        self.last_event_id = request.head.resume_after
+        self.ended_by = sending.ResponseEnd.NONE
         self._started = False
         self.complete = False
         self._fallback_response: tuple[sending.ReceivedHead, bytes] | None = (
@@ -333,9 +339,14 @@
         watch: silence.SilenceWatch | None,
     ) -> Result | sending.SendFailure:
         """Send the request and deliver the response."""
-        received = await attempt.open(self._last_event_id)
+        resumed_after = self.last_event_id
+        received = await attempt.open(resumed_after)
         if isinstance(received, sending.SendFailure):
             return received
+        if self._started or resumed_after is not None:
+            request_log.continuation_received(
+                self._request.job, grant.engine, resumed_after, received
+            )
         if sending.is_stream(self._request.kind, received):
             return await self._relay(attempt, received, grant, watch)
         grant.started()
@@ -383,6 +394,7 @@
         self, received: sending.ReceivedHead, body: bytes
     ) -> Result:
         self.first_byte_at = trio.current_time()
+        self.ended_by = received.end
         self._crash_guard.record_complete(received)
         headers = [
             (name, value)
@@ -453,6 +465,7 @@
             with trio.CancelScope(shield=True):
                 await self._forward_events(received, remainder)
         self.complete = True
+        self.ended_by = received.end
         self._crash_guard.record_complete(received)
         with trio.CancelScope(shield=True):
             await self._caller.end_stream()
@@ -489,4 +502,4 @@
             logger.warning('malformed event ID in a stream: %s', exc)
             return
         if last_id is not None:
-            self._last_event_id = last_id
+            self.last_event_id = last_id
--- a/src/corianderloft/_internal/gateway/request_log.py
+++ b/src/corianderloft/_internal/gateway/request_log.py
@@ -60,6 +60,25 @@
     )
 
 
+def continuation_received(
+    job: interface.Job,
+    engine: engines.Engine,
+    resumed_after: int | None,
+    received: sending.ReceivedHead,
+) -> None:
+    """Log the response to a request for the rest of a stream."""
+    logger.info(
+        'response to a request for the rest of a stream',
+        extra={
+            'request_id': job.request_id,
+            'engine': engine.engine_id,
+            'resumed_after': resumed_after,
+            'status': received.status,
+            'end': received.end.value,
+        },
+    )
+
+
 def quarantined(
     job: interface.Job, part_id: ids.PromptPartId, remaining_s: float
 ) -> None:
--- a/src/corianderloft/_internal/gateway/routed_request.py
+++ b/src/corianderloft/_internal/gateway/routed_request.py
@@ -25,6 +25,8 @@
         Workspace of the caller.
     job : Job
         Input for choosing a backend server.
+    http_version : str
+        Version of HTTP that the caller speaks.
     """
 
     method: str
@@ -33,6 +35,7 @@
     body: bytes
     workspace: routing.Workspace | None
     job: interface.Job
+    http_version: str = '1.1'
 
     @property
     def kind(self) -> routing.RequestKind:
--- a/src/corianderloft/_internal/gateway/sending.py
+++ b/src/corianderloft/_internal/gateway/sending.py
@@ -36,6 +36,17 @@
     CONTENT = 'content'
 
 
+class ResponseEnd(enum.Enum):
+    """What tells that a response is complete.
+
+    NONE means that there was no complete response.
+    """
+
+    NONE = 'none'
+    FRAMING = 'framing'
+    CONNECTION = 'connection'
+
+
 @dataclasses.dataclass(frozen=True)
 class SendFailure:
     """The attempt did not yield a usable response.
@@ -76,6 +87,13 @@
     head: dialect.ResponseHead
     ends_with_connection: bool = False
 
+    @property
+    def end(self) -> ResponseEnd:
+        """What tells that the response is complete, once it has ended."""
+        if self.ends_with_connection:
+            return ResponseEnd.CONNECTION
+        return ResponseEnd.FRAMING
+
 
 class SendAttempt:
     """One attempt on one connection to one backend server.
--- a/src/corianderloft/_internal/network/exchange.py
+++ b/src/corianderloft/_internal/network/exchange.py
@@ -56,6 +56,8 @@
         HTTP method.
     path : str
         Decoded path without query.
+    http_version : str
+        Version of HTTP that the caller speaks.
     started : bool
         Whether the headers of the response were sent.
     """
@@ -81,7 +83,8 @@
         self.query: bytes = scope['query_string']
         self.headers: Headers = scope['headers']
         self.started = False
-        self._chunked = scope['http_version'] == '1.1'
+        self.http_version: str = scope['http_version']
+        self._chunked = self.http_version == '1.1'
 
     async def _send(self, message: Message) -> None:
         """Send an ASGI message, unless the caller has disconnected."""
