Add to a stream that has begun only the run that goes on after it

Cause: once the response to a caller had begun, what the next server sent was treated as a first response. A complete one that was no stream was delivered, body and end, behind the events; a stream was relayed from whatever event it began at. Nothing compared the IDs of events with what had been passed on, nor with the caller's own Last-Event-Id.

Callers saw: events 0 to 4, then the body of a 404 as a piece and an end that looked complete; 0 to 4, then 0 to 19; 4 twice; 4, then 7; a 204 or an empty stream as the end after 5 of 20 events.

Now relaying/assembly.py alone decides what may be added to a response that has begun and what ends it, without a network. A run goes on only with the status and type of the first one, signed, and with the event that is due: a higher ID, and no greater step than streams of the service take. An empty rest ends a stream only where the run before may have been complete. Otherwise the request goes to the next server or is cut, as after a lost connection. A server that does not know the stream counts as sound. Exchange sends no second head. The relay's writes move to response_writer.py.

A property test drives the decision with arbitrary second runs.

--- a/src/corianderloft/_internal/gateway/app.py
+++ b/src/corianderloft/_internal/gateway/app.py
@@ -18,6 +18,7 @@
 from corianderloft._internal.network import exchange
 from corianderloft._internal.placement import interface
 from corianderloft._internal.placement import placer
+from corianderloft._internal.relaying import event_ids
 
 logger = logging.getLogger(__name__)
 
@@ -68,6 +69,7 @@
         self._pool = pool
         self._dialect = header_dialect
         self._shutdown = shutdown
+        self._steps = event_ids.Steps()
 
     async def __call__(
         self, scope: typing.Any, receive: typing.Any, send: typing.Any
@@ -94,6 +96,7 @@
             request,
             caller,
             self._shutdown.draining,
+            self._steps,
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
@@ -233,8 +236,9 @@
         now = trio.current_time()
         reason = forwarder.refusal.reason.value if forwarder.refusal else ''
         first_byte_s = None
-        if forwarder.first_byte_at is not None:
-            first_byte_s = round(forwarder.first_byte_at - job.arrived, 4)
+        response = forwarder.response
+        if response.first_byte_at is not None:
+            first_byte_s = round(response.first_byte_at - job.arrived, 4)
         metrics.count_ended(job.route.name, result, reason)
         metrics.observe(job.route.name, first_byte_s, now - job.arrived)
         logger.info(
@@ -252,10 +256,10 @@
                 'sends': forwarder.sends,
                 'asked_after': request.head.resume_after,
                 'last_event': forwarder.last_event_id,
-                'end': forwarder.ended_by.value,
+                'end': response.ended_by.value,
                 'http': request.http_version,
                 'first_s': first_byte_s,
-                'longest_gap_s': round(forwarder.longest_gap, 4),
+                'longest_gap_s': round(response.longest_gap, 4),
                 'total_s': round(now - job.arrived, 4),
                 'version': getattr(self._view.table, 'version', None),
                 'age_s': round(self._view.age(), 3),
--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -13,6 +13,7 @@
 from corianderloft._internal.gateway import request_log
 from corianderloft._internal.gateway import response_ends
 from corianderloft._internal.gateway import response_rules
+from corianderloft._internal.gateway import response_writer
 from corianderloft._internal.gateway import routed_request
 from corianderloft._internal.gateway import sending
 from corianderloft._internal.gateway import silence
@@ -23,6 +24,8 @@
 from corianderloft._internal.placement import grants
 from corianderloft._internal.placement import interface
 from corianderloft._internal.placement import placer
+from corianderloft._internal.relaying import assembly
+from corianderloft._internal.relaying import event_ids
 
 logger = logging.getLogger(__name__)
 
@@ -63,6 +66,8 @@
         Receives the response.
     closes_connection : bool
         Whether the caller's connection is closed after the response.
+    steps : Steps
+        Distances between the IDs of events.
 
     Attributes
     ----------
@@ -71,19 +76,10 @@
         disconnect no longer cancels the request then.
     sends : int
         Number of sends so far.
-    first_byte_at : float or None
-        When the response to the caller started, on trio's clock, in seconds.
     engine : str
         ID of the last backend server that the request was sent to.
-    longest_gap : float
-        Longest time between two writes of stream events, in seconds.
     refusal : Refusal or None
         Error response sent instead of a backend server's response.
-    last_event_id : int or None
-        ID of the last event that was passed on, if the caller or this host
-        may ask for the events after it.
-    ended_by : ResponseEnd
-        What ended the complete response.
     """
 
     def __init__(
@@ -94,34 +90,46 @@
         request: routed_request.RoutedRequest,
         caller: exchange.Exchange,
         closes_connection: bool,
+        steps: event_ids.Steps,
     ) -> None:
         self._placer = request_placer
         self._pool = pool
         self._dialect = header_dialect
         self._request = request
-        self._caller = caller
-        self._closes_connection = closes_connection
+        self._steps = steps
+        self._writer = response_writer.ResponseWriter(
+            caller, closes_connection
+        )
+        self._assembly = assembly.Assembly(
+            request.head.resume_after,
+            request.kind is routing.RequestKind.RESUMABLE_STREAM,
+            steps.greatest(request.job.service),
+        )
         self._crash_guard = crash_guard.CrashGuard(
             request_placer.crashes, request.job
         )
         self._tried: set[engines.Key] = set()
         self._may_have_run_on: set[engines.Key] = set()
         self._silent: set[engines.Key] = set()
-        self.last_event_id = request.head.resume_after
-        self.ended_by = sending.ResponseEnd.NONE
-        self._started = False
         self.complete = False
         self._fallback_response: tuple[sending.ReceivedHead, bytes] | None = (
             None
         )
         self.sends = 0
-        self.first_byte_at: float | None = None
         self.engine = ''
-        self.longest_gap = 0.0
-        self._last_event_at = 0.0
         self._successor: grants.Grant | None = None
         self.refusal: refusals.Refusal | None = None
 
+    @property
+    def last_event_id(self) -> int | None:
+        """ID after which the stream goes on at another server."""
+        return self._assembly.last_id
+
+    @property
+    def response(self) -> response_writer.ResponseWriter:
+        """What was written to the caller."""
+        return self._writer
+
     @property
     def may_have_run(self) -> bool:
         """Whether a backend server may have run the request."""
@@ -135,8 +143,10 @@
             finally:
                 self._release_successor()
         assert timeout.cancelled_caught
-        if self._started:
-            self._caller.abort()
+        if self.complete:
+            return Result.REFUSED if self.refusal else Result.ANSWERED
+        if self._assembly.begun:
+            self._writer.abort()
             return Result.CUT
         if self._may_have_run_on:
             return await self._refuse(
@@ -163,7 +173,7 @@
                 grant = acquired
                 if prior_sends and not self._consume_retry(grant):
                     break
-            if self._caller.caller_has_left():
+            if self._writer.caller_has_left():
                 grant.close(interface.AttemptOutcome.CALLER_LEFT)
                 return Result.CALLER_LEFT
             self.sends += 1
@@ -195,6 +205,8 @@
         job = self._request.job
         if job.deadline - trio.current_time() < MIN_TIME_LEFT_S:
             return False
+        if not self._assembly.may_go_on:
+            return False
         if not self._may_have_run_on:
             return True
         if not self._request.kind.repeatable:
@@ -240,8 +252,8 @@
             successor.close(interface.AttemptOutcome.CALLER_LEFT)
 
     async def _give_up(self, refusal: refusals.Refusal) -> Result:
-        if self._started:
-            self._caller.abort()
+        if self._assembly.begun:
+            self._writer.abort()
             return Result.CUT
         if self._fallback_response is not None:
             received, body = self._fallback_response
@@ -253,12 +265,7 @@
     async def _refuse(self, refusal: refusals.Refusal) -> Result:
         self.refusal = refusal
         self.complete = True
-        headers = refusal.headers()
-        if self._closes_connection and not refusal.closes_connection:
-            headers.append((b'connection', b'close'))
-        body = refusal.body()
-        with trio.CancelScope(shield=True):
-            await self._caller.respond_raw(refusal.status, headers, body)
+        await self._writer.refuse(refusal)
         return Result.REFUSED
 
     async def _send_once(self, grant: grants.Grant) -> Result | None:
@@ -339,11 +346,11 @@
         watch: silence.SilenceWatch | None,
     ) -> Result | sending.SendFailure:
         """Send the request and deliver the response."""
-        resumed_after = self.last_event_id
+        resumed_after = self._assembly.last_id
         received = await attempt.open(resumed_after)
         if isinstance(received, sending.SendFailure):
             return received
-        if self._started or resumed_after is not None:
+        if self._assembly.begun or resumed_after is not None:
             request_log.continuation_received(
                 self._request.job, grant.engine, resumed_after, received
             )
@@ -355,11 +362,9 @@
             watch.pause()
         if isinstance(body, sending.SendFailure):
             return body
-        failure = await response_ends.ended_with_server(
-            attempt, received, grant.engine
-        )
-        if failure is not None:
-            return failure
+        end = await response_ends.run_end(attempt, received, grant.engine)
+        if end is assembly.RunEnd.WITH_SERVER:
+            return response_ends.ended_with_server()
         return await self._check_response(received, body)
 
     async def _check_response(
@@ -370,11 +375,14 @@
             received.status, received.head, self._request.kind.repeatable
         )
         detail = f'status {received.status}'
+        if disposition is response_rules.Disposition.NOT_RUN:
+            return sending.SendFailure(
+                interface.AttemptOutcome.NOT_RUN, False, detail
+            )
+        rejected = self._assembly.check_whole()
+        if rejected is not None:
+            return response_ends.no_continuation(rejected, received.status)
         match disposition:
-            case response_rules.Disposition.NOT_RUN:
-                return sending.SendFailure(
-                    interface.AttemptOutcome.NOT_RUN, False, detail
-                )
             case response_rules.Disposition.OUTCOME_UNKNOWN:
                 if received.status < 300:
                     return response_ends.unsigned('an answer')
@@ -393,19 +401,9 @@
     async def _deliver(
         self, received: sending.ReceivedHead, body: bytes
     ) -> Result:
-        self.first_byte_at = trio.current_time()
-        self.ended_by = received.end
         self._crash_guard.record_complete(received)
-        headers = [
-            (name, value)
-            for name, value in received.head.forwarded_headers
-            if name.lower() != b'content-length'
-        ]
-        if self._closes_connection:
-            headers.append((b'connection', b'close'))
         self.complete = True
-        with trio.CancelScope(shield=True):
-            await self._caller.respond_raw(received.status, headers, body)
+        await self._writer.deliver(received, body)
         return Result.ANSWERED
 
     async def _relay(
@@ -415,16 +413,11 @@
         grant: grants.Grant,
         watch: silence.SilenceWatch | None,
     ) -> Result | sending.SendFailure:
-        """Relay a stream to the caller, only complete events at a time.
-
-        Writes to the caller are shielded from cancellation: a partial write
-        would leave the connection in an undefined state. A caller that does
-        not read is disconnected by the server's stall timeout.
-        """
-        if not received.head.signed:
-            return response_ends.unsigned('a stream')
+        """Relay a stream to the caller, only complete events at a time."""
+        rejected = self._assembly.begin_run(response_ends.run_head(received))
+        if rejected is not None:
+            return response_ends.rejected_run(rejected)
         event_buffer = sse.EventBuffer()
-        has_begun = False
         while True:
             data = await attempt.read()
             if isinstance(data, sending.SendFailure):
@@ -442,64 +435,37 @@
             # A server that has stalled may still send a byte or a comment
             # now and then.
             is_progress = sse.has_content(events)
+            rejected = self._assembly.add(events, is_progress)
+            if rejected is not None:
+                return response_ends.rejected_run(rejected)
             if is_progress:
-                has_begun = True
                 grant.started()
                 if watch is not None:
                     watch.pause()
-            with trio.CancelScope(shield=True):
-                await self._forward_events(received, events)
+            await self._writer.send_events(received, events)
             if is_progress and watch is not None:
                 watch.restart()
-        failure = response_ends.broken_off(received, event_buffer, has_begun)
-        if failure is None:
-            if watch is not None:
-                watch.pause()
-            failure = await response_ends.ended_with_server(
-                attempt, received, grant.engine
-            )
-        if failure is not None:
-            return failure
+        if watch is not None:
+            watch.pause()
         remainder = event_buffer.incomplete()
-        if not self._started or remainder:
-            with trio.CancelScope(shield=True):
-                await self._forward_events(received, remainder)
+        end = assembly.RunEnd.WITH_SERVER
+        if self._assembly.run_has_content and not remainder.strip():
+            end = await response_ends.run_end(attempt, received, grant.engine)
+        elif not received.ends_with_connection:
+            end = assembly.RunEnd.FRAMING
+        rejected = self._assembly.end_run(end, remainder)
+        if rejected is not None:
+            return response_ends.rejected_run(
+                rejected, received.ends_with_connection
+            )
+        if remainder:
+            await self._writer.send_events(received, remainder)
         self.complete = True
-        self.ended_by = received.end
-        self._crash_guard.record_complete(received)
-        with trio.CancelScope(shield=True):
-            await self._caller.end_stream()
+        self._record_complete(received)
+        await self._writer.end(received)
         return Result.ANSWERED
 
-    async def _forward_events(
-        self, received: sending.ReceivedHead, events: bytes
-    ) -> None:
-        if not self._started:
-            self._started = True
-            self.first_byte_at = trio.current_time()
-            headers = [
-                (name, value)
-                for name, value in received.head.forwarded_headers
-                if name.lower() != b'content-length'
-            ]
-            if self._closes_connection:
-                headers.append((b'connection', b'close'))
-            await self._caller.start(received.status, headers)
-        if not events:
-            return
-        now = trio.current_time()
-        if self._last_event_at:
-            self.longest_gap = max(self.longest_gap, now - self._last_event_at)
-        self._last_event_at = now
-        await self._caller.send_events(events)
-        if self._request.kind is routing.RequestKind.RESUMABLE_STREAM:
-            self._record_event_id(events)
-
-    def _record_event_id(self, events: bytes) -> None:
-        try:
-            last_id = sse.last_id(events)
-        except ValueError as exc:
-            logger.warning('malformed event ID in a stream: %s', exc)
-            return
-        if last_id is not None:
-            self.last_event_id = last_id
+    def _record_complete(self, received: sending.ReceivedHead) -> None:
+        self._crash_guard.record_complete(received)
+        if self._assembly.step is not None:
+            self._steps.record(self._request.job.service, self._assembly.step)
--- a/src/corianderloft/_internal/gateway/response_ends.py
+++ b/src/corianderloft/_internal/gateway/response_ends.py
@@ -1,10 +1,25 @@
-"""Responses that came, but are not whole or not the server's own."""
+"""What the head and the end of a server's response show."""
 
-from corianderloft._internal.entry import sse
 from corianderloft._internal.gateway import sending
 from corianderloft._internal.models import states
 from corianderloft._internal.placement import engines
 from corianderloft._internal.placement import interface
+from corianderloft._internal.relaying import assembly
+
+
+def no_continuation(
+    rejected: assembly.Rejected, status: int
+) -> sending.SendFailure:
+    """Return the failure of a response that cannot follow a stream.
+
+    A server that does not know the stream is no less sound for that.
+    """
+    outcome = interface.AttemptOutcome.NOT_CONTINUED
+    if status >= 500:
+        outcome = interface.AttemptOutcome.ERROR_ANSWER
+    return sending.SendFailure(
+        outcome, True, f'status {status}: {rejected.cause}'
+    )
 
 
 def unsigned(response: str) -> sending.SendFailure:
@@ -14,68 +29,66 @@
     )
 
 
-async def ended_with_server(
-    attempt: sending.SendAttempt,
-    received: sending.ReceivedHead,
-    engine: engines.Engine,
-) -> sending.SendFailure | None:
-    """Return a failure if the end of a response was that of its server.
+def ended_with_server() -> sending.SendFailure:
+    """Return the failure of a response whose end shows nothing."""
+    return sending.SendFailure(
+        interface.AttemptOutcome.BROKEN,
+        True,
+        'the server ended together with its response',
+        disconnected=True,
+    )
+
 
-    The operating system closes the connections of a process that ends, and a
-    response without a length then looks complete. A server that leaves may
-    end right after its last response.
+def run_head(received: sending.ReceivedHead) -> assembly.RunHead:
+    """Return what decides whether a response may follow another one."""
+    types = [
+        value.partition(b';')[0].strip().lower().decode('latin-1')
+        for name, value in received.head.forwarded_headers
+        if name.lower() == b'content-type'
+    ]
+    return assembly.RunHead(
+        received.status, received.head.signed, types[0] if types else ''
+    )
+
+
+def rejected_run(
+    rejected: assembly.Rejected, disconnected: bool = False
+) -> sending.SendFailure:
+    """Return the failure of a run that may not be passed on.
 
     Parameters
     ----------
-    attempt : SendAttempt
-        The attempt.
-    received : ReceivedHead
-        Head of the response.
-    engine : Engine
-        The server.
+    rejected : Rejected
+        The cause.
+    disconnected : bool
+        Whether the server ended the connection.
     """
-    if (
-        not received.ends_with_connection
-        or engine.instance.state is not states.BackendState.LIVE
-        or not await attempt.server_has_ended()
-    ):
-        return None
     return sending.SendFailure(
-        interface.AttemptOutcome.BROKEN,
-        True,
-        'the server ended together with its response',
-        disconnected=True,
+        interface.AttemptOutcome.BROKEN, True, rejected.cause, disconnected
     )
 
 
-def broken_off(
+async def run_end(
+    attempt: sending.SendAttempt,
     received: sending.ReceivedHead,
-    event_buffer: sse.EventBuffer,
-    has_begun: bool,
-) -> sending.SendFailure | None:
-    """Return why a stream that has ended is incomplete, if it is.
-
-    Where the end of the connection ends the stream, only its content shows
-    that the server broke it off.
+    engine: engines.Engine,
+) -> assembly.RunEnd:
+    """Return what shows that a response which has ended is complete.
 
     Parameters
     ----------
+    attempt : SendAttempt
+        The attempt.
     received : ReceivedHead
         Head of the response.
-    event_buffer : EventBuffer
-        What came after the last complete event.
-    has_begun : bool
-        Whether an event came.
+    engine : Engine
+        The server.
     """
-    if event_buffer.incomplete().strip():
-        detail = 'the stream ended inside an event'
-    elif received.ends_with_connection and not has_begun:
-        detail = 'the connection ended before any event'
-    else:
-        return None
-    return sending.SendFailure(
-        interface.AttemptOutcome.BROKEN,
-        True,
-        detail,
-        disconnected=received.ends_with_connection,
-    )
+    if not received.ends_with_connection:
+        return assembly.RunEnd.FRAMING
+    if (
+        engine.instance.state is states.BackendState.LIVE
+        and await attempt.server_has_ended()
+    ):
+        return assembly.RunEnd.WITH_SERVER
+    return assembly.RunEnd.CONNECTION
--- a/src/corianderloft/_internal/network/exchange.py
+++ b/src/corianderloft/_internal/network/exchange.py
@@ -157,7 +157,10 @@
     ) -> None:
         """Send a complete response; ``Content-Length`` is added."""
         length = (b'content-length', b'%d' % len(body))
+        has_started = self.started
         await self.start(status, [*headers, length])
+        if has_started:
+            return
         await self._send({'type': 'http.response.body', 'body': body})
 
     async def start(
@@ -165,7 +168,15 @@
         status: int,
         headers: collections.abc.Sequence[tuple[bytes, bytes]],
     ) -> None:
-        """Send the status and headers of a response."""
+        """Send the status and headers of a response.
+
+        A second head would be added to the body of the response that has
+        started, so the connection is closed instead.
+        """
+        if self.started:
+            logger.error('a second response to a request was not sent')
+            self.abort()
+            return
         self.started = True
         await self._send(
             {
--- a/src/corianderloft/_internal/placement/interface.py
+++ b/src/corianderloft/_internal/placement/interface.py
@@ -69,6 +69,7 @@
     COMPLETE = 'complete'
     ERROR_ANSWER = 'error_answer'
     NOT_RUN = 'not_run'
+    NOT_CONTINUED = 'not_continued'
     NOT_CONNECTED = 'not_connected'
     BROKEN = 'broken'
     CRASHED = 'crashed'
--- a/src/corianderloft/_internal/placement/outcomes.py
+++ b/src/corianderloft/_internal/placement/outcomes.py
@@ -23,6 +23,7 @@
         case (
             interface.AttemptOutcome.COMPLETE
             | interface.AttemptOutcome.NOT_RUN
+            | interface.AttemptOutcome.NOT_CONTINUED
         ):
             engine.health.record_answer(False)
         case interface.AttemptOutcome.ERROR_ANSWER:
