--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -435,9 +435,14 @@
             # A server that has stalled may still send a byte or a comment
             # now and then.
             is_progress = sse.has_content(events)
+            step = self._assembly.step
             rejected = self._assembly.add(events, is_progress)
             if rejected is not None:
                 return response_ends.rejected_run(rejected)
+            if self._assembly.step not in (step, None):
+                self._steps.record(
+                    self._request.job.service, self._assembly.step
+                )
             if is_progress:
                 grant.started()
                 if watch is not None:
@@ -461,11 +466,6 @@
         if remainder:
             await self._writer.send_events(received, remainder)
         self.complete = True
-        self._record_complete(received)
+        self._crash_guard.record_complete(received)
         await self._writer.end(received)
         return Result.ANSWERED
-
-    def _record_complete(self, received: sending.ReceivedHead) -> None:
-        self._crash_guard.record_complete(received)
-        if self._assembly.step is not None:
-            self._steps.record(self._request.job.service, self._assembly.step)
