Take an end without a length for complete only if its server outlived it

Cause: a response without a length ends with its connection. The host asked whether something listened at the server's address, which says nothing of the process that had sent the response: it may be another one by then, above all when this host was stopped in between. A server that leaves was not asked at all, and a server whose connections all ended, but which listens, looked alive.

Now a second connection that is open during the response and still afterwards shows that the process goes on (gateway/life_watch.py); one of the pool where there is one, shared by all responses of a server, and kept for requests afterwards. An end without that proof is none: the stream goes on at another server, where an empty rest proves the end, or is cut. Entry hosts do the same for plain services.

A TEST WAS WRONG: test_the_last_response_of_a_server_that_leaves_is_complete demanded that a stream which ends together with all sockets of its server is complete. It now demands this of a server that ends after its response; two new tests demand a cut, or the end from another server, of one that ends with it.

--- a/src/corianderloft/_internal/entry/plain.py
+++ b/src/corianderloft/_internal/entry/plain.py
@@ -192,16 +192,9 @@
         head = await exchange.send(self._build_request(), timeout_s)
         if isinstance(head, outbound.Failure):
             return head
-        body = await exchange.read_all(cfg.max_answer_bytes, timeout_s)
+        body = await self._read_body(exchange, head, backend, timeout_s)
         if isinstance(body, outbound.Failure):
             return body
-        if head.ends_with_connection and await self._has_ended(backend):
-            return outbound.Failure(
-                interface.AttemptEnd.CONNECTION_LOST,
-                True,
-                f'backend server {backend.engine_id!r} ended together with '
-                'its response',
-            )
         if backend_responses.reports_leaving(head.status, body):
             self._components.shared.note_backend_leaving(engine_id)
         failure = backend_responses.classify_service_response(head, engine_id)
@@ -214,27 +207,41 @@
         ]
         return PlainResponse(head.status, headers, body)
 
-    async def _has_ended(self, backend: backends.Backend) -> bool:
-        """Return whether the process of a live server has just ended.
+    async def _read_body(
+        self,
+        exchange: outbound.Outbound,
+        head: outbound.Head,
+        backend: backends.Backend,
+        timeout_s: float,
+    ) -> bytes | outbound.Failure:
+        """Return the body, if its end is not that of its server.
 
-        Its connections are closed then, and a response without a length looks
-        complete. A server that leaves may end right after its last response.
+        The connections of a process that ends are closed, so a response
+        without a length looks complete then.
         """
-        known = self._components.shared.current_backends()
-        if not any(
-            b.engine_id == backend.engine_id
-            and b.state is states.BackendState.LIVE
-            for b in known
-        ):
-            return False
-        conn = await engine_connection.connect_unless_ended(
-            backend.address,
-            backend.port,
-            self._components.settings.backends.connect_time,
+        cfg = self._components.settings.backends
+        if not head.ends_with_connection:
+            return await exchange.read_all(cfg.max_answer_bytes, timeout_s)
+        other = await engine_connection.connect(
+            backend.address, backend.port, cfg.connect_time
+        )
+        try:
+            body = await exchange.read_all(cfg.max_answer_bytes, timeout_s)
+            if isinstance(body, outbound.Failure):
+                return body
+            if not await engine_connection.has_ended_since(
+                other, backend.address, backend.port, cfg.connect_time
+            ):
+                return body
+        finally:
+            if isinstance(other, engine_connection.EngineConnection):
+                other.close()
+        return outbound.Failure(
+            interface.AttemptEnd.CONNECTION_LOST,
+            True,
+            f'backend server {backend.engine_id!r} ended together with '
+            'its response',
         )
-        if isinstance(conn, engine_connection.EngineConnection):
-            conn.close()
-        return conn is None
 
     def _claim_expired(self) -> requests.Refused:
         return requests.Refused(
--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -8,6 +8,7 @@
 from corianderloft._internal.entry import sse
 from corianderloft._internal.gateway import crash_guard
 from corianderloft._internal.gateway import dialect
+from corianderloft._internal.gateway import life_watch
 from corianderloft._internal.gateway import metrics
 from corianderloft._internal.gateway import refusals
 from corianderloft._internal.gateway import request_log
@@ -354,15 +355,30 @@
             request_log.continuation_received(
                 self._request.job, grant.engine, resumed_after, received
             )
+        if not received.ends_with_connection:
+            return await self._read(attempt, received, grant, watch, None)
+        async with life_watch.watching(self._pool, grant.engine) as life:
+            result = await self._read(attempt, received, grant, watch, life)
+        return result
+
+    async def _read(
+        self,
+        attempt: sending.SendAttempt,
+        received: sending.ReceivedHead,
+        grant: grants.Grant,
+        watch: silence.SilenceWatch | None,
+        life: life_watch.LifeWatch | None,
+    ) -> Result | sending.SendFailure:
+        """Read a response and deliver it."""
         if sending.is_stream(self._request.kind, received):
-            return await self._relay(attempt, received, grant, watch)
+            return await self._relay(attempt, received, grant, watch, life)
         grant.started()
         body = await attempt.read_all()
         if watch is not None:
             watch.pause()
         if isinstance(body, sending.SendFailure):
             return body
-        end = await response_ends.run_end(attempt, received, grant.engine)
+        end = await response_ends.run_end(life)
         if end is assembly.RunEnd.WITH_SERVER:
             return response_ends.ended_with_server()
         return await self._check_response(received, body)
@@ -412,6 +428,7 @@
         received: sending.ReceivedHead,
         grant: grants.Grant,
         watch: silence.SilenceWatch | None,
+        life: life_watch.LifeWatch | None,
     ) -> Result | sending.SendFailure:
         """Relay a stream to the caller, only complete events at a time."""
         rejected = self._assembly.begin_run(response_ends.run_head(received))
@@ -455,7 +472,7 @@
         remainder = event_buffer.incomplete()
         end = assembly.RunEnd.WITH_SERVER
         if self._assembly.run_has_content and not remainder.strip():
-            end = await response_ends.run_end(attempt, received, grant.engine)
+            end = await response_ends.run_end(life)
         elif not received.ends_with_connection:
             end = assembly.RunEnd.FRAMING
         rejected = self._assembly.end_run(end, remainder)
--- a/src/corianderloft/_internal/gateway/response_ends.py
+++ b/src/corianderloft/_internal/gateway/response_ends.py
@@ -1,8 +1,7 @@
 """What the head and the end of a server's response show."""
 
+from corianderloft._internal.gateway import life_watch
 from corianderloft._internal.gateway import sending
-from corianderloft._internal.models import states
-from corianderloft._internal.placement import engines
 from corianderloft._internal.placement import interface
 from corianderloft._internal.relaying import assembly
 
@@ -68,27 +67,16 @@
     )
 
 
-async def run_end(
-    attempt: sending.SendAttempt,
-    received: sending.ReceivedHead,
-    engine: engines.Engine,
-) -> assembly.RunEnd:
+async def run_end(watch: life_watch.LifeWatch | None) -> assembly.RunEnd:
     """Return what shows that a response which has ended is complete.
 
     Parameters
     ----------
-    attempt : SendAttempt
-        The attempt.
-    received : ReceivedHead
-        Head of the response.
-    engine : Engine
-        The server.
+    watch : LifeWatch or None
+        Watch of the server; None if the response has a length.
     """
-    if not received.ends_with_connection:
+    if watch is None:
         return assembly.RunEnd.FRAMING
-    if (
-        engine.instance.state is states.BackendState.LIVE
-        and await attempt.server_has_ended()
-    ):
+    if await watch.server_has_ended():
         return assembly.RunEnd.WITH_SERVER
     return assembly.RunEnd.CONNECTION
--- a/src/corianderloft/_internal/gateway/sending.py
+++ b/src/corianderloft/_internal/gateway/sending.py
@@ -186,17 +186,6 @@
         self._pool.add(self._engine.key, conn)
         return False
 
-    async def server_has_ended(self) -> bool:
-        """Return whether the process of the server has just ended."""
-        self._pool.opened += 1
-        instance = self._engine.instance
-        conn = await engine_connection.connect_unless_ended(
-            instance.address, instance.port, CONNECT_TIMEOUT_S
-        )
-        if isinstance(conn, engine_connection.EngineConnection):
-            self._pool.add(self._engine.key, conn)
-        return conn is None and not self._pool.has_open(self._engine.key)
-
     def close(self) -> None:
         """Pool the connection after a complete response, or close it."""
         conn, self._conn = self._conn, None
--- a/src/corianderloft/_internal/network/engine_connection.py
+++ b/src/corianderloft/_internal/network/engine_connection.py
@@ -261,16 +261,24 @@
 
     def usable(self, now: float, max_idle: float) -> bool:
         """Return whether an idle connection may carry another request."""
+        return self.idle_time_left(now, max_idle) > 0 and self.is_open()
+
+    def idle_time_left(self, now: float, max_idle: float) -> float:
+        """Return how long it may stay idle, in seconds."""
         limit = max_idle
         if self.idle_limit is not None:
             limit = min(limit, self.idle_limit)
-        if now - self.idle_since > limit:
-            return False
-        # Data or EOF on an idle connection means that it cannot be reused.
+        return max(0.0, self.idle_since + limit - now)
+
+    def is_open(self) -> bool:
+        """Return whether nothing came on an idle connection, nor its end."""
         return not self._stream.socket.is_readable()
 
-    async def _is_closed_soon(self) -> bool:
-        with trio.move_on_after(END_SETTLING_S):
+    async def closes_within(self, seconds: float) -> bool:
+        """Return whether an idle connection has ended, or ends in time."""
+        if not self.is_open():
+            return True
+        with trio.move_on_after(max(0.0, seconds)):
             await trio.lowlevel.wait_readable(self._stream.socket)
             return True
         return False
@@ -395,13 +403,49 @@
         conn = await connect(address, port, timeout)
         if isinstance(conn, ConnectionFailure):
             return None if conn.kind is FailureKind.REFUSED else conn
-        if not await conn._is_closed_soon():
+        if not await conn.closes_within(END_SETTLING_S):
             return conn
         conn.close()
     # Something listens there: a server closes connections over its limit.
     return ConnectionFailure(FailureKind.RESET, False, 'closed at once')
 
 
+async def has_ended_since(
+    earlier: EngineConnection | ConnectionFailure,
+    address: str,
+    port: int,
+    timeout: float,
+) -> bool:
+    """Return whether a peer's process has ended since a connection to it.
+
+    A peer over its limit of connections closes the earlier one at once, and
+    the next one too. If it takes the next one, another process has taken its
+    place.
+
+    Parameters
+    ----------
+    earlier : EngineConnection or ConnectionFailure
+        What came of the earlier connection, which has carried no request.
+    address : str
+        IP address.
+    port : int
+        TCP port.
+    timeout : float
+        Timeout for another connection, in seconds.
+    """
+    if isinstance(earlier, ConnectionFailure):
+        return earlier.kind is FailureKind.REFUSED
+    if not await earlier.closes_within(END_SETTLING_S):
+        return False
+    conn = await connect(address, port, timeout)
+    if isinstance(conn, ConnectionFailure):
+        return conn.kind is FailureKind.REFUSED
+    try:
+        return not await conn.closes_within(END_SETTLING_S)
+    finally:
+        conn.close()
+
+
 def _set_options(sock: trio.socket.SocketType) -> None:
     """Disable Nagle's algorithm and enable TCP keep-alive probes."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/src/corianderloft/_internal/network/engine_pool.py
+++ b/src/corianderloft/_internal/network/engine_pool.py
@@ -18,10 +18,33 @@
 """ID of a backend server and number of its start."""
 
 
+class Witness:
+    """An idle connection that shows by its end that of the server.
+
+    Attributes
+    ----------
+    users : int
+        Number of responses that rely on it.
+    """
+
+    def __init__(self, conn: engine_connection.EngineConnection) -> None:
+        self.conn = conn
+        self.users = 1
+
+    def is_open(self) -> bool:
+        """Return whether the server has not closed it."""
+        return self.conn.is_open()
+
+    def time_left(self) -> float:
+        """Return how long the server keeps it open at least, in seconds."""
+        return self.conn.idle_time_left(trio.current_time(), MAX_IDLE_S)
+
+
 class EnginePool:
     """Idle connections by backend server; the newest is used first."""
 
     def __init__(self) -> None:
+        self._witnesses: dict[Key, Witness] = {}
         self._idle: dict[
             Key, collections.deque[engine_connection.EngineConnection]
         ] = {}
@@ -64,6 +87,41 @@
             conn.usable(now, MAX_IDLE_S) for conn in self._idle.get(key, ())
         )
 
+    def hold_witness(self, key: Key) -> Witness | None:
+        """Return a connection that is open and carries no request, if any.
+
+        It is not used for requests until all its users have released it.
+        """
+        witness = self._witnesses.get(key)
+        if witness is not None and witness.is_open():
+            witness.users += 1
+            return witness
+        conn = self.acquire(key, True)
+        return None if conn is None else self.add_witness(key, conn)
+
+    def add_witness(
+        self, key: Key, conn: engine_connection.EngineConnection
+    ) -> Witness:
+        """Hold a new connection as a witness."""
+        if not conn.idle_since:
+            conn.idle_since = trio.current_time()
+        self._witnesses[key] = Witness(conn)
+        return self._witnesses[key]
+
+    def release_witness(self, key: Key, witness: Witness) -> None:
+        """Return a witness after a response."""
+        witness.users -= 1
+        if witness.users:
+            return
+        if self._witnesses.get(key) is witness:
+            del self._witnesses[key]
+        if witness.conn.usable(trio.current_time(), MAX_IDLE_S):
+            self._idle.setdefault(key, collections.deque()).append(
+                witness.conn
+            )
+        else:
+            witness.conn.close()
+
     def drop(self, key: Key) -> None:
         """Close the idle connections to a backend server."""
         for conn in self._idle.pop(key, ()):
--- a/tests/lib/engines.py
+++ b/tests/lib/engines.py
@@ -88,6 +88,10 @@
         if data:
             await self._stream.send_all(data)
 
+    async def send_raw(self, data: bytes) -> None:
+        """Send bytes that need not be valid HTTP."""
+        await self._stream.send_all(data)
+
     async def wait_closed(self) -> None:
         """Wait until the peer closes the connection."""
         while await self._stream.receive_some(4096):
@@ -113,6 +117,8 @@
     ----------
     seen : list of ReceivedRequest
         Requests received.
+    streams : list of SocketStream
+        Connections accepted so far.
     cancelled : Event
         Set when the peer closes the connection while a script waits.
     """
@@ -121,11 +127,13 @@
         self.script = script
         self.seen: list[ReceivedRequest] = []
         self.connections = 0
+        self.streams: list[trio.SocketStream] = []
         self.cancelled = trio.Event()
 
     async def handle(self, stream: trio.SocketStream) -> None:
         """Run the script for each request on one connection."""
         self.connections += 1
+        self.streams.append(stream)
         wire = EngineConnection(stream, self)
         with contextlib.suppress(
             trio.BrokenResourceError,
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -81,8 +81,9 @@
         Delay before a whole response, and in a stream before the event
         ``cut_after``, in seconds.
     may_end : Event, optional
-        Awaited before the end of a stream without a length; the server ends
-        with it.
+        Awaited before the end of a stream without a length.
+    ends_with_stream : bool
+        Whether the server ends together with such a stream.
     connections : int
         Connections accepted so far.
     max_connections : int or None
@@ -105,6 +106,7 @@
         self.cut_after = 2
         self.stall = 0.0
         self.may_end = None
+        self.ends_with_stream = True
         self.connections = 0
         self.max_connections = None
         self.seen = []
@@ -310,7 +312,8 @@
             await trio.sleep(self.pause)
         if self.may_end is not None:
             await self.may_end.wait()
-            self._scope.cancel()
+            if self.ends_with_stream:
+                self._scope.cancel()
         return False
 
     async def _end_whole(self, stream, headers):
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -98,9 +98,15 @@
 
     def logged(self, message, field):
         """Return the values of a field from all log lines with a message."""
+        return [e[field] for e in self._entries() if e['message'] == message]
+
+    def logged_errors(self):
+        """Return the messages of all errors in the log."""
+        return [e['message'] for e in self._entries() if e['level'] == 'ERROR']
+
+    def _entries(self):
         lines = self._log.read_bytes().splitlines()
-        entries = [orjson.loads(line) for line in lines if line[:1] == b'{']
-        return [e[field] for e in entries if e['message'] == message]
+        return [orjson.loads(line) for line in lines if line[:1] == b'{']
 
     def send(self, number):
         """Send a signal to the process if it is running."""
--- a/tests/soak/streams.py
+++ b/tests/soak/streams.py
@@ -422,6 +422,11 @@
     )
     answered = [s for s in system.streams if s.status == 200]
     broken = [
+        (f'error in the log of {host.name}', system.streams[0])
+        for host in system.hosts
+        if host.logged_errors()
+    ]
+    broken += [
         (fault_found, stream)
         for stream in answered
         for fault_found in stream.faults(step, denies_events)
--- a/tests/unit/entry/test_plain.py
+++ b/tests/unit/entry/test_plain.py
@@ -276,3 +276,42 @@
         assert engine.connections == 2
         await call(fixture, class_name='quick')
         assert engine.connections == 2
+
+
+async def is_replaced(
+    wire: engines.EngineConnection, seen: engines.ReceivedRequest
+) -> None:
+    """End within a response; another process listens at the address."""
+    await wire.send_raw(b'HTTP/1.1 201 -\r\n\r\n{"charged"')
+    with trio.move_on_after(0.5):
+        while len(wire.engine.streams) < 2:
+            await trio.sleep(0.001)
+    for stream in wire.engine.streams:
+        stream.socket.close()
+
+
+async def closes_after_it(
+    wire: engines.EngineConnection, seen: engines.ReceivedRequest
+) -> None:
+    """Send a whole response without a length."""
+    await wire.send_raw(b'HTTP/1.1 201 -\r\n\r\n{"charged": true}')
+    raise trio.BrokenResourceError
+
+
+async def test_response_that_ends_with_its_replaced_server_is_not_delivered(
+    nursery: trio.Nursery,
+) -> None:
+    engine, one = await engines.start(nursery, 't1', is_replaced, 'till')
+    async with entry.running_host(one) as fixture:
+        answer = await call(fixture, Idempotency_Key='k1')
+    assert answer.status == 504
+    assert len(engine.seen) == 1
+
+
+async def test_response_without_a_length_of_a_live_server_is_delivered(
+    nursery: trio.Nursery,
+) -> None:
+    _, one = await engines.start(nursery, 't1', closes_after_it, 'till')
+    async with entry.running_host(one) as fixture:
+        answer = await call(fixture)
+    assert (answer.status, answer.body) == (201, b'{"charged": true}')
--- /dev/null
+++ b/tests/unit/gateway/test_life_watch.py
@@ -0,0 +1,89 @@
+"""Connections that show whether a server outlived a response."""
+
+import dataclasses
+
+import trio
+
+from corianderloft._internal.gateway import life_watch
+from corianderloft._internal.network import engine_pool
+
+
+@dataclasses.dataclass
+class Instance:
+    """Address of a server."""
+
+    address: str
+    port: int
+
+
+class Server:
+    """Accepts connections and closes them when told, or when idle."""
+
+    def __init__(self, idle_s=None):
+        self.key = ('s', 1)
+        self.idle_s = idle_s
+        self.accepted = []
+        self.instance = None
+
+    async def serve(self, task_status):
+        """Accept connections until cancelled."""
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        port = listeners[0].socket.getsockname()[1]
+        self.instance = Instance('127.0.0.1', port)
+        task_status.started()
+        await trio.serve_listeners(self._hold, listeners)
+
+    async def _hold(self, stream):
+        self.accepted.append(stream)
+        await trio.sleep(self.idle_s or 3600)
+        stream.socket.close()
+
+    def close_all(self):
+        """Close all connections, and go on."""
+        for stream in self.accepted:
+            stream.socket.close()
+
+
+async def test_responses_at_the_same_time_share_one_connection(nursery):
+    server, pool = Server(), engine_pool.EnginePool()
+    await nursery.start(server.serve)
+    async with life_watch.watching(pool, server) as first:
+        assert not await first.server_has_ended()
+        async with life_watch.watching(pool, server) as second:
+            assert not await second.server_has_ended()
+            server.close_all()
+            assert await second.server_has_ended()
+        assert await first.server_has_ended()
+    assert len(server.accepted) == 1
+    assert pool.acquire(server.key, True) is None
+
+
+async def test_the_connection_is_kept_for_requests(nursery):
+    server, pool = Server(), engine_pool.EnginePool()
+    await nursery.start(server.serve)
+    async with life_watch.watching(pool, server) as watch:
+        assert not await watch.server_has_ended()
+        assert pool.acquire(server.key, True) is None
+    assert pool.acquire(server.key, True) is not None
+
+
+async def test_a_connection_that_ends_of_age_shows_no_end(
+    nursery, monkeypatch
+):
+    monkeypatch.setattr(engine_pool, 'MAX_IDLE_S', 0.2)
+    server, pool = Server(idle_s=0.4), engine_pool.EnginePool()
+    await nursery.start(server.serve)
+    async with life_watch.watching(pool, server) as watch:
+        await trio.sleep(1.0)
+        assert not await watch.server_has_ended()
+        assert len(server.accepted) > 2
+
+
+async def test_another_process_at_the_address_is_not_the_server(nursery):
+    server, pool = Server(), engine_pool.EnginePool()
+    await nursery.start(server.serve)
+    async with life_watch.watching(pool, server) as watch:
+        while not server.accepted:
+            await trio.sleep(0.001)
+        server.close_all()
+        assert await watch.server_has_ended()
--- a/tests/unit/gateway/test_servers_that_end.py
+++ b/tests/unit/gateway/test_servers_that_end.py
@@ -51,28 +51,80 @@
         assert system.engines[0].connections <= 4
 
 
+async def _ask_a_server_that_leaves(system, target, ends_at_once):
+    """Return the response of a server that ends with or after it."""
+    engine = system.engines[0]
+    engine.may_end = trio.Event()
+    engine.ends_with_stream = ends_at_once
+    responses = []
+
+    async def ask():
+        responses.append(await system.request('POST', target))
+
+    async def is_left():
+        response = await system.request(deadline_ms=300)
+        return response.status == 503 or len(system.engines) > 1
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask)
+        await processes.wait_for(lambda: engine.seen, 'it is sent')
+        system.register(engine, state='draining')
+        await processes.wait_for(is_left, 'the server gets no requests')
+        engine.may_end.set()
+    (response,) = responses
+    return response
+
+
 async def test_the_last_response_of_a_server_that_leaves_is_complete():
     async with gateway.running(('unframed_stream',)) as system:
-        engine = system.engines[0]
-        engine.may_end = trio.Event()
+        response = await _ask_a_server_that_leaves(system, '/chat/1', False)
+    assert response.complete
+    assert response.body.count(b'data: token') == 4
+
+
+async def test_an_end_together_with_a_server_that_leaves_is_not_complete():
+    # A server that leaves may end in the middle of a stream, too.
+    async with gateway.running(('unframed_stream',)) as system:
+        response = await _ask_a_server_that_leaves(system, '/chat/1', True)
+    assert not response.complete
+    assert response.body.count(b'data: token') == 4
+
+
+async def test_a_resumable_stream_that_ends_with_its_server_is_asked_on():
+    async with gateway.running(('unframed_stream',)) as system:
+        asked = system.engines[0]
+        other = await system.add_engine('stream', register=False)
+        # Too long a pause before the end would count as silence.
+        asked.pause = 0.2
+        asked.may_end = trio.Event()
         responses = []
 
         async def ask():
-            responses.append(await system.request('POST', '/chat/1'))
-
-        async def is_left():
-            response = await system.request(deadline_ms=300)
-            return response.status == 503
+            responses.append(await system.request('POST', '/quote/1'))
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(ask)
-            await processes.wait_for(lambda: engine.seen, 'it is sent')
-            system.register(engine, state='draining')
-            await processes.wait_for(is_left, 'the server gets no requests')
-            engine.may_end.set()
-    (response,) = responses
+            await processes.wait_for(lambda: asked.seen, 'it is sent')
+            system.register(other)
+            system.register(asked, state='draining')
+            await processes.wait_for(
+                lambda: _answers(system, other), 'the other server is known'
+            )
+            asked.may_end.set()
+        (response,) = responses
+        continued = [
+            seen.headers['last-event-id']
+            for seen in other.seen
+            if 'last-event-id' in seen.headers
+        ]
     assert response.complete
     assert response.body.count(b'data: token') == 4
+    assert continued == ['3']
+
+
+async def _answers(system, engine):
+    await system.request(deadline_ms=300)
+    return engine.seen
 
 
 async def test_a_server_at_its_limit_of_connections_has_not_ended():
