Reset the connection of an HTTP/1.0 caller whose stream is cut

Cause: the host ends a response that it cannot complete by closing the connection. Without chunked transfer encoding that is also how a complete response ends, so a caller that speaks HTTP/1.0 could not tell a cut.

Callers saw: 17 of 157 streams, and 14 of 147 without a length, ended after a part of their events as complete ones do.

While a response without a length is sent, the connection is now set to be reset when it closes, and set back just before the proper end. The kernel resets it likewise if this process is killed.

--- a/src/corianderloft/_internal/network/exchange.py
+++ b/src/corianderloft/_internal/network/exchange.py
@@ -9,6 +9,7 @@
 import orjson
 import trio
 
+from corianderloft._internal.network import engine_connection
 from corianderloft._internal.network import inbound
 
 logger = logging.getLogger(__name__)
@@ -178,6 +179,8 @@
             self.abort()
             return
         self.started = True
+        if not self._chunked and not _has_length(status, headers):
+            self._reset_on_close(True)
         await self._send(
             {
                 'type': 'http.response.start',
@@ -217,9 +220,28 @@
 
     async def end_stream(self) -> None:
         """End a started event stream."""
+        self._reset_on_close(False)
         await self._send({'type': 'http.response.body', 'body': b''})
 
+    def _reset_on_close(self, resets: bool) -> None:
+        """Choose how the end of the connection looks to the caller.
+
+        Without chunks or a length, the response ends with its connection. A
+        cut one must not end as a complete one does, even if it is cut by the
+        end of this process.
+        """
+        if self._connection is not None and not self._chunked:
+            self._connection.reset_on_close(resets)
+
     def abort(self) -> None:
         """Close the caller's connection immediately."""
         if self._connection is not None:
             self._connection.abort()
+
+
+def _has_length(
+    status: int, headers: collections.abc.Sequence[tuple[bytes, bytes]]
+) -> bool:
+    return status in engine_connection.STATUSES_WITHOUT_BODY or any(
+        name.lower() == b'content-length' for name, _ in headers
+    )
--- a/src/corianderloft/_internal/network/inbound.py
+++ b/src/corianderloft/_internal/network/inbound.py
@@ -3,6 +3,7 @@
 import collections
 import logging
 import socket
+import struct
 import typing
 
 import h11
@@ -153,6 +154,17 @@
             except OSError:
                 return True
 
+    def reset_on_close(self, resets: bool) -> None:
+        """Choose whether the kernel resets the connection when it closes.
+
+        That also holds when the process ends.
+        """
+        if not self._closed:
+            linger = struct.pack('ii', int(resets), 0)
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger
+            )
+
     def abort(self) -> None:
         """Close the socket immediately; pending sends and reads then fail."""
         self._closed = True
