Forward a Last-Event-Id that is no number unchanged

Cause: the header was taken out of the request and put back from its parsed value, so one that is no number, or too large to be exact, was lost.

Callers saw: a stream from its first event instead of the rest, events that they had come twice.

The server now gets what the caller sent, unless this host itself goes on after a later event.

Evidence: test_a_position_that_is_no_number_reaches_the_server failed before for both values and passes.

--- a/src/corianderloft/_internal/platform/headers.py
+++ b/src/corianderloft/_internal/platform/headers.py
@@ -54,6 +54,11 @@
         dropped = _NOT_FORWARDED_TO_BACKENDS | _listed_in_connection(headers)
         host = _text(values.get(b'host')) or ''
         deadline_ms = integers.parse(values.get(names.DEADLINE))
+        resume_after = _event_id(values.get(names.RESUME_AFTER))
+        if resume_after is None:
+            # The server knows what it means; without it, the stream would
+            # begin anew.
+            dropped = dropped - {names.RESUME_AFTER}
         return dialect.RequestHead(
             request_id=_text(values.get(names.ATTEMPT_ID)) or '',
             host=host.partition(':')[0].lower(),
@@ -62,7 +67,7 @@
             prompt=_prompt(
                 values.get(names.TOKEN_USAGE), values.get(names.PREFIX_HASH)
             ),
-            resume_after=integers.parse(values.get(names.RESUME_AFTER)),
+            resume_after=resume_after,
             forwarded_headers=[
                 (name, value)
                 for name, value in headers
@@ -78,8 +83,15 @@
     ) -> Headers:
         """Return the request headers for a backend server."""
         priority = min(max(context.priority, 0), names.LOWEST_PRIORITY)
+        forwarded = head.forwarded_headers
+        if context.resume_after is not None:
+            forwarded = [
+                (name, value)
+                for name, value in forwarded
+                if name.lower() != names.RESUME_AFTER
+            ]
         headers = [
-            *head.forwarded_headers,
+            *forwarded,
             (names.TARGET_INSTANCE, context.engine_id.encode('latin-1')),
             (names.DEADLINE, b'%d' % max(1, int(context.time_left * 1000))),
         ]
@@ -128,6 +140,12 @@
     return None if value is None else value.decode('latin-1').strip()
 
 
+def _event_id(value: bytes | None) -> int | None:
+    """Return an ID that is exact; None if it is no number or too large."""
+    event_id = integers.parse(value)
+    return None if event_id == integers.MAX_INTEGER else event_id
+
+
 def _rate(value: bytes | None) -> float | None:
     """Return a non-negative decimal number; None if it is malformed."""
     try:
--- a/tests/lib/stream_engine.py
+++ b/tests/lib/stream_engine.py
@@ -194,7 +194,7 @@
         path = request.target.decode()
         after = headers.get('last-event-id')
         self.asked.append((path, after))
-        if after is None:
+        if after is None or not after.isdigit():
             return await self._stream(stream, attempt_id, path, 0)
         return await self._resume(stream, attempt_id, path, int(after))
 
--- a/tests/unit/gateway/test_continued_streams.py
+++ b/tests/unit/gateway/test_continued_streams.py
@@ -119,6 +119,13 @@
     assert response.body == b''
 
 
+@pytest.mark.parametrize('after', ['run-7', '9' * 30])
+async def test_a_position_that_is_no_number_reaches_the_server(after):
+    async with running({}) as (system, engines):
+        await ask(system, after=after)
+    assert [asked for _, asked in engines[0].asked] == [after]
+
+
 @pytest.mark.parametrize('cut', ['connections', 'server', 'replaced'])
 async def test_an_end_of_all_connections_is_not_that_of_a_stream(cut):
     behaviour = {
