Take an event without content for no part of a stream's rest

Cause: events without an ID and without data were passed over when positions were compared, but counted as content of the run. A second run that held only such an event and ended properly was taken for the rest.

Callers would have seen: events 0 to 4, an unknown field, and an end that looks complete. Found by the new test of arbitrary bytes, before any landing.

All but comments, empty events and 'retry' now needs an ID at the start of a run, and only events that were counted there are content.

--- a/src/corianderloft/_internal/relaying/assembly.py
+++ b/src/corianderloft/_internal/relaying/assembly.py
@@ -159,9 +159,8 @@
             rejected = self._add_ids(events)
             if rejected is not None:
                 return rejected
-        if has_content:
+        elif has_content:
             self.run_has_content = True
-            self._may_end_here = False
         self.begun = True
         return None
 
@@ -195,8 +194,10 @@
     def _add_ids(self, events: bytes) -> Rejected | None:
         last_id, placed = self.last_id, self._run_is_placed
         step, unnumbered = self.step, self._content_after_last_id
+        has_content = self.run_has_content
         try:
             for event_id in event_ids.read(events):
+                has_content = True
                 if event_id is None:
                     if not placed:
                         return Rejected('an event without an ID')
@@ -216,8 +217,10 @@
         except event_ids.NoNumber as exc:
             if not self._run_is_placed:
                 return Rejected(str(exc))
-            unnumbered = True
+            has_content = unnumbered = True
         self.last_id, self._run_is_placed = last_id, placed
+        self.run_has_content = has_content
+        self._may_end_here = self._may_end_here and not has_content
         self.step, self._content_after_last_id = step, unnumbered
         return None
 
--- a/src/corianderloft/_internal/relaying/event_ids.py
+++ b/src/corianderloft/_internal/relaying/event_ids.py
@@ -12,7 +12,7 @@
 """Number of streams whose steps are remembered."""
 
 _ID = b'id:'
-_FIELDS = (_ID, b'data')
+_NO_CONTENT = (b':', b'retry:')
 
 
 class NoNumber(ValueError):
@@ -22,7 +22,8 @@
 def read(events: bytes) -> collections.abc.Iterator[int | None]:
     """Yield the ID of each complete event, None for one without an ID.
 
-    Comments and events without an ID or data are passed over.
+    Comments, empty events and those that only set the time before a caller
+    asks again are passed over.
 
     Raises
     ------
@@ -31,7 +32,9 @@
     """
     for event in events.split(EVENT_END):
         lines = [
-            line for line in event.split(b'\n') if line.startswith(_FIELDS)
+            line
+            for line in event.split(b'\n')
+            if line and not line.startswith(_NO_CONTENT)
         ]
         if lines:
             yield _id(lines)
--- a/tests/lib/stream_engine.py
+++ b/tests/lib/stream_engine.py
@@ -48,7 +48,10 @@
         Share of streams that are followed by a second copy.
     resumed : list of str
         What is drawn for a request with ``Last-Event-Id``: ``rest``, a status,
+        ``raw`` (the bytes of ``raw``, and the end of the connection),
         ``anew``, ``repeat``, ``skip``, ``empty``, ``other_id``, ``unsigned``.
+    raw : bytes
+        A response, where ``{id}`` stands for the ID of the request.
     cut_after : int or None
         Events after which the response to any other request breaks off.
     cut : str
@@ -66,6 +69,7 @@
     padding: int = 0
     copies: float = 0.0
     resumed: list = dataclasses.field(default_factory=lambda: ['rest'])
+    raw: bytes = b''
     cut_after: int | None = None
     cut: str = 'stream'
 
@@ -203,6 +207,10 @@
         following = number_after(
             after, self.behaviour.step, self.behaviour.gaps
         )
+        if behaviour == 'raw':
+            raw = self.behaviour.raw.replace(b'{id}', attempt_id.encode())
+            await stream.send_all(raw)
+            return False
         if behaviour.isdigit():
             head = HEAD.format(
                 status=behaviour,
--- a/tests/unit/gateway/test_continued_streams.py
+++ b/tests/unit/gateway/test_continued_streams.py
@@ -4,7 +4,9 @@
 added to it, and any end of a connection was taken for its end.
 """
 
+import collections
 import contextlib
+import random
 import re
 
 import h11
@@ -89,6 +91,69 @@
     assert numbers(response) == BEGUN
 
 
+STATUS_LINES = [b'HTTP/1.1 %d -\r\n' % n for n in (200, 204, 206, 404, 500)]
+SIGNATURE = b'Corianderloft-Response-Signature: s\r\n'
+ATTEMPT_ID = b'Corianderloft-Attempt-Id: {id}\r\n'
+HEADERS = [
+    b'Content-Type: text/event-stream\r\n',
+    b'Content-Type: application/json\r\n',
+    b'Content-Length: 40\r\n',
+    b'Corianderloft-Not-Executed: 1\r\n',
+    b'Connection: close\r\n',
+    b'Server-Leaving: 1\r\n',
+]
+
+
+def arbitrary_response(rng):
+    """Return bytes that may be a response, and the rest of a stream."""
+    body = b''.join(
+        rng.choice(
+            [
+                b'id: %d\ndata: x\n\n' % rng.randrange(8),
+                b'id: 5\ndata: x\n\n',
+                b'id: x\ndata: x\n\n',
+                b'data: x\n\n',
+                b': comment\n\n',
+                b'id: 5\n',
+                b'<html>',
+                b'\x00\xff',
+            ]
+        )
+        for _ in range(rng.randrange(4))
+    )
+    if rng.random() < 0.5:
+        body = b'id: 5\ndata: x\n\nid: 6\ndata: x\n\n' + body
+    head = rng.choice([STATUS_LINES[0], rng.choice(STATUS_LINES)])
+    head += rng.choice([SIGNATURE + ATTEMPT_ID, SIGNATURE, ATTEMPT_ID])
+    head += b''.join(rng.sample(HEADERS, rng.randrange(3)))
+    if rng.random() < 0.5:
+        head += b'Transfer-Encoding: chunked\r\n'
+        body = b'%x\r\n%b\r\n' % (len(body), body) if body else b''
+        body += rng.choice([b'0\r\n\r\n', b''])
+    return rng.choice([head + b'\r\n' + body, head + b'\r\n' + body, body])
+
+
+async def test_arbitrary_bytes_of_the_next_server_never_break_the_order():
+    behaviour = {'cut_after': CUT_AFTER, 'resumed': ['raw']}
+    rng = random.Random(37)
+    lengths = collections.Counter()
+    async with running(behaviour, behaviour) as (system, engines):
+        for number in range(150):
+            raw = arbitrary_response(rng)
+            for engine in engines:
+                engine.behaviour.raw = raw
+            response = await ask(system, f'/quote/{number}')
+            ids = numbers(response)
+            assert ids[:CUT_AFTER] == BEGUN, raw
+            assert ids == list(range(len(ids))), raw
+            assert b'html' not in response.body, raw
+            assert not response.complete or len(ids) > CUT_AFTER, raw
+            lengths[len(ids)] += 1
+        asked = [after for e in engines for _, after in e.asked]
+    assert len(asked) - asked.count(None) > 20
+    assert len(lengths) > 1
+
+
 @pytest.mark.parametrize('step', [1, 6])
 async def test_the_rest_of_a_stream_is_added_to_it(step):
     cut, other = {'cut_after': CUT_AFTER, 'step': step}, {'step': step}
--- a/tests/unit/relaying/test_assembly.py
+++ b/tests/unit/relaying/test_assembly.py
@@ -155,3 +155,12 @@
         play(response, Run(HEAD, [[0], [1], [unknown]], None, b''))
         assert not response.may_go_on
         assert response.begin_run(HEAD) is not None
+
+
+def test_events_without_content_are_no_rest_of_a_stream():
+    for events in (b': comment\n\n', b'retry: 5\n\n', b'\xff: x\n\n'):
+        response = assembly.Assembly(resumable=True)
+        play(response, Run(HEAD, whole_runs(0, 3, 1), None, b''))
+        assert response.begin_run(HEAD) is None
+        response.add(events, True)
+        assert response.end_run(End.FRAMING, b'') is not None
