Tell a gap in a stream before any distance of its IDs is known

Cause: a host that had seen no two events of a service took any later event for the one that is due.

Until a distance is known, only the next number follows. A service whose IDs lie further apart is known by its first two events.

Evidence: test_a_gap_is_told_before_any_step_is_known failed before, passes.

--- a/src/corianderloft/_internal/relaying/assembly.py
+++ b/src/corianderloft/_internal/relaying/assembly.py
@@ -71,7 +71,7 @@
         Whether another run may go on after an event of this response, so
         that the IDs of its events tell positions in the stream.
     greatest_step : int or None
-        Greatest difference between two IDs in recent streams, if known.
+        Greatest difference between two IDs in recent streams; 1 if unknown.
 
     Attributes
     ----------
@@ -225,5 +225,4 @@
         return None
 
     def _leaves_a_gap(self, step: int) -> bool:
-        greatest = max(self.step or 0, self._greatest_step or 0)
-        return 0 < greatest < step
+        return step > max(self.step or 1, self._greatest_step or 1)
--- a/tests/unit/relaying/test_assembly.py
+++ b/tests/unit/relaying/test_assembly.py
@@ -164,3 +164,10 @@
         assert response.begin_run(HEAD) is None
         response.add(events, True)
         assert response.end_run(End.FRAMING, b'') is not None
+
+
+def test_a_gap_is_told_before_any_step_is_known():
+    response = assembly.Assembly(7, resumable=True)
+    assert response.begin_run(HEAD) is None
+    assert response.add(event(10), True) is not None
+    assert response.add(event(8), True) is None
