Watch a server that sends no lengths before its response begins

Cause: the connection that shows whether the server outlives a response was opened when its head came. If the server ended in that very moment, the connection reached the process that took its place, or a server that had only closed its connections, and the response looked complete.

A server that has sent a response without a length within the last minute is now watched from before the request is sent. The relay of one run moves to a module of its own.

Evidence: test_an_end_right_after_the_head_is_not_that_of_a_stream failed before, passes.

--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -5,7 +5,6 @@
 
 import trio
 
-from corianderloft._internal.entry import sse
 from corianderloft._internal.gateway import crash_guard
 from corianderloft._internal.gateway import dialect
 from corianderloft._internal.gateway import life_watch
@@ -18,6 +17,7 @@
 from corianderloft._internal.gateway import routed_request
 from corianderloft._internal.gateway import sending
 from corianderloft._internal.gateway import silence
+from corianderloft._internal.gateway import stream_relay
 from corianderloft._internal.models import routing
 from corianderloft._internal.network import engine_pool
 from corianderloft._internal.network import exchange
@@ -346,7 +346,24 @@
         grant: grants.Grant,
         watch: silence.SilenceWatch | None,
     ) -> Result | sending.SendFailure:
-        """Send the request and deliver the response."""
+        """Send the request and deliver the response.
+
+        A server is watched before its response if it has sent one without a
+        length.
+        """
+        if not self._pool.sends_without_length(grant.engine.key):
+            return await self._exchange(attempt, grant, watch, None)
+        async with life_watch.watching(self._pool, grant.engine) as life:
+            result = await self._exchange(attempt, grant, watch, life)
+        return result
+
+    async def _exchange(
+        self,
+        attempt: sending.SendAttempt,
+        grant: grants.Grant,
+        watch: silence.SilenceWatch | None,
+        life: life_watch.LifeWatch | None,
+    ) -> Result | sending.SendFailure:
         resumed_after = self._assembly.last_id
         received = await attempt.open(resumed_after)
         if isinstance(received, sending.SendFailure):
@@ -357,6 +374,9 @@
             )
         if not received.ends_with_connection:
             return await self._read(attempt, received, grant, watch, None)
+        self._pool.record_no_length(grant.engine.key)
+        if life is not None:
+            return await self._read(attempt, received, grant, watch, life)
         async with life_watch.watching(self._pool, grant.engine) as life:
             result = await self._read(attempt, received, grant, watch, life)
         return result
@@ -430,59 +450,16 @@
         watch: silence.SilenceWatch | None,
         life: life_watch.LifeWatch | None,
     ) -> Result | sending.SendFailure:
-        """Relay a stream to the caller, only complete events at a time."""
-        rejected = self._assembly.begin_run(response_ends.run_head(received))
-        if rejected is not None:
-            return response_ends.rejected_run(rejected)
-        event_buffer = sse.EventBuffer()
-        while True:
-            data = await attempt.read()
-            if isinstance(data, sending.SendFailure):
-                return data
-            if data is None:
-                break
-            try:
-                events = event_buffer.feed(data)
-            except ValueError as exc:
-                return sending.SendFailure(
-                    interface.AttemptOutcome.BROKEN, True, str(exc)
-                )
-            if not events:
-                continue
-            # A server that has stalled may still send a byte or a comment
-            # now and then.
-            is_progress = sse.has_content(events)
-            step = self._assembly.step
-            rejected = self._assembly.add(events, is_progress)
-            if rejected is not None:
-                return response_ends.rejected_run(rejected)
-            if self._assembly.step not in (step, None):
-                self._steps.record(
-                    self._request.job.service, self._assembly.step
-                )
-            if is_progress:
-                grant.started()
-                if watch is not None:
-                    watch.pause()
-            await self._writer.send_events(received, events)
-            if is_progress and watch is not None:
-                watch.restart()
-        if watch is not None:
-            watch.pause()
-        remainder = event_buffer.incomplete()
-        end = assembly.RunEnd.WITH_SERVER
-        if self._assembly.run_has_content and not remainder.strip():
-            end = await response_ends.run_end(life)
-        elif not received.ends_with_connection:
-            end = assembly.RunEnd.FRAMING
-        rejected = self._assembly.end_run(end, remainder)
-        if rejected is not None:
-            return response_ends.rejected_run(
-                rejected, received.ends_with_connection
-            )
-        if remainder:
-            await self._writer.send_events(received, remainder)
+        relay = stream_relay.StreamRelay(
+            self._assembly, self._writer, self._record_step
+        )
+        failure = await relay.run(attempt, received, grant, watch, life)
+        if failure is not None:
+            return failure
         self.complete = True
         self._crash_guard.record_complete(received)
         await self._writer.end(received)
         return Result.ANSWERED
+
+    def _record_step(self, step: int) -> None:
+        self._steps.record(self._request.job.service, step)
--- a/src/corianderloft/_internal/network/engine_pool.py
+++ b/src/corianderloft/_internal/network/engine_pool.py
@@ -14,6 +14,10 @@
 MAX_IDLE_NOT_REPEATABLE_S = 1.5
 """The same limit for a request that must not be sent twice."""
 
+NO_LENGTH_MEMORY_S = 60.0
+"""Time for which it is remembered that a server sent a response without a
+length; it may send others."""
+
 Key = tuple[ids.EngineId, int]
 """ID of a backend server and number of its start."""
 
@@ -45,6 +49,7 @@
 
     def __init__(self) -> None:
         self._witnesses: dict[Key, Witness] = {}
+        self._without_length: dict[Key, float] = {}
         self._idle: dict[
             Key, collections.deque[engine_connection.EngineConnection]
         ] = {}
@@ -87,6 +92,14 @@
             conn.usable(now, MAX_IDLE_S) for conn in self._idle.get(key, ())
         )
 
+    def record_no_length(self, key: Key) -> None:
+        """Record that a server sent a response without a length."""
+        self._without_length[key] = trio.current_time()
+
+    def sends_without_length(self, key: Key) -> bool:
+        """Return whether a server has sent such a response recently."""
+        return key in self._without_length
+
     def hold_witness(self, key: Key) -> Witness | None:
         """Return a connection that is open and carries no request, if any.
 
@@ -130,6 +143,11 @@
     def close_expired(self) -> None:
         """Close connections that can no longer be reused."""
         now = trio.current_time()
+        self._without_length = {
+            key: at
+            for key, at in self._without_length.items()
+            if now - at < NO_LENGTH_MEMORY_S
+        }
         for key, idle in list(self._idle.items()):
             while idle and not idle[0].usable(now, MAX_IDLE_S):
                 idle.popleft().close()
--- a/tests/unit/gateway/test_continued_streams.py
+++ b/tests/unit/gateway/test_continued_streams.py
@@ -219,6 +219,18 @@
     assert numbers(response) == WHOLE
 
 
+@pytest.mark.parametrize('cut', ['connections', 'replaced'])
+async def test_an_end_right_after_the_head_is_not_that_of_a_stream(cut):
+    async with running({'unframed': 1.0}) as (system, engines):
+        assert (await ask(system, '/chat/1')).complete
+        engines[0].behaviour.cut = cut
+        engines[0].behaviour.cut_after = 1
+        await trio.sleep(0.1)
+        response = await ask(system, '/chat/2')
+    assert not response.complete
+    assert numbers(response) == [0]
+
+
 async def test_a_stream_that_ends_with_a_leaving_server_is_not_complete():
     behaviour = {
         'cut_after': CUT_AFTER,
