Keep the connection that watches a server when it was not needed

A response that ended before the second connection had proven to stay open left that connection to the garbage collector; each short response of a server that sends no lengths opened another one. It now goes to the pool.

Evidence: test_a_connection_that_was_not_needed_is_kept_for_requests.

--- a/src/corianderloft/_internal/gateway/life_watch.py
+++ b/src/corianderloft/_internal/gateway/life_watch.py
@@ -99,9 +99,17 @@
         instance = self._engine.instance
         peer = instance.address, instance.port, CONNECT_TIMEOUT_S
         conn = await engine_connection.connect(*peer)
-        self._replaced = await engine_connection.has_ended_since(conn, *peer)
         if isinstance(conn, engine_connection.ConnectionFailure):
+            self._replaced = conn.kind is engine_connection.FailureKind.REFUSED
             return None
+        try:
+            self._replaced = await engine_connection.has_ended_since(
+                conn, *peer
+            )
+        except trio.Cancelled:
+            # The response has ended before the connection was needed.
+            self._pool.add(self._engine.key, conn)
+            raise
         if conn.is_open():
             return self._pool.add_witness(self._engine.key, conn)
         conn.close()
--- a/tests/unit/gateway/test_life_watch.py
+++ b/tests/unit/gateway/test_life_watch.py
@@ -87,3 +87,13 @@
             await trio.sleep(0.001)
         server.close_all()
         assert await watch.server_has_ended()
+
+
+async def test_a_connection_that_was_not_needed_is_kept_for_requests(nursery):
+    server, pool = Server(), engine_pool.EnginePool()
+    await nursery.start(server.serve)
+    async with life_watch.watching(pool, server):
+        while not server.accepted:
+            await trio.sleep(0.001)
+    assert pool.acquire(server.key, True) is not None
+    assert len(server.accepted) == 1
