Send nothing more once the end of a response was written

Cause: the watch for silence may expire in the same moment as the last event arrives. The response was then ended, and the attempt counted as silent all the same: the request went to the server that takes over, and the connection was aborted although its response was complete. Found by reading; no run showed it.

A response whose end was written counts as answered.

--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -325,6 +325,9 @@
             # The watch may have expired while the result was on its way.
             self._release_successor()
             return result
+        if self.complete:
+            # The end was written when the watch had already expired.
+            return Result.ANSWERED
         assert watch.expired
         return sending.SendFailure(
             interface.AttemptOutcome.SILENT, True, 'nothing in time'
