Log the age and the source of the view with what it decides

The hypotheses on late changes differ in how old the view of a host was and what had confirmed it: the store, or a host that it follows. Lines on versions, entries, refusals and the end of requests now have age_s, source and gap_s, the age right before the last confirmation.

--- a/src/corianderloft/_internal/gateway/app.py
+++ b/src/corianderloft/_internal/gateway/app.py
@@ -218,7 +218,7 @@
                 'reason': refusal.reason.value,
                 'status': refusal.status,
                 'version': table.version if table else None,
-                'age_s': round(self._view.age(), 3),
+                **self._view.log_fields(),
             },
         )
         headers = refusal.headers()
@@ -262,7 +262,7 @@
                 'longest_gap_s': round(response.longest_gap, 4),
                 'total_s': round(now - job.arrived, 4),
                 'version': getattr(self._view.table, 'version', None),
-                'age_s': round(self._view.age(), 3),
+                **self._view.log_fields(),
             },
         )
 
--- a/src/corianderloft/_internal/gateway/entry_log.py
+++ b/src/corianderloft/_internal/gateway/entry_log.py
@@ -25,6 +25,7 @@
     noun: str,
     old: collections.abc.Mapping[str, object],
     new: collections.abc.Mapping[str, object],
+    view_fields: collections.abc.Mapping[str, object],
 ) -> None:
     """Log the entries that differ, a line each unless there are many."""
     changed = [
@@ -35,6 +36,7 @@
             '%ss changed',
             noun,
             extra={
+                **view_fields,
                 'count': len(changed),
                 'known': len(new),
                 'keys': sorted(changed)[:MAX_LOGGED_CHANGES],
@@ -45,5 +47,9 @@
         logger.info(
             '%s changed',
             noun,
-            extra={'key': key, 'entry': str(new.get(key, 'gone'))},
+            extra={
+                **view_fields,
+                'key': key,
+                'entry': str(new.get(key, 'gone')),
+            },
         )
--- a/src/corianderloft/_internal/gateway/following.py
+++ b/src/corianderloft/_internal/gateway/following.py
@@ -237,7 +237,7 @@
                             extra={'host': delegate.host_id},
                         )
                         result = FollowResult.LOST
-                    self._apply_changes(events, item)
+                    self._apply_changes(events, item, delegate.host_id)
                     events.clear()
                     if self._assignment.delegate != delegate:
                         # The change log holds only changes received from
@@ -263,11 +263,12 @@
         self,
         events: collections.abc.Sequence[kv.WatchEvent],
         progress: kv.WatchProgress,
+        source: str = view.STORE,
     ) -> None:
         local_view = self._view
         local_view.advance(progress.revision)
         local_view.apply(events)
-        local_view.confirm(progress.as_of)
+        local_view.confirm(progress.as_of, source)
 
     def _log_lost(
         self, delegate: members.Member, cause: str, result: FollowResult
--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -20,6 +20,9 @@
 
 logger = logging.getLogger(__name__)
 
+STORE = 'store'
+"""Source of a view that the store itself has confirmed."""
+
 REREGISTRATION_GRACE_S = 2.3
 """Time after an outage of the store in which entries whose lease expired
 meanwhile may be registered again; the platform promises about two seconds."""
@@ -70,6 +73,8 @@
         Current declarations; None until the first were read.
     revision : Revision
         Last known revision of the store.
+    source : str
+        What confirmed the view last: `STORE`, or the ID of another host.
     """
 
     def __init__(
@@ -92,6 +97,7 @@
         self._members: dict[str, members.Member] = {}
         self._listeners: list[listener.Listener] = []
         self._confirmed_at = float('-inf')
+        self._gap = float('inf')
         self._last_outage_at = float('-inf')
         self._store_failing = False
         self._settled_at = float('-inf')
@@ -99,6 +105,7 @@
         self._required_until = float('-inf')
         self.table: routing.RoutingTable | None = None
         self.revision = ids.Revision(0)
+        self.source = STORE
 
     def add_listener(self, subscriber: listener.Listener) -> None:
         """Notify a listener of all later changes."""
@@ -146,8 +153,29 @@
             return False
         return self.age() < self._revocation_time - KEY_MARGIN_S
 
-    def confirm(self, sent_at: float) -> None:
-        """Record that the view was up to date when a call was sent."""
+    def log_fields(self) -> dict[str, object]:
+        """Return the age and the source of the view, for a log line.
+
+        ``gap_s`` is the age that it had when it was last confirmed.
+        """
+        return {
+            'age_s': round(self.age(), 3),
+            'gap_s': round(self._gap, 3),
+            'source': self.source,
+        }
+
+    def confirm(self, sent_at: float, source: str = STORE) -> None:
+        """Record that the view was up to date when a call was sent.
+
+        Parameters
+        ----------
+        sent_at : float
+            When the call was sent, on `clock.now`, in seconds.
+        source : str
+            What replied: `STORE`, or the ID of another host.
+        """
+        self.source = source
+        self._gap = self.age()
         self._confirmed_at = max(self._confirmed_at, sent_at)
         if self._store_failing:
             self._store_failing = False
@@ -160,7 +188,8 @@
             logger.warning(
                 'store lost',
                 extra=eras.log_fields(self.revision)
-                | {'cause': cause, 'age_s': round(self.age(), 3)},
+                | self.log_fields()
+                | {'cause': cause},
             )
         self._store_failing = True
         self._last_outage_at = clock.now()
@@ -413,6 +442,7 @@
         logger.info(
             'declarations in force',
             extra=eras.log_fields(item.mod_revision)
+            | self.log_fields()
             | {'version': table.version},
         )
         for subscriber in self._listeners:
@@ -436,7 +466,8 @@
         self._missing[key] = _MissingEntry(expires_at)
         logger.info(
             'entry missing after an outage of the store; waiting for it',
-            extra={'key': key, 'wait_s': round(expires_at - clock.now(), 3)},
+            extra=self.log_fields()
+            | {'key': key, 'wait_s': round(expires_at - clock.now(), 3)},
         )
 
     def _may_be_lease_expiry(self, key: str) -> bool:
@@ -465,11 +496,16 @@
     ) -> None:
         if old_instances != self._instances:
             entry_log.log_changes(
-                'backend server', old_instances, self._instances
+                'backend server',
+                old_instances,
+                self._instances,
+                self.log_fields(),
             )
             for subscriber in self._listeners:
                 subscriber.use_instances(self.current_instances)
         if old_members != self._members:
-            entry_log.log_changes('entry host', old_members, self._members)
+            entry_log.log_changes(
+                'entry host', old_members, self._members, self.log_fields()
+            )
             for subscriber in self._listeners:
                 subscriber.use_members(self.current_members)
--- a/tests/unit/gateway/test_following.py
+++ b/tests/unit/gateway/test_following.py
@@ -37,7 +37,7 @@
         self.failures = []
         self.load_count = 0
 
-    def confirm(self, as_of):
+    def confirm(self, as_of, source='store'):
         self.confirmed_or_applied.append(as_of)
 
     def changes_to(self, found):
