Send nothing to a server that left after it was chosen

Callers saw nothing; a server that leaves got requests after the host had already heard of it.

Cause: a server is chosen, then a connection to it is opened, which may take 0.5 s, and the request is sent without another look. The last use of the belief that the server is there lies after its last check. Change: the state of the server is checked right before the request is sent. A request that is withdrawn has not been sent, so it needs no retry budget and may be sent to another server, whatever its kind. Before: the six cases of test_departures.py fail. After: they pass.

--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -113,6 +113,8 @@
         self._may_have_run_on: set[engines.Key] = set()
         self._silent: set[engines.Key] = set()
         self.complete = False
+        # Whether a server, reached or not, was sent the request before.
+        self._sent_before = False
         self._fallback_response: tuple[sending.ReceivedHead, bytes] | None = (
             None
         )
@@ -162,17 +164,17 @@
         refusal = refusals.Refusal(
             refusals.Reason.NOT_RUN, placer.DEFAULT_RETRY_AFTER_S
         )
-        for prior_sends in range(MAX_SENDS):
+        for _ in range(MAX_SENDS):
             grant = self._take_successor()
             if grant is None:
-                if prior_sends and not self._may_resend():
+                if self._sent_before and not self._may_resend():
                     break
                 acquired = await self._acquire()
                 if isinstance(acquired, refusals.Refusal):
                     refusal = acquired
                     break
                 grant = acquired
-                if prior_sends and not self._consume_retry(grant):
+                if self._sent_before and not self._consume_retry(grant):
                     break
             if self._writer.caller_has_left():
                 grant.close(interface.AttemptOutcome.CALLER_LEFT)
@@ -289,6 +291,9 @@
                 return result
             result = await self._crash_guard.check(attempt, engine, result)
             outcome = result.outcome
+            self._sent_before |= (
+                outcome is not interface.AttemptOutcome.WITHDRAWN
+            )
             if not result.may_have_run:
                 self._may_have_run_on.discard(engine.key)
             request_log.send_failed(
--- a/src/corianderloft/_internal/gateway/sending.py
+++ b/src/corianderloft/_internal/gateway/sending.py
@@ -138,6 +138,12 @@
         if isinstance(conn, engine_connection.ConnectionFailure):
             return _as_send_failure(conn)
         self._conn = conn
+        if not self._engine.in_use:
+            return SendFailure(
+                interface.AttemptOutcome.WITHDRAWN,
+                False,
+                'the server has left since it was chosen',
+            )
         failure = await conn.send(
             self._request.method,
             self._request.target,
--- a/src/corianderloft/_internal/placement/engines.py
+++ b/src/corianderloft/_internal/placement/engines.py
@@ -124,6 +124,8 @@
         Limit that it names, and the requests sent to it.
     statements : Statements
         What it has said of itself in its responses.
+    listed : bool
+        Whether the registration still exists.
     """
 
     def __init__(
@@ -134,6 +136,7 @@
         said: statements.Statements | None = None,
     ) -> None:
         self.instance = instance
+        self.listed = True
         self.statements = said or statements.Statements(
             instance.engine_id, random.Random(), lambda: None
         )
@@ -163,6 +166,11 @@
             )
         self.instance = instance
 
+    @property
+    def in_use(self) -> bool:
+        """Whether it may get new requests: it is listed and not leaving."""
+        return self.listed and self.instance.state is states.BackendState.LIVE
+
     @property
     def key(self) -> Key:
         """Key of this run of the backend server."""
--- a/src/corianderloft/_internal/placement/interface.py
+++ b/src/corianderloft/_internal/placement/interface.py
@@ -64,11 +64,16 @@
 
 
 class AttemptOutcome(enum.Enum):
-    """How an attempt at a backend server ended."""
+    """How an attempt at a backend server ended.
+
+    WITHDRAWN means that nothing was sent, as the server left after it had been
+    chosen.
+    """
 
     COMPLETE = 'complete'
     ERROR_ANSWER = 'error_answer'
     NOT_RUN = 'not_run'
+    WITHDRAWN = 'withdrawn'
     NOT_CONTINUED = 'not_continued'
     NOT_CONNECTED = 'not_connected'
     BROKEN = 'broken'
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -15,7 +15,6 @@
 from corianderloft._internal.models import listener
 from corianderloft._internal.models import members
 from corianderloft._internal.models import routing
-from corianderloft._internal.models import states
 from corianderloft._internal.placement import budget
 from corianderloft._internal.placement import crash_evidence
 from corianderloft._internal.placement import decision_log
@@ -134,6 +133,8 @@
             kept[key] = engine
             if key not in self._engines:
                 self._add_peer_loads(engine)
+        for key, engine in self._engines.items():
+            engine.listed = key in kept
         self._engines = kept
         self._statements.prune()
         self._update_views()
@@ -440,7 +441,7 @@
         """Replace the views of services whose live servers changed."""
         live: dict[ids.ServiceName, list[engines.Engine]] = {}
         for engine in self._engines.values():
-            if engine.instance.state is states.BackendState.LIVE:
+            if engine.in_use:
                 live.setdefault(engine.instance.service, []).append(engine)
         self._views = {
             service: (
