State the time budget of a change in one place, and leave sources that are too old

Callers were routed by declarations, or to servers, that all other hosts had left behind.

Cause: each step from the acknowledgement of a change to its last use was bounded on its own, and together they filled the bound: pause 0.6, delivery 1.1 and application 0.3 of 2.0 s at a host that watches; 2.7 s and then a read of the whole store, of 3.0 s, at a host whose delegate is cut from the store. A delegate that was slow, not silent, was never left. The wait of a watch follows from the age of the evidence. Ruled out: a fixed shorter wait, which makes twice as many calls.

Hosts of both releases follow each other: the new field of changes is sent to hosts that ask for it.

--- a/src/corianderloft/_internal/gateway/change_log.py
+++ b/src/corianderloft/_internal/gateway/change_log.py
@@ -27,11 +27,15 @@
         Time at which there were no later changes, on `clock.now`, in seconds.
     events : tuple of WatchEvent
         The last change of each key.
+    heard_at : float or None
+        Time at which the store was up, on `clock.now`, in seconds; None if
+        the other host does not state it.
     """
 
     revision: ids.Revision
     as_of: float
     events: tuple[kv.WatchEvent, ...]
+    heard_at: float | None = None
 
 
 class ChangeLog:
@@ -46,6 +50,7 @@
         self._complete_after = ids.Revision(0)
         self._revision = ids.Revision(0)
         self._as_of = float('-inf')
+        self._heard_at = float('-inf')
         self._started = False
         self._watches_store = False
         self._progress = trio.Event()
@@ -75,7 +80,7 @@
         self._revision = revision
         self._started = True
         self._watches_store = True
-        self._advance(revision, as_of)
+        self._advance(kv.WatchProgress(revision, as_of))
 
     def resume(
         self,
@@ -112,7 +117,7 @@
         self._events.extend(events)
         while len(self._events) > MAX_EVENTS:
             self._complete_after = self._events.popleft().revision
-        self._advance(progress.revision, progress.as_of)
+        self._advance(progress)
 
     def stop(self) -> None:
         """Stop serving changes: the watch of the store has ended."""
@@ -136,15 +141,21 @@
         if not self.is_usable(revision) or revision < self._complete_after:
             return None
         latest = {e.key: e for e in self._events if e.revision > revision}
-        return Changes(self._revision, self._as_of, tuple(latest.values()))
+        return Changes(
+            self._revision,
+            self._as_of,
+            tuple(latest.values()),
+            self._heard_at,
+        )
 
     async def wait_progress(self) -> None:
         """Wait until the watch makes progress or ends."""
         await self._progress.wait()
 
-    def _advance(self, revision: ids.Revision, as_of: float) -> None:
-        self._revision = max(self._revision, revision)
-        self._as_of = max(self._as_of, as_of)
+    def _advance(self, progress: kv.WatchProgress) -> None:
+        self._revision = max(self._revision, progress.revision)
+        self._as_of = max(self._as_of, progress.as_of)
+        self._heard_at = max(self._heard_at, progress.heard)
         self._notify_waiters()
 
     def _notify_waiters(self) -> None:
--- a/src/corianderloft/_internal/gateway/change_messages.py
+++ b/src/corianderloft/_internal/gateway/change_messages.py
@@ -23,6 +23,9 @@
 ERA_PARAMETER = 'era'
 """Query parameter of a host whose revisions hold the era of the store."""
 
+HEARD_PARAMETER = 'heard'
+"""Query parameter of a host that reads when the store was last heard of."""
+
 MIN_COMPRESSED_BYTES = 1024
 """Shortest message that is compressed."""
 
@@ -35,7 +38,10 @@
 
 
 def encode(
-    changes: change_log.Changes, received_at: float, compress: bool = False
+    changes: change_log.Changes,
+    received_at: float,
+    compress: bool = False,
+    with_heard: bool = False,
 ) -> bytes:
     """Encode changes as a response body.
 
@@ -53,14 +59,17 @@
         When the request was received, on `clock.now`, in seconds.
     compress : bool
         Whether the other host accepts a compressed message.
+    with_heard : bool
+        Whether the other host reads when the store was last heard of.
     """
-    data = orjson.dumps(
-        [
-            changes.revision,
-            changes.as_of - received_at,
-            [_encode_event(event) for event in changes.events],
-        ]
-    )
+    fields = [
+        changes.revision,
+        changes.as_of - received_at,
+        [_encode_event(event) for event in changes.events],
+    ]
+    if with_heard and changes.heard_at is not None:
+        fields.append(changes.heard_at - received_at)
+    data = orjson.dumps(fields)
     if compress and len(data) >= MIN_COMPRESSED_BYTES:
         return zlib.compress(data, zlib.Z_BEST_SPEED)
     return data
@@ -80,11 +89,12 @@
         When the request was sent, on `clock.now`, in seconds.
     """
     try:
-        revision, offset, rows = orjson.loads(_decompressed(data))
+        revision, offset, rows, *rest = orjson.loads(_decompressed(data))
         return change_log.Changes(
             ids.Revision(int(revision)),
             sent_at + float(offset),
             tuple(_decode_event(row) for row in rows),
+            sent_at + float(rest[0]) if rest else None,
         )
     except (ValueError, TypeError, OverflowError, zlib.error):
         return None
--- a/src/corianderloft/_internal/gateway/change_server.py
+++ b/src/corianderloft/_internal/gateway/change_server.py
@@ -1,5 +1,6 @@
 """HTTP handler that serves store changes to the hosts that follow this one."""
 
+import collections.abc
 import urllib.parse
 
 import trio
@@ -37,8 +38,8 @@
         if query is None:
             await request.respond_raw(BAD_REQUEST_STATUS, (), b'')
             return
-        after, wait_s, compress, states_era = query
-        if self._log.era and not states_era:
+        after, wait_s, parameters = query
+        if self._log.era and change_messages.ERA_PARAMETER not in parameters:
             # A host of an earlier release cannot order these revisions.
             await request.respond_raw(
                 change_messages.NOT_WATCHING_STATUS, (), b''
@@ -50,7 +51,12 @@
                 await self._log.wait_progress()
             changes = self._log.since(after)
         if changes is not None:
-            body = change_messages.encode(changes, received_at, compress)
+            body = change_messages.encode(
+                changes,
+                received_at,
+                change_messages.COMPRESSION_PARAMETER in parameters,
+                change_messages.HEARD_PARAMETER in parameters,
+            )
             await request.respond(200, body)
         elif self._log.is_usable(after):
             await request.respond_raw(change_messages.GAP_STATUS, (), b'')
@@ -62,11 +68,11 @@
 
 def _parse_query(
     query: bytes,
-) -> tuple[ids.Revision, float, bool, bool] | None:
+) -> tuple[ids.Revision, float, collections.abc.Container[str]] | None:
     """Return the fields of a query, or None if it is malformed.
 
-    They are the revision, the wait in seconds, whether to compress the
-    message and whether the revision holds the era.
+    They are the revision, the wait in seconds and the names of all
+    parameters.
     """
     fields = dict(urllib.parse.parse_qsl(query.decode('latin-1')))
     try:
@@ -74,7 +80,5 @@
         wait_s = int(fields['wait_ms']) / 1000
     except (KeyError, ValueError, OverflowError):
         return None
-    compress = change_messages.COMPRESSION_PARAMETER in fields
-    states_era = change_messages.ERA_PARAMETER in fields
     wait_s = min(MAX_WAIT_S, max(0.0, wait_s))
-    return after, wait_s, compress, states_era
+    return after, wait_s, fields.keys()
--- a/src/corianderloft/_internal/gateway/following.py
+++ b/src/corianderloft/_internal/gateway/following.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from corianderloft._internal.gateway import change_budget
 from corianderloft._internal.gateway import change_log
 from corianderloft._internal.gateway import peer_changes
 from corianderloft._internal.gateway import settings
@@ -37,6 +38,9 @@
 """Interval between polls of the group's delegate while the store is
 unavailable; the delegate reads the store about twice a second then."""
 
+MIN_POLL_S = 0.5
+"""Time for a poll of the delegate by a host whose view is too old already."""
+
 PEER_COOLDOWN_S = 3.0
 """Mean time for which a host watches the store itself after it lost contact
 with its delegate, before it tries the delegate again. The entry of a failed
@@ -54,11 +58,13 @@
     """Why receiving changes from one source ended.
 
     LOST means that the source failed after it had sent something, and
-    NO_RESPONSE that it failed before.
+    NO_RESPONSE that it failed before. STALE means that what it sent is too
+    old, or that it sent nothing for too long.
     """
 
     SWITCH_SOURCE = 'another source is better, and no change was missed'
     GAP = 'the source does not keep all changes any more'
+    STALE = 'the changes from the source are too old'
     LOST = 'the source told something and was lost'
     NO_RESPONSE = 'the source told nothing'
 
@@ -184,16 +190,26 @@
         if delegate is None:
             return await self._watch()
         result = await self._follow(delegate)
-        if result in (FollowResult.LOST, FollowResult.NO_RESPONSE):
+        if result in (
+            FollowResult.LOST,
+            FollowResult.NO_RESPONSE,
+            FollowResult.STALE,
+        ):
             self._cooldown_until = trio.current_time() + jittered(
                 PEER_COOLDOWN_S
             )
+        if result is FollowResult.STALE:
+            # No change was missed, so a watch can go on from here.
+            self.log.reset(self._view.revision, self._view.confirmed_at)
+            return FollowResult.SWITCH_SOURCE
         return result
 
     def _host_to_follow(self) -> members.Member | None:
         """Return the host to follow, or None to watch the store."""
         if trio.current_time() < self._cooldown_until:
             return None
+        if not change_budget.allows_following(self._bounds()):
+            return None
         return self._assignment.delegate
 
     async def _watch(self) -> FollowResult:
@@ -227,7 +243,13 @@
         events: list[kv.WatchEvent] = []
         items = peer_changes.watch(delegate, self._view.revision)
         async with contextlib.aclosing(items):
-            async for item in items:
+            while True:
+                with trio.move_on_after(self._poll_time()) as timeout:
+                    item = await anext(items, None)
+                if timeout.cancelled_caught:
+                    return self._leave_stale(delegate)
+                if item is None:
+                    break
                 if isinstance(item, kv.WatchEvent):
                     events.append(item)
                 elif isinstance(item, kv.WatchProgress):
@@ -239,6 +261,8 @@
                         result = FollowResult.LOST
                     self._apply_changes(events, item, delegate.host_id)
                     events.clear()
+                    if self._view.heard_age() > self._max_evidence_age():
+                        return self._leave_stale(delegate)
                     if self._assignment.delegate != delegate:
                         # The change log holds only changes received from
                         # the store, so watching the store needs a new read.
@@ -259,6 +283,25 @@
                     self._log_lost(delegate, item.detail, result)
         return result
 
+    def _max_evidence_age(self) -> float:
+        return change_budget.max_evidence_age(self._bounds())
+
+    def _poll_time(self) -> float:
+        """Return how long the delegate may take to send something."""
+        left = self._max_evidence_age() - self._view.heard_age()
+        return left if left > 0 else MIN_POLL_S
+
+    def _leave_stale(self, delegate: members.Member) -> FollowResult:
+        logger.info(
+            'changes from the host followed are too old; asking the store',
+            extra={
+                'host': delegate.host_id,
+                'limit_s': round(self._max_evidence_age(), 3),
+            }
+            | self._view.log_fields(),
+        )
+        return FollowResult.STALE
+
     def _apply_changes(
         self,
         events: collections.abc.Sequence[kv.WatchEvent],
@@ -268,7 +311,7 @@
         local_view = self._view
         local_view.advance(progress.revision)
         local_view.apply(events)
-        local_view.confirm(progress.as_of, source)
+        local_view.confirm(progress.as_of, source, progress.heard)
 
     def _log_lost(
         self, delegate: members.Member, cause: str, result: FollowResult
@@ -288,17 +331,22 @@
 
     def _max_wait(self) -> float:
         return watch_pace.max_wait(
-            self._bounds(), self._view, self._assignment.is_delegate
+            self._bounds(), self._view, self._is_followed()
+        )
+
+    def _is_followed(self) -> bool:
+        return self._assignment.is_delegate and change_budget.allows_following(
+            self._bounds()
         )
 
     async def _pause(self) -> None:
         delay = watch_pace.mean_pause(
-            self._bounds(), self._view, self._assignment.is_delegate
+            self._bounds(), self._view, self._is_followed()
         )
         await trio.sleep(jittered(delay))
 
 
 def jittered(seconds: float) -> float:
     """Return ``seconds`` with jitter, so that hosts do not act in lockstep."""
-    ratio = watch_pace.JITTER_RATIO
+    ratio = change_budget.JITTER_RATIO
     return random.uniform(1 - ratio, 1 + ratio) * seconds
--- a/src/corianderloft/_internal/gateway/peer_changes.py
+++ b/src/corianderloft/_internal/gateway/peer_changes.py
@@ -66,8 +66,11 @@
             for event in changes.events:
                 yield event
             after = max(after, changes.revision)
-            as_of = min(clock.now(), changes.as_of)
-            yield kv.WatchProgress(after, as_of)
+            yield kv.WatchProgress(
+                after,
+                min(clock.now(), changes.as_of),
+                changes.heard_at and min(clock.now(), changes.heard_at),
+            )
     finally:
         await client.aclose()
 
@@ -82,6 +85,7 @@
         f'&wait_ms={int(LONG_POLL_S * 1000)}'
         f'&{change_messages.COMPRESSION_PARAMETER}=1'
         f'&{change_messages.ERA_PARAMETER}=1'
+        f'&{change_messages.HEARD_PARAMETER}=1'
     )
     result = await client.call('GET', path, b'', LONG_POLL_S)
     if not isinstance(result, connections.Reply):
@@ -91,9 +95,15 @@
     if result.status != _OK:
         return kv.WatchEnded(f'status {result.status}', after)
     changes = change_messages.decode(result.body, sent_at)
-    if changes is None or not math.isfinite(changes.as_of):
+    if changes is None or not _is_finite(changes):
         return kv.WatchEnded('malformed answer', after)
     if eras.era_of(changes.revision) < eras.era_of(after):
         # A host of an earlier release, or one that has not met the new era.
         return kv.WatchEnded('changes of an earlier era', after)
     return changes
+
+
+def _is_finite(changes: change_log.Changes) -> bool:
+    return math.isfinite(changes.as_of) and (
+        changes.heard_at is None or math.isfinite(changes.heard_at)
+    )
--- a/src/corianderloft/_internal/gateway/settings.py
+++ b/src/corianderloft/_internal/gateway/settings.py
@@ -36,6 +36,9 @@
     entry_expiry : float
         Time after which the store removes the entry of a backend server that
         has fallen silent, in seconds; 0 if unspecified.
+    min_outage : float
+        Shortest outage of the store in which the entry of a live backend
+        server may expire, in seconds; 0 if unspecified.
     """
 
     revocation_time: float | None
@@ -48,6 +51,7 @@
     drain_time: float
     apply_time: float
     entry_expiry: float = 0.0
+    min_outage: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -97,6 +97,7 @@
         self._members: dict[str, members.Member] = {}
         self._listeners: list[listener.Listener] = []
         self._confirmed_at = float('-inf')
+        self._heard_at = float('-inf')
         self._gap = float('inf')
         self._last_outage_at = float('-inf')
         self._store_failing = False
@@ -130,6 +131,11 @@
         """Version of the declarations in force; 0 before the first."""
         return 0 if self.table is None else self.table.version
 
+    @property
+    def confirmed_at(self) -> float:
+        """When the store last confirmed the view, on `clock.now`."""
+        return self._confirmed_at
+
     def age(self) -> float:
         """Return the seconds since the store last confirmed the view."""
         return clock.now() - self._confirmed_at
@@ -164,7 +170,16 @@
             'source': self.source,
         }
 
-    def confirm(self, sent_at: float, source: str = STORE) -> None:
+    def heard_age(self) -> float:
+        """Return the seconds since the store was last known to be up."""
+        return clock.now() - self._heard_at
+
+    def confirm(
+        self,
+        sent_at: float,
+        source: str = STORE,
+        heard_at: float | None = None,
+    ) -> None:
         """Record that the view was up to date when a call was sent.
 
         Parameters
@@ -173,9 +188,12 @@
             When the call was sent, on `clock.now`, in seconds.
         source : str
             What replied: `STORE`, or the ID of another host.
+        heard_at : float or None
+            When the store was up, if that is known to be later.
         """
         self.source = source
         self._gap = self.age()
+        self._heard_at = max(self._heard_at, sent_at, heard_at or sent_at)
         self._confirmed_at = max(self._confirmed_at, sent_at)
         if self._store_failing:
             self._store_failing = False
--- a/src/corianderloft/_internal/kv/interface.py
+++ b/src/corianderloft/_internal/kv/interface.py
@@ -152,10 +152,21 @@
         Revision of the store.
     as_of : float
         Time at which this was known to be true, on `clock.now`, in seconds.
+    heard_at : float or None
+        Time at which the store was up, if that is later: it may deliver a
+        change after some delay.
     """
 
     revision: ids.Revision
     as_of: float
+    heard_at: float | None = None
+
+    @property
+    def heard(self) -> float:
+        """Time at which the store was last known to be up."""
+        if self.heard_at is None:
+            return self.as_of
+        return max(self.as_of, self.heard_at)
 
 
 Read = Found | Unavailable
--- a/src/corianderloft/_internal/platform/settings.py
+++ b/src/corianderloft/_internal/platform/settings.py
@@ -98,7 +98,7 @@
 def _bounds(
     data: typing.Any, heartbeat_ms: float | None = None
 ) -> settings.Bounds:
-    server_expiry = HEARTBEATS_UNTIL_EXPIRY * (heartbeat_ms or 0) / 1000
+    heartbeat = (heartbeat_ms or 0) / 1000
     fail_closed = data.get('fail_closed', False)
     return settings.Bounds(
         revocation_time=(
@@ -112,7 +112,9 @@
         recovery_time=_milliseconds(data, 'stable_ms'),
         drain_time=_milliseconds(data, 'drain_ms'),
         apply_time=_milliseconds(data, 'config_apply_ms'),
-        entry_expiry=server_expiry,
+        entry_expiry=HEARTBEATS_UNTIL_EXPIRY * heartbeat,
+        # The last heartbeat may be as old as the interval between two.
+        min_outage=(HEARTBEATS_UNTIL_EXPIRY - 1) * heartbeat,
     )
 
 
--- a/src/corianderloft/_internal/platform/store.py
+++ b/src/corianderloft/_internal/platform/store.py
@@ -289,8 +289,13 @@
                 return
             for event in events:
                 yield event
+            heard_at = requested_at
+            if not events:
+                # The store holds a reply without changes for the whole wait,
+                # so the time that the reply takes to arrive does not matter.
+                heard_at = min(clock.now(), requested_at + wait)
             yield interface.WatchProgress(
-                revision, _complete_until(requested_at, wait, bool(events))
+                revision, _complete_until(heard_at, bool(events)), heard_at
             )
         yield interface.WatchEnded(eras.RESTORED, revision)
 
@@ -326,15 +331,9 @@
         typing.assert_never(result)
 
 
-def _complete_until(requested_at: float, wait: float, changed: bool) -> float:
-    """Return the time up to which a watch reply includes all changes.
-
-    The store holds a reply without changes for the whole wait, so the time
-    that the reply takes to arrive does not matter.
-    """
-    if changed:
-        return requested_at
-    return min(clock.now(), requested_at + wait) - WATCH_MAX_LAG_S
+def _complete_until(heard_at: float, changed: bool) -> float:
+    """Return the time up to which a watch reply includes all changes."""
+    return heard_at if changed else heard_at - WATCH_MAX_LAG_S
 
 
 def _default_wait() -> float:
--- a/tests/unit/gateway/test_following.py
+++ b/tests/unit/gateway/test_following.py
@@ -31,13 +31,14 @@
     """Records the calls that it receives."""
 
     revision = 0
+    confirmed_at = 0.0
 
     def __init__(self):
         self.confirmed_or_applied = []
         self.failures = []
         self.load_count = 0
 
-    def confirm(self, as_of, source='store'):
+    def confirm(self, as_of, source='store', heard_at=None):
         self.confirmed_or_applied.append(as_of)
 
     def changes_to(self, found):
@@ -60,6 +61,12 @@
     def age(self):
         return 0.0
 
+    def heard_age(self):
+        return 0.0
+
+    def log_fields(self):
+        return {}
+
 
 class _FakeStore:
     """Serves reads; its watches report progress without changes."""
@@ -108,7 +115,9 @@
         if self.silent:
             yield kv.WatchEnded('no reply', after)
             return
-        await trio.sleep_forever()
+        while True:
+            await trio.sleep(peer_changes.LONG_POLL_S)
+            yield kv.WatchProgress(after, clock.now())
 
 
 @dataclasses.dataclass
@@ -151,7 +160,7 @@
     assert scene.store.reads == 1
     assert scene.store.watches == 0
     assert scene.peers.polls == [(DELEGATE.host_id, 10)]
-    assert scene.local_view.confirmed_or_applied[-2:] == [12, 3.5]
+    assert scene.local_view.confirmed_or_applied[1:3] == [12, 3.5]
     assert scene.local_view.revision == 12
     assert not scene.follower.log.watches_store
 
--- a/tests/unit/gateway/test_watch_pace.py
+++ b/tests/unit/gateway/test_watch_pace.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 import pytest
 
+from corianderloft._internal.gateway import change_budget
 from corianderloft._internal.gateway import view
 from corianderloft._internal.gateway import watch_pace
 from tests.lib import gateway
@@ -23,6 +24,9 @@
     def age(self):
         return self.seconds
 
+    def heard_age(self):
+        return self.seconds
+
 
 def max_wait(age, **changes):
     bounds = dataclasses.replace(BOUNDS, **changes)
@@ -30,7 +34,7 @@
 
 
 def test_a_lost_watch_is_detected_within_the_recovery_time():
-    assert max_wait(1.1) + watch_pace.LOST_AFTER_S <= BOUNDS.recovery_time
+    assert max_wait(1.1) + change_budget.LATE_REPLY_S <= BOUNDS.recovery_time
     long_time = 60.0
     assert max_wait(
         1.1, recovery_time=4.0, revocation_time=long_time
@@ -45,14 +49,14 @@
     revocation_time, age
 ):
     honoured = revocation_time - view.KEY_MARGIN_S - 0.35 * revocation_time
-    hypothesis.assume(age < honoured - watch_pace.MIN_WAIT_S)
+    hypothesis.assume(age < honoured - change_budget.MIN_WAIT_S)
     assert (
         age + max_wait(age, revocation_time=revocation_time) < honoured + 1e-6
     )
 
 
 def test_an_overdue_confirmation_uses_the_minimum_wait():
-    assert max_wait(60.0) == watch_pace.MIN_WAIT_S
+    assert max_wait(60.0) == change_budget.MIN_WAIT_S
 
 
 def test_a_watch_without_bounds_waits_for_the_maximum():
@@ -69,10 +73,10 @@
 
 @pytest.mark.parametrize('drain_time', [1.5, 2.0, 3.0, 30.0])
 def test_a_change_takes_effect_within_the_tightest_bound(drain_time):
-    longest = (1 + watch_pace.JITTER_RATIO) * mean_pause(
+    longest = (1 + change_budget.JITTER_RATIO) * mean_pause(
         0.0, drain_time=drain_time
     )
-    assert longest + watch_pace.STORE_DELAY_S < drain_time
+    assert longest + change_budget.STORE_DELAY_S < drain_time
 
 
 def test_a_wider_bound_allows_a_longer_pause():
@@ -88,8 +92,8 @@
     revocation_time, age
 ):
     honoured = revocation_time - view.KEY_MARGIN_S - 0.35 * revocation_time
-    hypothesis.assume(age < honoured - watch_pace.MIN_WAIT_S)
-    longest = (1 + watch_pace.JITTER_RATIO) * mean_pause(
+    hypothesis.assume(age < honoured - change_budget.MIN_WAIT_S)
+    longest = (1 + change_budget.JITTER_RATIO) * mean_pause(
         age, revocation_time=revocation_time
     )
     watch_age = age + longest
@@ -113,8 +117,8 @@
     paused = watch_pace.mean_pause(bounds, fresh_view, is_delegate=True)
     waited = watch_pace.max_wait(bounds, fresh_view, is_delegate=True)
     detected_after = (
-        (1 + watch_pace.JITTER_RATIO) * paused
+        (1 + change_budget.JITTER_RATIO) * paused
         + waited
-        + watch_pace.LOST_AFTER_S
+        + change_budget.LATE_REPLY_S
     )
-    assert detected_after + watch_pace.APPLY_DELAY_S <= tightest + 1e-6
+    assert detected_after + change_budget.APPLY_S <= tightest + 1e-6
