Take removals at their word if another host has heard of the store

Callers' requests reached servers that had left more than drain_ms before.

Cause: every failed call of a host counted as an outage of the store, which ended when this host heard of it again. For 2.3 s from then on the host kept servers whose entries had been removed, although only it had been cut and all others had acted on the removals. On a site where drain_ms is 2 s, and a host is in touch again 3 s after a cut, that is too long. Change: leases expire only in an outage that lasts longer than two heartbeats. A shorter interval without replies holds nothing. After a longer one, hosts tell each other in their load datagrams for how long they have heard of the store without such an interval; one that has heard of it all the while ends the hold. Without such a host entries are held as before.

Hosts of an earlier release ignore the new field.

--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -97,6 +97,7 @@
             cfg.bounds.revocation_time,
             max(cfg.bounds.entry_expiry, membership.LEASE_TTL_S),
             dependencies.store_layout.hosts_prefix + cfg.host_id,
+            cfg.bounds.min_outage,
         )
         self._retry_budget = budget.RetryBudget(
             cfg.bounds.retry_ratio,
@@ -110,7 +111,9 @@
         self._pool = engine_pool.EnginePool()
         self._shutdown = stopping.GracefulShutdown()
         own = _member(cfg)
-        self._load_exchange = load_exchange.LoadExchange(self._placer, own)
+        self._load_exchange = load_exchange.LoadExchange(
+            self._placer, own, self._view
+        )
         self._view.add_listener(self._load_exchange)
         self._follower = following.Follower(
             dependencies.store, self._view, lambda: self._cfg.bounds, own
--- a/src/corianderloft/_internal/gateway/load_exchange.py
+++ b/src/corianderloft/_internal/gateway/load_exchange.py
@@ -17,7 +17,9 @@
 
 from corianderloft._internal.gateway import crash_messages
 from corianderloft._internal.gateway import load_messages as messages
+from corianderloft._internal.gateway import outages
 from corianderloft._internal.gateway import rate_messages
+from corianderloft._internal.models import ids
 from corianderloft._internal.models import listener
 from corianderloft._internal.models import members
 from corianderloft._internal.placement import engines
@@ -49,21 +51,41 @@
 """Maximum size of a datagram, below the limit of UDP."""
 
 
+class StoreContact(typing.Protocol):
+    """What hosts tell each other of their contact with the store."""
+
+    def contact(self) -> outages.Contact | None:
+        """Return what to tell other hosts."""
+
+    def use_contact(
+        self, host_id: ids.HostId, contact: outages.Contact
+    ) -> None:
+        """Use what another host tells."""
+
+
 class LoadExchange(listener.Listener):
     """Sends the loads of this host and receives those of other hosts.
 
+    Hosts tell each other in the same datagrams whether they hear of the store.
+
     Parameters
     ----------
     request_placer : Placer
         Provides the loads of this host and uses those of other hosts.
     own : Member
         Entry of this host.
+    store_contact : StoreContact
+        The contact of this host with the store.
     """
 
     def __init__(
-        self, request_placer: placer.Placer, own: members.Member
+        self,
+        request_placer: placer.Placer,
+        own: members.Member,
+        store_contact: StoreContact,
     ) -> None:
         self._placer = request_placer
+        self._store_contact = store_contact
         self._own = own
         self._assignment = groups.assign(own, (own,))
         self._received: dict[messages.Source, messages.ReceivedLoads] = {}
@@ -184,7 +206,9 @@
         recipients: collections.abc.Sequence[members.Member],
         full: bool,
     ) -> None:
-        data = self._builders[scope].next_datagram(loads, demands, full)
+        data = self._builders[scope].next_datagram(
+            loads, demands, full, self._store_contact.contact()
+        )
         if data is not None:
             await _send_datagram(sock, data, recipients)
 
@@ -224,6 +248,8 @@
         source = message.source
         received = self._received.setdefault(source, messages.ReceivedLoads())
         changed = received.apply(message, trio.current_time())
+        if changed is not None and message.contact is not None:
+            self._store_contact.use_contact(source.host_id, message.contact)
         if changed is not None:
             self._placer.update_peer_loads(
                 source.label, received.loads, changed
--- a/src/corianderloft/_internal/gateway/load_messages.py
+++ b/src/corianderloft/_internal/gateway/load_messages.py
@@ -8,6 +8,7 @@
 
 import orjson
 
+from corianderloft._internal.gateway import outages
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import members
 from corianderloft._internal.placement import engines
@@ -67,6 +68,9 @@
         Loads by backend server.
     demands : dict
         Demands by service; only in messages with the full state.
+    contact : Contact or None
+        Contact of the sender with the store; only in messages with the full
+        state.
     """
 
     source: Source
@@ -77,6 +81,7 @@
     demands: dict[ids.ServiceName, lane_demand.Demand] = dataclasses.field(
         default_factory=dict
     )
+    contact: outages.Contact | None = None
 
 
 def encode(message: Message) -> bytes:
@@ -99,6 +104,11 @@
                 ]
                 for service, demand in message.demands.items()
             ],
+            message.contact
+            and [
+                round(message.contact.unbroken_s, 3),
+                round(message.contact.age_s, 3),
+            ],
         ]
     )
 
@@ -106,9 +116,10 @@
 def decode(data: bytes) -> Message | None:
     """Decode a datagram; return None if it is malformed."""
     try:
-        # Hosts of an earlier release send no demands.
+        # Hosts of an earlier release send no demands, or no contact.
         host_id, scope, start, sequence, full, rows, *rest = orjson.loads(data)
         demand_rows = rest[0] if rest else ()
+        contact = rest[1] if len(rest) > 1 else None
         loads = {
             (
                 ids.EngineId(str(engine_id)),
@@ -118,7 +129,7 @@
         }
         demands = {
             ids.ServiceName(str(service)): lane_demand.Demand(
-                *map(_demand, values)
+                *map(_finite, values)
             )
             for service, *values in demand_rows
         }
@@ -130,17 +141,22 @@
             bool(full),
             loads,
             demands,
+            None if contact is None else _contact(*contact),
         )
     except (ValueError, TypeError):
         return None
 
 
+def _contact(unbroken_s: object, age_s: object) -> outages.Contact:
+    return outages.Contact(_finite(unbroken_s), _finite(age_s))
+
+
 def _count(value: object) -> int:
     """Return a count that may be summed over all hosts."""
     return integers.bounded(value, -MAX_COUNT, MAX_COUNT)
 
 
-def _demand(value: object) -> float:
+def _finite(value: object) -> float:
     """Return a finite number."""
     number = float(value)  # type: ignore[arg-type]
     if not math.isfinite(number):
@@ -167,7 +183,11 @@
         self._pending: dict[engines.Key, int] = {}
 
     def next_datagram(
-        self, loads: Loads, demands: Demands, full: bool
+        self,
+        loads: Loads,
+        demands: Demands,
+        full: bool,
+        contact: outages.Contact | None = None,
     ) -> bytes | None:
         """Return the next datagram, or None if there is nothing to send.
 
@@ -179,6 +199,8 @@
             Current demands by service.
         full : bool
             Whether to send the full state instead of changes only.
+        contact : Contact or None
+            Contact of this host with the store.
         """
         for key in self._last_loads.keys() | loads.keys():
             if self._last_loads.get(key) != loads.get(key):
@@ -196,6 +218,7 @@
                 full,
                 dict(content),
                 dict(demands) if full else {},
+                contact if full else None,
             )
         )
 
--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -8,6 +8,7 @@
 from corianderloft._internal.gateway import departures
 from corianderloft._internal.gateway import entry_log
 from corianderloft._internal.gateway import layout
+from corianderloft._internal.gateway import outages
 from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface as kv
 from corianderloft._internal.models import ids
@@ -23,10 +24,6 @@
 STORE = 'store'
 """Source of a view that the store itself has confirmed."""
 
-REREGISTRATION_GRACE_S = 2.3
-"""Time after an outage of the store in which entries whose lease expired
-meanwhile may be registered again; the platform promises about two seconds."""
-
 HOLD_MARGIN_S = 1.5
 """Time beyond that after which the store removes the entry of a silent owner:
 until it has done so, and the removal has arrived here."""
@@ -66,6 +63,9 @@
         host, in seconds.
     own_key : str
         Key of the entry of this host.
+    min_outage : float
+        Shortest outage of the store in which the entry of a live server or
+        host may expire, in seconds; 0 if that is not known.
 
     Attributes
     ----------
@@ -83,10 +83,12 @@
         revocation_time: float | None,
         entry_expiry: float = 0.0,
         own_key: str = '',
+        min_outage: float = 0.0,
     ) -> None:
         self._layout = store_layout
         self._entry_expiry = entry_expiry
         self._own_key = own_key
+        self._min_outage = min_outage
         self._departures = departures.Departures()
         self._held: dict[str, _HeldEntry] = {}
         self._entering_era = False
@@ -99,7 +101,7 @@
         self._confirmed_at = float('-inf')
         self._heard_at = float('-inf')
         self._gap = float('inf')
-        self._last_outage_at = float('-inf')
+        self._outages = outages.Outages(min_outage)
         self._store_failing = False
         self._settled_at = float('-inf')
         self._required_version = 0
@@ -140,6 +142,18 @@
         """Return the seconds since the store last confirmed the view."""
         return clock.now() - self._confirmed_at
 
+    def contact(self) -> outages.Contact | None:
+        """Return what to tell other hosts of the contact with the store."""
+        if self._store_failing:
+            return None
+        return self._outages.contact(self._heard_at, clock.now())
+
+    def use_contact(
+        self, host_id: ids.HostId, contact: outages.Contact
+    ) -> None:
+        """Use what another host tells of its contact with the store."""
+        self._outages.use_contact(host_id, contact, clock.now())
+
     def use_revocation_time(self, revocation_time: float | None) -> None:
         """Change how long a revoked key may be honoured, in seconds."""
         self._revocation_time = revocation_time
@@ -193,11 +207,13 @@
         """
         self.source = source
         self._gap = self.age()
+        self._outages.note_contact(
+            self._heard_at, clock.now(), self._store_failing
+        )
         self._heard_at = max(self._heard_at, sent_at, heard_at or sent_at)
         self._confirmed_at = max(self._confirmed_at, sent_at)
         if self._store_failing:
             self._store_failing = False
-            self._last_outage_at = clock.now()
             logger.info('store regained', extra=eras.log_fields(self.revision))
 
     def note_store_failure(self, cause: str) -> None:
@@ -210,7 +226,6 @@
                 | {'cause': cause},
             )
         self._store_failing = True
-        self._last_outage_at = clock.now()
 
     def changes_to(self, found: kv.Found) -> list[kv.WatchEvent]:
         """Return the changes from this view to a snapshot of the store."""
@@ -245,7 +260,7 @@
         """
         knew_store = bool(self.revision)
         if knew_store and eras.era_of(revision) > eras.era_of(self.revision):
-            self._last_outage_at = clock.now()
+            self._outages.note_restore(clock.now())
             self._entering_era = True
         self.revision = max(self.revision, revision)
 
@@ -293,10 +308,11 @@
         if self._store_failing:
             return
         self._release_held(now)
+        hold_until = self._outages.hold_until()
         expired = [
             k
             for k, missing_entry in self._missing.items()
-            if missing_entry.expires_at <= now
+            if min(missing_entry.expires_at, hold_until) <= now
         ]
         if not expired:
             return
@@ -347,12 +363,12 @@
         """
         waiting_for = self._hosts_of_earlier_eras()
         if waiting_for:
-            self._settled_at = clock.now() + REREGISTRATION_GRACE_S
+            self._settled_at = clock.now() + outages.REREGISTRATION_GRACE_S
             logger.info(
                 'the store was restored; waiting for other hosts to register',
                 extra={
                     'keys': waiting_for[: entry_log.MAX_LOGGED_CHANGES],
-                    'wait_s': REREGISTRATION_GRACE_S,
+                    'wait_s': outages.REREGISTRATION_GRACE_S,
                 },
             )
 
@@ -480,7 +496,7 @@
         if not self._may_be_lease_expiry(key):
             self._drop_entry(key)
             return
-        expires_at = self._last_outage_at + REREGISTRATION_GRACE_S
+        expires_at = clock.now() + outages.REREGISTRATION_GRACE_S
         self._missing[key] = _MissingEntry(expires_at)
         logger.info(
             'entry missing after an outage of the store; waiting for it',
@@ -489,11 +505,16 @@
         )
 
     def _may_be_lease_expiry(self, key: str) -> bool:
-        """Return whether a lease may have expired with its owner alive."""
+        """Return whether a lease may have expired with its owner alive.
+
+        A removal that arrives with the first reply after an interval without
+        any is judged once the interval is known; see `expire_missing`.
+        """
         now = clock.now()
         if (
             not self._store_failing
-            and now > self._last_outage_at + REREGISTRATION_GRACE_S
+            and not 0.0 < self._min_outage <= self.heard_age()
+            and now > self._outages.hold_until()
         ):
             return False
         instance = self._instances.get(key)
--- a/tests/lib/gateway.py
+++ b/tests/lib/gateway.py
@@ -172,12 +172,26 @@
         """Return the bounds of the deployment."""
         return BOUNDS
 
-    async def start_host(self, host_id='edge-1', wait=True):
+    async def start_host(
+        self, host_id='edge-1', wait=True, store_port=None, **bounds
+    ):
         """Start a host in this process and return its settings.
 
         Waits until it is ready, unless ``wait`` is false. Requests go to the
         host that was started last.
+
+        Parameters
+        ----------
+        host_id : str
+            ID of the host.
+        wait : bool
+            Whether to wait until it is ready.
+        store_port : int or None
+            Port of the store, if it is not reached directly.
+        bounds
+            Bounds that differ from those of the system.
         """
+        store_port = store_port or self.store_port
         self.cfg = settings.GatewaySettings(
             host_id=ids.HostId(host_id),
             address='127.0.0.1',
@@ -188,16 +202,16 @@
             peer_port=ports.reserve(),
             failure_domain=ids.FailureDomain('cairo-a'),
             max_open_files=1000,
-            bounds=self.bounds(),
-            store=settings.Store('127.0.0.1', self.store_port),
+            bounds=dataclasses.replace(self.bounds(), **bounds),
+            store=settings.Store('127.0.0.1', store_port),
         )
         dependencies = host.Dependencies(
             cfg=self.cfg,
-            store=store.PlatformStore('127.0.0.1', self.store_port),
+            store=store.PlatformStore('127.0.0.1', store_port),
             store_layout=daemon.LAYOUT,
             header_dialect=headers.PlatformDialect(),
             decode_domain=address_query.decode_domain,
-            read_settings=lambda: self.next_cfg or self.cfg,
+            read_settings=lambda cfg=self.cfg: self.next_cfg or cfg,
         )
         self._host_scope = trio.CancelScope()
         self._nursery.start_soon(
--- a/tests/unit/gateway/test_load_exchange.py
+++ b/tests/unit/gateway/test_load_exchange.py
@@ -11,12 +11,14 @@
 
 from corianderloft._internal.gateway import load_exchange
 from corianderloft._internal.gateway import load_messages as messages
+from corianderloft._internal.gateway import view
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import members
 from corianderloft._internal.placement import budget
 from corianderloft._internal.placement import engines
 from corianderloft._internal.placement import groups
 from corianderloft._internal.placement import placer
+from corianderloft._internal.platform import daemon
 
 DOMAINS = 9
 LENGTH_S = 6.0
@@ -64,7 +66,9 @@
         random.Random(0),
     )
     request_placer.own_loads = lambda: dict(loads)
-    exchange = load_exchange.LoadExchange(request_placer, own)
+    exchange = load_exchange.LoadExchange(
+        request_placer, own, view.View(daemon.LAYOUT, None)
+    )
     exchange.use_members(hosts)
     sock = Socket()
     async with trio.open_nursery() as nursery:
--- a/tests/unit/gateway/test_view_log.py
+++ b/tests/unit/gateway/test_view_log.py
@@ -2,9 +2,9 @@
 
 import logging
 
+from corianderloft._internal.gateway import view
 from corianderloft._internal.kv import interface as kv
 from corianderloft._internal.models import ids
-from corianderloft._internal.gateway import view
 from corianderloft._internal.platform import daemon
 from corianderloft._internal.utils import clock
 from tests.lib import gateway
