Test of a restored store: wait until the host knows of a departure

The test took six requests that all went to the other of two servers for the sign that the host had dropped the first one. That happens by chance, one time in 64, while the host still pauses before its next watch; then the store was restored before the host had heard of the departure, and the server rightly got requests. The test now waits for the log line of the departure, and checks six requests as before.

--- a/tests/unit/gateway/test_restored_store.py
+++ b/tests/unit/gateway/test_restored_store.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import logging
 import os
 import signal
 
@@ -199,8 +200,9 @@
 
 
 @pytest.mark.parametrize('era', [0, 1])
-async def test_server_of_the_copy_that_had_left_gets_no_requests(era):
+async def test_server_of_the_copy_that_had_left_gets_no_requests(era, caplog):
     # A first era of 0 was taken for none, so the restore was not noticed.
+    caplog.set_level(logging.INFO)
     async with running(era, engines=('whole', 'whole')) as system:
         left, other = system.engines
         await processes.wait_for(
@@ -209,14 +211,19 @@
         copied = system.store.store.copy()
         system.store.remove(f'servers/{left.engine_id}')
 
-        async def is_left_alone():
-            count = len(left.seen)
-            for _ in range(6):
-                await system.request()
-            return len(left.seen) == count
+        def is_known():
+            return any(
+                record.message == 'backend server changed'
+                and left.engine_id in record.key
+                and record.entry == 'gone'
+                for record in caplog.records
+            )
 
-        await processes.wait_for(is_left_alone, 'it gets no more requests')
+        await processes.wait_for(is_known, 'the host knows that it left')
         count = len(left.seen)
+        for _ in range(6):
+            await system.request()
+        assert len(left.seen) == count
         system.store.restore(copied, rewrite=False)
         until = trio.current_time() + APPLY_S / 2
         while trio.current_time() < until:
