Send nothing to a server that left meanwhile, on the project's own interface

A request for which a connection was being opened was sent although the list of servers had changed meanwhile; the server refused it as not run, at the cost of a round trip. Change: the grant is asked once more right before the request is sent, by the trace of the HTTP library. Nothing is sent then, and the request counts as one that found no connection.

--- a/src/corianderloft/_internal/decisions/engine_set.py
+++ b/src/corianderloft/_internal/decisions/engine_set.py
@@ -108,6 +108,8 @@
                 view = engines.EngineView(backend)
             view.backend = backend
             self.engines[backend.engine_id] = view
+        for engine_id in previous.keys() - self.engines.keys():
+            previous[engine_id].listed = False
         self.refresh()
 
     def report_load(self, report: backends.LoadReport) -> None:
--- a/src/corianderloft/_internal/decisions/engines.py
+++ b/src/corianderloft/_internal/decisions/engines.py
@@ -83,6 +83,8 @@
         When an ejected engine may be probed.
     probe_interval : float
         Wait between the next probe and the one after, in seconds.
+    listed : bool
+        Whether the platform still lists the engine.
     """
 
     backend: backends.Backend
@@ -107,11 +109,12 @@
     ejected: bool = False
     next_probe_at: float = -math.inf
     probe_interval: float = 0.0
+    listed: bool = True
 
     @property
     def accepts_new_work(self) -> bool:
         """Whether the engine may receive new work."""
-        return self.backend.state is states.BackendState.LIVE
+        return self.listed and self.backend.state is states.BackendState.LIVE
 
     @property
     def circuit_open(self) -> bool:
--- a/src/corianderloft/_internal/decisions/grants.py
+++ b/src/corianderloft/_internal/decisions/grants.py
@@ -73,6 +73,10 @@
         self._observer = observer
         self._closed = False
 
+    def may_send(self) -> bool:
+        """Return whether the engine still accepts new work."""
+        return self.engine.accepts_new_work
+
     def first_token(self) -> None:
         """Record that the first token arrived."""
         if self.first_token_at is None:
--- a/src/corianderloft/_internal/decisions/interface.py
+++ b/src/corianderloft/_internal/decisions/interface.py
@@ -58,6 +58,9 @@
     backend: backends.Backend
     priority: int
 
+    def may_send(self) -> bool:
+        """Return whether the backend server still accepts new work."""
+
     def first_token(self) -> None:
         """Record that the first token arrived."""
 
--- a/src/corianderloft/_internal/entry/attempts.py
+++ b/src/corianderloft/_internal/entry/attempts.py
@@ -90,6 +90,7 @@
             grant.backend,
             f'engine {grant.backend.engine_id!r}',
             cfg.connect_time,
+            grant.may_send,
         )
 
     async def start(self, resume_after: int) -> StartResult:
--- a/src/corianderloft/_internal/entry/plain.py
+++ b/src/corianderloft/_internal/entry/plain.py
@@ -163,6 +163,7 @@
             grant.backend,
             f'backend server {grant.backend.engine_id!r}',
             cfg.connect_time,
+            grant.may_send,
         )
         attempt_record = self._record.begin_attempt(grant.backend.engine_id)
         attempt_record.end = interface.AttemptEnd.CANCELLED
--- a/src/corianderloft/_internal/network/outbound.py
+++ b/src/corianderloft/_internal/network/outbound.py
@@ -92,6 +92,10 @@
     detail: str
 
 
+class _Withdrawn(Exception):
+    """Stops a request within httpcore before any of it is sent."""
+
+
 class Outbound:
     """One request on a pooled connection.
 
@@ -107,6 +111,9 @@
         Name of the peer in error messages.
     connect_timeout : float
         Timeout for a new connection in seconds.
+    may_send : callable
+        Returns whether the peer still accepts new work; called right before
+        the request is sent, once there is a connection.
     """
 
     def __init__(
@@ -116,7 +123,9 @@
         peer: connections.Peer,
         name: str,
         connect_timeout: float,
+        may_send: collections.abc.Callable[[], bool] = lambda: True,
     ) -> None:
+        self._may_send = may_send
         self._pool = pool
         self._monitor = monitor
         self._connect_timeout = connect_timeout
@@ -144,7 +153,11 @@
                 response = await connection.http.handle_async_request(
                     self._request(message)
                 )
-            except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
+            except (
+                httpcore.ConnectError,
+                httpcore.ConnectTimeout,
+                _Withdrawn,
+            ) as exc:
                 return self._failure(
                     interface.AttemptEnd.CONNECT_FAILED, exc, False
                 )
@@ -246,7 +259,8 @@
             target=message.target,
         )
         extensions: dict[str, typing.Any] = {
-            'timeout': {'connect': self._connect_timeout}
+            'timeout': {'connect': self._connect_timeout},
+            'trace': self._check_before_send,
         }
         return httpcore.Request(
             message.method,
@@ -256,6 +270,12 @@
             extensions=extensions,
         )
 
+    async def _check_before_send(self, event: str, _: typing.Any) -> None:
+        """Handle an event of httpcore's ``trace`` extension."""
+        starts = event == 'http11.send_request_headers.started'
+        if starts and not self._may_send():
+            raise _Withdrawn('it has left since it was chosen')
+
     def _failure(
         self,
         end: interface.AttemptEnd,
--- a/tests/lib/entry.py
+++ b/tests/lib/entry.py
@@ -187,6 +187,10 @@
     tokens: int = 0
     ends: list[decisions.AttemptEnd] = dataclasses.field(default_factory=list)
 
+    def may_send(self) -> bool:
+        """Return that the server accepts new work."""
+        return True
+
     def first_token(self) -> None:
         pass
 
