Serve the model of a service that is declared after its servers registered

Cause: whether a server serves a model, and its memory, were taken from the declarations when its entry arrived, and never again. A service that a later version declares, or changes, kept servers without a model: no estimate of their prefix caches, nothing told to other hosts of their loads, so prompts were spread without regard to either. Change: new declarations are applied to the known servers.

--- a/src/corianderloft/_internal/placement/engines.py
+++ b/src/corianderloft/_internal/placement/engines.py
@@ -140,14 +140,12 @@
         self.statements = said or statements.Statements(
             instance.engine_id, random.Random(), lambda: None
         )
-        self.serves_model = model is not None
+        self.use_model(model)
         self.speed = speed or engine_model.EngineModel()
         self._slowdown = 1.0
         self._slowdown_at = float('-inf')
         self._in_flight: dict[int, InFlightRequest] = {}
         self._own = NO_LOAD
-        self.memory_tokens = model.memory_tokens if model else 0
-        self.cache = PrefixCache(self.memory_tokens)
         self.health = health.Health()
         self.sample: instances.LoadSample | None = None
         self.sampled_at = float('-inf')
@@ -155,6 +153,12 @@
         self._peers: dict[str, PeerLoad] = {}
         self._peer_total = NO_LOAD
 
+    def use_model(self, model: routing.ModelService | None) -> None:
+        """Use what is declared of the model; the cache starts empty."""
+        self.serves_model = model is not None
+        self.memory_tokens = model.memory_tokens if model else 0
+        self.cache = PrefixCache(self.memory_tokens)
+
     def use_instance(self, instance: instances.Instance) -> None:
         """Use a newer registration, corrected by what the server has said."""
         if (
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -110,8 +110,16 @@
         self._on_load_change: collections.abc.Callable[[], None] = _do_nothing
 
     def use_table(self, table: routing.RoutingTable) -> None:
-        """Replace the routing table."""
+        """Replace the routing table.
+
+        A service may be declared, or changed, after its servers registered.
+        """
+        models = {key: self._model_of(e) for key, e in self._engines.items()}
         self._table = table
+        for key, engine in self._engines.items():
+            model = self._model_of(engine)
+            if model != models[key]:
+                engine.use_model(model)
         self.wake()
 
     def use_instances(
@@ -125,7 +133,7 @@
             if engine is None:
                 engine = engines.Engine(
                     instance,
-                    self._model_of(instance),
+                    self._declared_model(instance.service),
                     self._speed(instance.service),
                     self._statements.of(key),
                 )
@@ -487,10 +495,13 @@
         waiter.grant(engine)
         self._on_load_change()
 
-    def _model_of(
-        self, instance: instances.Instance
+    def _model_of(self, engine: engines.Engine) -> routing.ModelService | None:
+        return self._declared_model(engine.instance.service)
+
+    def _declared_model(
+        self, name: ids.ServiceName
     ) -> routing.ModelService | None:
-        service = self._table and self._table.services.get(instance.service)
+        service = self._table and self._table.services.get(name)
         return service.model if service else None
 
 
