Take no declarations in which a route has no share above zero

A document whose route is split between services without any weight above zero, or with weights whose sum is not finite, was put in force; each request on that route then failed with an exception in the choice of the service. Change: such a document cannot be read, so the version before stays in force and the log says so. Before: the three cases of the test fail. After: they pass.

--- a/src/corianderloft/_internal/platform/configuration.py
+++ b/src/corianderloft/_internal/platform/configuration.py
@@ -1,5 +1,6 @@
 """The operator's configuration document."""
 
+import math
 import typing
 
 import orjson
@@ -80,11 +81,14 @@
     split = route.get('traffic_split')
     if not split:
         return (routing.Share(ids.ServiceName(route['service']), 1.0),)
-    return tuple(
+    shares = tuple(
         routing.Share(ids.ServiceName(part['service']), float(part['weight']))
         for part in split
         if part['weight'] > 0
     )
+    if not 0 < sum(share.weight for share in shares) < math.inf:
+        raise ValueError(f'route {route["name"]!r}: no service has a share')
+    return shares
 
 
 def _service(service: _Document) -> routing.RoutedService:
--- a/tests/unit/platform/test_decoding.py
+++ b/tests/unit/platform/test_decoding.py
@@ -7,6 +7,7 @@
 import hypothesis
 from hypothesis import strategies as st
 import orjson
+import pytest
 
 from corianderloft._internal.gateway import dialect
 from corianderloft._internal.gateway import load_messages
@@ -156,3 +157,10 @@
     assert reader.read() is first
     path.write_text('node: a longer name\n')
     assert reader.read() is not first
+
+
+@pytest.mark.parametrize('weights', [(0, 0), (-1, 0), (1e308, 1e308)])
+def test_document_with_a_route_without_any_share_is_not_taken(weights):
+    split = [{'service': 'desk', 'weight': weight} for weight in weights]
+    routes = [gateway.ROUTES[0] | {'traffic_split': split}]
+    assert configuration.decode(gateway.configuration(routes=routes)) is None
