--- a/tests/unit/gateway/test_change_budget.py
+++ b/tests/unit/gateway/test_change_budget.py
@@ -254,12 +254,15 @@
         Time of a poll beyond the wait, in seconds.
     silent : tuple of float
         Start and end of a time in which it sends nothing.
+    refuses : bool
+        Whether connections are refused in that time.
     """
 
-    def __init__(self, log, delay, silent):
+    def __init__(self, log, delay, silent, refuses):
         self._log = log
         self._delay = delay
         self._silent = silent
+        self._refuses = refuses
 
     def _passes(self, at):
         return not self._silent[0] <= at < self._silent[1]
@@ -281,9 +284,10 @@
                 + peer_changes.LONG_POLL_S
                 + peer_changes.RESPONSE_TIMEOUT_S
             )
-            if not (self._passes(sent_at) and self._passes(replied_at)):
+            lost = not (self._passes(sent_at) and self._passes(replied_at))
+            if lost and not self._refuses:
                 await trio.sleep_until(timeout)
-            if clock.now() >= timeout or changes is None:
+            if lost or clock.now() >= timeout or changes is None:
                 yield kv.WatchEnded('no reply', after)
                 return
             for event in changes.events:
@@ -303,7 +307,9 @@
         self.in_force_at[table.version] = clock.now()
 
 
-async def play(cfg, declared_at, delays, delegate_cut, delegate_silent):
+async def play(
+    cfg, declared_at, delays, delegate_cut, delegate_silent, refuses
+):
     """Return when versions took effect at a host that follows another."""
     operator, recorder = Store(declared_at), Recorder()
     store_delay, peer_delay = delays
@@ -321,7 +327,7 @@
             strict=True,
         )
     ]
-    peer = Peer(hosts[0].log, peer_delay, delegate_silent)
+    peer = Peer(hosts[0].log, peer_delay, delegate_silent, refuses)
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(peer_changes, 'watch', peer.watch)
         with trio.move_on_after(declared_at[-1] + 3 * cfg.drain_time):
@@ -345,10 +351,11 @@
     cut_s=times(0.0, 8.0),
     frozen_at=times(4.0, 8.0),
     frozen_s=st.one_of(st.just(0.0), times(0.1, 8.0)),
+    killed=st.booleans(),
     seed=st.integers(0, 9),
 )
 def test_a_follower_has_changes_in_force_whatever_its_delegate_does(
-    change_s, gaps, delays, cut_at, cut_s, frozen_at, frozen_s, seed
+    change_s, gaps, delays, cut_at, cut_s, frozen_at, frozen_s, killed, seed
 ):
     random.seed(seed)
     cfg = dataclasses.replace(
@@ -369,6 +376,7 @@
             delays,
             (cut_at, cut_at + cut_s),
             (frozen_at, frozen_at + frozen_s),
+            killed,
             clock=trio.testing.MockClock(autojump_threshold=0),
         )
     left = change_budget.APPLY_S + change_budget.SEND_S
--- a/tests/unit/gateway/test_view.py
+++ b/tests/unit/gateway/test_view.py
@@ -104,6 +104,23 @@
     assert names(local_view) == []
 
 
+def test_a_failed_call_alone_holds_no_removal(time):
+    # Any failed call, such as a refused renewal, counted as an outage.
+    local_view = view.View(daemon.LAYOUT, 5.0, 3.6, min_outage=2.4)
+    local_view.confirm(time[0])
+    load(local_view, 1, one=ENTRY % b'ready', two=ENTRY % b'ready')
+    time[0] += 1.0
+    local_view.note_store_failure('status 429')
+    time[0] += 1.0
+    local_view.apply([event('servers/one', None, 2)])
+    local_view.confirm(time[0])
+    time[0] += 0.1
+    local_view.expire_missing()
+    assert names(local_view) == ['two']
+    local_view.apply([event('servers/two', None, 3)])
+    assert names(local_view) == []
+
+
 def test_an_entry_that_is_registered_again_is_kept(local_view, time):
     load(local_view, 1, one=ENTRY % b'ready')
     local_view.note_store_failure('the store is down')
