Split the age of the view from its contents

No behaviour changes; the lines 'store lost' and 'store regained' now come from the logger of confirmation.py.

--- a/src/corianderloft/_internal/gateway/following.py
+++ b/src/corianderloft/_internal/gateway/following.py
@@ -11,6 +11,7 @@
 
 from corianderloft._internal.gateway import change_budget
 from corianderloft._internal.gateway import change_log
+from corianderloft._internal.gateway import confirmation
 from corianderloft._internal.gateway import peer_changes
 from corianderloft._internal.gateway import settings
 from corianderloft._internal.gateway import view
@@ -307,7 +308,7 @@
         self,
         events: collections.abc.Sequence[kv.WatchEvent],
         progress: kv.WatchProgress,
-        source: str = view.STORE,
+        source: str = confirmation.STORE,
     ) -> None:
         local_view = self._view
         local_view.advance(progress.revision)
--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -4,6 +4,7 @@
 import dataclasses
 import logging
 
+from corianderloft._internal.gateway import confirmation
 from corianderloft._internal.gateway import crash_messages
 from corianderloft._internal.gateway import departures
 from corianderloft._internal.gateway import entry_log
@@ -21,9 +22,6 @@
 
 logger = logging.getLogger(__name__)
 
-STORE = 'store'
-"""Source of a view that the store itself has confirmed."""
-
 HOLD_MARGIN_S = 1.5
 """Time beyond that after which the store removes the entry of a silent owner:
 until it has done so, and the removal has arrived here."""
@@ -49,7 +47,7 @@
     until: float
 
 
-class View:
+class View(confirmation.ConfirmedCopy):
     """Local copy of the store, with the time of its last confirmation.
 
     Parameters
@@ -71,10 +69,6 @@
     ----------
     table : RoutingTable or None
         Current declarations; None until the first were read.
-    revision : Revision
-        Last known revision of the store.
-    source : str
-        What confirmed the view last: `STORE`, or the ID of another host.
     """
 
     def __init__(
@@ -85,10 +79,10 @@
         own_key: str = '',
         min_outage: float = 0.0,
     ) -> None:
+        super().__init__(min_outage)
         self._layout = store_layout
         self._entry_expiry = entry_expiry
         self._own_key = own_key
-        self._min_outage = min_outage
         self._departures = departures.Departures()
         self._held: dict[str, _HeldEntry] = {}
         self._entering_era = False
@@ -98,17 +92,10 @@
         self._instances: dict[str, instances.Instance] = {}
         self._members: dict[str, members.Member] = {}
         self._listeners: list[listener.Listener] = []
-        self._confirmed_at = float('-inf')
-        self._heard_at = float('-inf')
-        self._gap = float('inf')
-        self._outages = outages.Outages(min_outage)
-        self._store_failing = False
         self._settled_at = float('-inf')
         self._required_version = 0
         self._required_until = float('-inf')
         self.table: routing.RoutingTable | None = None
-        self.revision = ids.Revision(0)
-        self.source = STORE
 
     def add_listener(self, subscriber: listener.Listener) -> None:
         """Notify a listener of all later changes."""
@@ -133,27 +120,6 @@
         """Version of the declarations in force; 0 before the first."""
         return 0 if self.table is None else self.table.version
 
-    @property
-    def confirmed_at(self) -> float:
-        """When the store last confirmed the view, on `clock.now`."""
-        return self._confirmed_at
-
-    def age(self) -> float:
-        """Return the seconds since the store last confirmed the view."""
-        return clock.now() - self._confirmed_at
-
-    def contact(self) -> outages.Contact | None:
-        """Return what to tell other hosts of the contact with the store."""
-        if self._store_failing:
-            return None
-        return self._outages.contact(self._heard_at, clock.now())
-
-    def use_contact(
-        self, host_id: ids.HostId, contact: outages.Contact
-    ) -> None:
-        """Use what another host tells of its contact with the store."""
-        self._outages.use_contact(host_id, contact, clock.now())
-
     def use_revocation_time(self, revocation_time: float | None) -> None:
         """Change how long a revoked key may be honoured, in seconds."""
         self._revocation_time = revocation_time
@@ -173,60 +139,6 @@
             return False
         return self.age() < self._revocation_time - KEY_MARGIN_S
 
-    def log_fields(self) -> dict[str, object]:
-        """Return the age and the source of the view, for a log line.
-
-        ``gap_s`` is the age that it had when it was last confirmed.
-        """
-        return {
-            'age_s': round(self.age(), 3),
-            'gap_s': round(self._gap, 3),
-            'source': self.source,
-        }
-
-    def heard_age(self) -> float:
-        """Return the seconds since the store was last known to be up."""
-        return clock.now() - self._heard_at
-
-    def confirm(
-        self,
-        sent_at: float,
-        source: str = STORE,
-        heard_at: float | None = None,
-    ) -> None:
-        """Record that the view was up to date when a call was sent.
-
-        Parameters
-        ----------
-        sent_at : float
-            When the call was sent, on `clock.now`, in seconds.
-        source : str
-            What replied: `STORE`, or the ID of another host.
-        heard_at : float or None
-            When the store was up, if that is known to be later.
-        """
-        self.source = source
-        self._gap = self.age()
-        self._outages.note_contact(
-            self._heard_at, clock.now(), self._store_failing
-        )
-        self._heard_at = max(self._heard_at, sent_at, heard_at or sent_at)
-        self._confirmed_at = max(self._confirmed_at, sent_at)
-        if self._store_failing:
-            self._store_failing = False
-            logger.info('store regained', extra=eras.log_fields(self.revision))
-
-    def note_store_failure(self, cause: str) -> None:
-        """Record that a call to the store failed."""
-        if not self._store_failing:
-            logger.warning(
-                'store lost',
-                extra=eras.log_fields(self.revision)
-                | self.log_fields()
-                | {'cause': cause},
-            )
-        self._store_failing = True
-
     def changes_to(self, found: kv.Found) -> list[kv.WatchEvent]:
         """Return the changes from this view to a snapshot of the store."""
         events = [
