--- a/src/corianderloft/_internal/placement/engines.py
+++ b/src/corianderloft/_internal/placement/engines.py
@@ -140,7 +140,7 @@
         self.statements = said or statements.Statements(
             instance.engine_id, random.Random(), lambda: None
         )
-        self.use_model(model)
+        self._set_model(model)
         self.speed = speed or engine_model.EngineModel()
         self._slowdown = 1.0
         self._slowdown_at = float('-inf')
@@ -154,7 +154,12 @@
         self._peer_total = NO_LOAD
 
     def use_model(self, model: routing.ModelService | None) -> None:
-        """Use what is declared of the model; the cache starts empty."""
+        """Use what is declared of the model; a new one has an empty cache."""
+        if model != self._model:
+            self._set_model(model)
+
+    def _set_model(self, model: routing.ModelService | None) -> None:
+        self._model = model
         self.serves_model = model is not None
         self.memory_tokens = model.memory_tokens if model else 0
         self.cache = PrefixCache(self.memory_tokens)
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -114,12 +114,9 @@
 
         A service may be declared, or changed, after its servers registered.
         """
-        models = {key: self._model_of(e) for key, e in self._engines.items()}
         self._table = table
-        for key, engine in self._engines.items():
-            model = self._model_of(engine)
-            if model != models[key]:
-                engine.use_model(model)
+        for engine in self._engines.values():
+            engine.use_model(self._model_of(engine.instance))
         self.wake()
 
     def use_instances(
@@ -133,7 +130,7 @@
             if engine is None:
                 engine = engines.Engine(
                     instance,
-                    self._declared_model(instance.service),
+                    self._model_of(instance),
                     self._speed(instance.service),
                     self._statements.of(key),
                 )
@@ -495,13 +492,10 @@
         waiter.grant(engine)
         self._on_load_change()
 
-    def _model_of(self, engine: engines.Engine) -> routing.ModelService | None:
-        return self._declared_model(engine.instance.service)
-
-    def _declared_model(
-        self, name: ids.ServiceName
+    def _model_of(
+        self, instance: instances.Instance
     ) -> routing.ModelService | None:
-        service = self._table and self._table.services.get(name)
+        service = self._table and self._table.services.get(instance.service)
         return service.model if service else None
 
 
