Give a host that the store refuses whole polls of its delegate

A host whose view was too old already gave its delegate 0.5 s to send something, but the delegate may hold a poll without changes for 0.7 s. A host that the store refuses, and whose delegate hears of no changes, would have needed several tries to be current again. The shortest outage in which leases expire also counts heartbeats that are a fifth late.

--- a/src/corianderloft/_internal/gateway/following.py
+++ b/src/corianderloft/_internal/gateway/following.py
@@ -40,8 +40,9 @@
 """Interval between polls of the group's delegate while the store is
 unavailable; the delegate reads the store about twice a second then."""
 
-MIN_POLL_S = 0.5
-"""Time for a poll of the delegate by a host whose view is too old already."""
+MIN_POLL_S = peer_changes.LONG_POLL_S + peer_changes.RESPONSE_TIMEOUT_S
+"""Time for a poll of the delegate by a host whose view is too old already; the
+delegate may hold a poll without changes for the whole time."""
 
 PEER_COOLDOWN_S = 3.0
 """Mean time for which a host watches the store itself after it lost contact
--- a/src/corianderloft/_internal/platform/settings.py
+++ b/src/corianderloft/_internal/platform/settings.py
@@ -95,6 +95,11 @@
 """Heartbeats without one of which the store removes the entry of a server."""
 
 
+HEARTBEAT_JITTER_RATIO = 0.2
+"""Part of the interval by which a heartbeat may be late; the platform sends
+them approximately that often."""
+
+
 def _bounds(
     data: typing.Any, heartbeat_ms: float | None = None
 ) -> settings.Bounds:
@@ -114,7 +119,8 @@
         apply_time=_milliseconds(data, 'config_apply_ms'),
         entry_expiry=HEARTBEATS_UNTIL_EXPIRY * heartbeat,
         # The last heartbeat may be as old as the interval between two.
-        min_outage=(HEARTBEATS_UNTIL_EXPIRY - 1) * heartbeat,
+        min_outage=(HEARTBEATS_UNTIL_EXPIRY - 1 - HEARTBEAT_JITTER_RATIO)
+        * heartbeat,
     )
 
 
--- a/tests/unit/gateway/test_following.py
+++ b/tests/unit/gateway/test_following.py
@@ -357,3 +357,21 @@
 
     def reset(self):
         self._next = 0.0
+
+
+async def test_a_host_that_the_store_refuses_gets_whole_polls_of_its_delegate(
+    scene, monkeypatch, autojump_clock
+):
+    # A poll without changes was given up before the delegate replied to it.
+    scene.store.unavailable = True
+    scene.local_view.heard_age = lambda: 60.0 - trio.current_time()
+    replies = []
+
+    async def watch(host, after):
+        await trio.sleep(peer_changes.LONG_POLL_S)
+        replies.append(host.host_id)
+        yield kv.WatchProgress(after, clock.now())
+
+    monkeypatch.setattr(peer_changes, 'watch', watch)
+    await _run(scene, 10)
+    assert replies
