--- a/src/corianderloft/_internal/gateway/peer_changes.py
+++ b/src/corianderloft/_internal/gateway/peer_changes.py
@@ -66,15 +66,24 @@
             for event in changes.events:
                 yield event
             after = max(after, changes.revision)
-            yield kv.WatchProgress(
-                after,
-                min(clock.now(), changes.as_of),
-                changes.heard_at and min(clock.now(), changes.heard_at),
-            )
+            yield _progress(after, changes)
     finally:
         await client.aclose()
 
 
+def _progress(
+    revision: ids.Revision, changes: change_log.Changes
+) -> kv.WatchProgress:
+    """Return the progress; the times of another host are not in the future."""
+    now = clock.now()
+    heard_at = changes.heard_at
+    return kv.WatchProgress(
+        revision,
+        min(now, changes.as_of),
+        None if heard_at is None else min(now, heard_at),
+    )
+
+
 async def _poll(
     client: connections.Connections, after: ids.Revision
 ) -> change_log.Changes | kv.WatchEnded:
