--- a/src/corianderloft/_internal/gateway/following.py
+++ b/src/corianderloft/_internal/gateway/following.py
@@ -33,6 +33,10 @@
 meanwhile, within the recovery time; but no shorter, as the whole fleet retries
 when the store refuses every host."""
 
+BACKOFF_MIN_RATIO = 0.5
+"""Shortest delay between two tries as a fraction of the longest one, so that
+a low limit does not mean many calls."""
+
 FOLLOWER_BACKOFF_FACTOR = 3
 """Backoff multiplier for a host that can poll another host meanwhile."""
 
@@ -111,7 +115,9 @@
         self._cooldown_until = float('-inf')
         self._store_refused = False
         self._has_read = False
-        self._backoff = backoff.Backoff(BACKOFF_BASE_S, BACKOFF_LIMIT_S)
+        self._backoff = backoff.Backoff(
+            BACKOFF_BASE_S, BACKOFF_LIMIT_S, BACKOFF_MIN_RATIO
+        )
         self.log = change_log.ChangeLog()
 
     def use_members(
--- a/src/corianderloft/_internal/kv/backoff.py
+++ b/src/corianderloft/_internal/kv/backoff.py
@@ -1,4 +1,4 @@
-"""Exponential backoff with full jitter."""
+"""Exponential backoff with jitter."""
 
 import random
 
@@ -12,9 +12,15 @@
         Mean of the first delay, in seconds.
     limit : float
         Maximum delay, in seconds.
+    min_ratio : float
+        Shortest delay as a fraction of the longest one at the time; 0 is
+        full jitter.
     """
 
-    def __init__(self, base: float, limit: float) -> None:
+    def __init__(
+        self, base: float, limit: float, min_ratio: float = 0.0
+    ) -> None:
+        self._min_ratio = min_ratio
         self._base = base
         self._limit = limit
         self._random = random.Random()
@@ -29,7 +35,7 @@
         max_delay = min(self._limit, 2 * self._base * 2**self._failures)
         if max_delay < self._limit:
             self._failures += 1
-        return self._random.uniform(0.0, max_delay)
+        return self._random.uniform(self._min_ratio * max_delay, max_delay)
 
     def reset(self) -> None:
         """Reset the delay to the initial range after a success."""
