Log how much of a reply had arrived, and the size of declarations

Change: the cause of a call that timed out names the bytes that had arrived; 'declarations in force' has 'bytes'. No logic is changed.

--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -389,7 +389,7 @@
             'declarations in force',
             extra=eras.log_fields(item.mod_revision)
             | self.log_fields()
-            | {'version': table.version},
+            | {'version': table.version, 'bytes': len(item.value)},
         )
         for subscriber in self._listeners:
             subscriber.use_table(table)
--- a/src/corianderloft/_internal/kv/connections.py
+++ b/src/corianderloft/_internal/kv/connections.py
@@ -49,10 +49,19 @@
 
 
 class SendTrace:
-    """Records whether httpcore started to send a request."""
+    """Records whether httpcore started to send a request, and its reply.
+
+    Attributes
+    ----------
+    sent : bool
+        Whether a part of the request may have been sent.
+    received_bytes : int
+        Bytes of the body of the reply that have arrived.
+    """
 
     def __init__(self) -> None:
         self.sent = False
+        self.received_bytes = 0
 
     async def __call__(self, event: str, _: typing.Any) -> None:
         """Handle an event of httpcore's ``trace`` extension."""
@@ -162,7 +171,11 @@
             return result
         # Other idle connections may be dead as well.
         await self.aclose()
-        return _failed(trace, f'{path}: no reply in {self._call_timeout} s')
+        return _failed(
+            trace,
+            f'{path}: no reply in {self._call_timeout} s, '
+            f'{trace.received_bytes} bytes had arrived',
+        )
 
     async def _exchange(
         self,
@@ -173,7 +186,7 @@
         try:
             response = await conn.handle_async_request(req)
             try:
-                body = await response.aread()
+                body = await _read_body(response, trace)
             finally:
                 await response.aclose()
         except (
@@ -210,6 +223,14 @@
             await close(self._idle.pop())
 
 
+async def _read_body(response: httpcore.Response, trace: SendTrace) -> bytes:
+    chunks = []
+    async for chunk in response.aiter_stream():
+        trace.received_bytes += len(chunk)
+        chunks.append(chunk)
+    return b''.join(chunks)
+
+
 async def close(conn: httpcore.AsyncHTTPConnection) -> None:
     """Close a connection even if the calling task is cancelled."""
     with trio.CancelScope(shield=True):
