--- a/tests/lib/relay.py
+++ b/tests/lib/relay.py
@@ -21,12 +21,16 @@
     ----------
     delay : float
         Added delay in seconds.
+    bytes_per_s : float
+        Bandwidth for all TCP connections together.
     silent : bool
         Whether bytes are held (TCP) or dropped (UDP).
     """
 
     def __init__(self) -> None:
         self.delay = 0.0
+        self.bytes_per_s = math.inf
+        self._free_at = 0.0
         self._passing = trio.Event()
         self._passing.set()
 
@@ -44,6 +48,13 @@
         """Resume forwarding, held bytes first."""
         self._passing.set()
 
+    async def wait_bandwidth(self, size: int) -> None:
+        """Wait until ``size`` bytes have passed behind those before them."""
+        self._free_at = (
+            max(self._free_at, trio.current_time()) + size / self.bytes_per_s
+        )
+        await trio.sleep_until(self._free_at)
+
     async def wait_passing(self) -> None:
         """Wait until the direction is not silenced."""
         await self._passing.wait()
@@ -171,6 +182,7 @@
     ) -> None:
         async for due, data in receive:
             await trio.sleep_until(due)
+            await direction.wait_bandwidth(len(data))
             await direction.wait_passing()
             if conn.silenced:
                 await trio.sleep_forever()
