Let a reply of the store or of a host take the time that it needs

What callers saw: 404 for a route that had been added 6.2 s before. Cause: a call ended 1.0 s after it was sent (a watch 0.5 s after its wait, a poll of a host likewise) even while its reply was arriving. Declarations of 1 MiB take 1.1 s on a link of 10 Mbit/s, so such a host asked for them again and again from the first byte. Change: the time limit holds for the beginning of a reply and for the time between two of its parts; all of it must arrive at 32 KiB/s on average, so a reply that trickles still ends. A host that follows another one does not leave it while a reply is arriving. The project's own interface uses the same connections.

--- a/src/corianderloft/_internal/gateway/following.py
+++ b/src/corianderloft/_internal/gateway/following.py
@@ -250,7 +250,15 @@
         self.log.stop()
         result = FollowResult.NO_RESPONSE
         events: list[kv.WatchEvent] = []
-        items = peer_changes.watch(delegate, self._view.revision)
+        timeout = trio.CancelScope()
+
+        def extend(_: int) -> None:
+            timeout.deadline = max(
+                timeout.deadline,
+                trio.current_time() + peer_changes.RESPONSE_TIMEOUT_S,
+            )
+
+        items = peer_changes.watch(delegate, self._view.revision, extend)
         async with contextlib.aclosing(items):
             while True:
                 with trio.move_on_after(self._poll_time()) as timeout:
--- a/src/corianderloft/_internal/gateway/peer_changes.py
+++ b/src/corianderloft/_internal/gateway/peer_changes.py
@@ -18,8 +18,8 @@
 to read the store within the two seconds in which a change must take effect."""
 
 RESPONSE_TIMEOUT_S = 0.5
-"""Response timeout beyond the long poll: twice the kernel's retransmission
-timeout for a lost packet."""
+"""Response timeout beyond the long poll, and between two parts of a response:
+twice the kernel's retransmission timeout for a lost packet."""
 
 CONNECT_TIMEOUT_S = 0.3
 """Timeout for opening a connection; the other host is in the same failure
@@ -36,7 +36,9 @@
 
 
 async def watch(
-    host: members.Member, after: ids.Revision
+    host: members.Member,
+    after: ids.Revision,
+    on_receive: connections.OnReceive | None = None,
 ) -> collections.abc.AsyncGenerator[kv.WatchItem]:
     """Yield the changes that another host receives from the store.
 
@@ -49,6 +51,8 @@
         A host that watches the store itself.
     after : Revision
         Last known revision.
+    on_receive : callable or None
+        Called for each part of a response that arrives.
     """
     client = connections.Connections(
         f'http://{host.address}:{host.peer_port}',
@@ -59,7 +63,7 @@
     )
     try:
         while True:
-            changes = await _poll(client, after)
+            changes = await _poll(client, after, on_receive)
             if isinstance(changes, kv.WatchEnded):
                 yield changes
                 return
@@ -85,7 +89,9 @@
 
 
 async def _poll(
-    client: connections.Connections, after: ids.Revision
+    client: connections.Connections,
+    after: ids.Revision,
+    on_receive: connections.OnReceive | None,
 ) -> change_log.Changes | kv.WatchEnded:
     """Return the next changes, or the reason why there are none."""
     sent_at = clock.now()
@@ -96,7 +102,7 @@
         f'&{change_messages.ERA_PARAMETER}=1'
         f'&{change_messages.HEARD_PARAMETER}=1'
     )
-    result = await client.call('GET', path, b'', LONG_POLL_S)
+    result = await client.call('GET', path, b'', LONG_POLL_S, on_receive)
     if not isinstance(result, connections.Reply):
         return kv.WatchEnded(result.detail, after)
     if result.status == change_messages.GAP_STATUS:
--- a/src/corianderloft/_internal/kv/connections.py
+++ b/src/corianderloft/_internal/kv/connections.py
@@ -12,6 +12,13 @@
 
 Headers = collections.abc.Sequence[tuple[bytes, bytes]]
 
+MIN_BYTES_PER_S = 32 * 1024
+"""Mean rate below which a reply counts as lost although bytes arrive; a
+fraction of the narrowest link that carries other traffic as well."""
+
+OnReceive = collections.abc.Callable[[int], None]
+"""Called with the size of each part of a reply that arrives."""
+
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header; ``name`` is in lower case."""
@@ -69,6 +76,38 @@
             self.sent = True
 
 
+class _Deadline:
+    """Time limit of a call, which what arrives of its reply extends.
+
+    The reply must begin within the timeout, no two parts of it may be further
+    apart, and all of it must arrive at a mean rate of `MIN_BYTES_PER_S`.
+
+    Parameters
+    ----------
+    scope : CancelScope
+        Scope of the call.
+    timeout : float
+        Timeout in seconds.
+    """
+
+    def __init__(self, scope: trio.CancelScope, timeout: float) -> None:
+        self._scope = scope
+        self._timeout = timeout
+        self._latest = 0.0
+
+    def note_head(self) -> None:
+        """Record that the head of the reply has arrived."""
+        self._latest = trio.current_time() + self._timeout
+        self._scope.deadline = self._latest
+
+    def note_part(self, size: int) -> None:
+        """Record that a part of the body has arrived."""
+        self._latest += size / MIN_BYTES_PER_S
+        self._scope.deadline = min(
+            self._latest, trio.current_time() + self._timeout
+        )
+
+
 class Connections:
     """Connections to one endpoint; each carries one call at a time.
 
@@ -79,7 +118,8 @@
     endpoint : str
         URL of the service, with an IP address.
     connect_timeout, call_timeout : float
-        Timeouts in seconds.
+        Timeouts in seconds; the latter is for the beginning of a reply, and
+        between two parts of it.
     idle_limit : int
         Maximum number of idle connections.
     idle_expiry : float
@@ -147,24 +187,36 @@
         return await self.call('POST', path, content)
 
     async def call(
-        self, method: str, path: str, content: bytes, hold_time: float = 0.0
+        self,
+        method: str,
+        path: str,
+        content: bytes,
+        hold_time: float = 0.0,
+        on_receive: OnReceive | None = None,
     ) -> CallResult:
         """Send a request and read the complete reply.
 
+        The reply may take any time as long as it keeps arriving.
+
         Parameters
         ----------
         method, path, content
             The request.
         hold_time : float
             Time for which the service may delay the reply, in seconds.
+        on_receive : callable or None
+            Called for each part of the reply that arrives.
         """
         conn = await self._acquire()
         trace = SendTrace()
         result: CallResult | None = None
         req = self.request(path, content, trace, method)
         try:
-            with trio.move_on_after(self._call_timeout + hold_time):
-                result = await self._exchange(conn, req, trace)
+            with trio.move_on_after(self._call_timeout + hold_time) as scope:
+                deadline = _Deadline(scope, self._call_timeout)
+                result = await self._exchange(
+                    conn, req, trace, deadline, on_receive
+                )
         finally:
             await self._release(conn, result)
         if result is not None:
@@ -182,11 +234,20 @@
         conn: httpcore.AsyncHTTPConnection,
         req: httpcore.Request,
         trace: SendTrace,
+        deadline: _Deadline,
+        on_receive: OnReceive | None,
     ) -> CallResult:
+        chunks = []
         try:
             response = await conn.handle_async_request(req)
+            deadline.note_head()
             try:
-                body = await _read_body(response, trace)
+                async for chunk in response.aiter_stream():
+                    trace.received_bytes += len(chunk)
+                    deadline.note_part(len(chunk))
+                    if on_receive is not None:
+                        on_receive(len(chunk))
+                    chunks.append(chunk)
             finally:
                 await response.aclose()
         except (
@@ -195,6 +256,7 @@
             httpcore.TimeoutException,
         ) as exc:
             return _failed(trace, f'{req.url.target.decode()}: {exc!r}')
+        body = b''.join(chunks)
         control.count_bytes(control.Direction.RECEIVED, len(body))
         return Reply(response.status, body, response.headers)
 
@@ -223,14 +285,6 @@
             await close(self._idle.pop())
 
 
-async def _read_body(response: httpcore.Response, trace: SendTrace) -> bytes:
-    chunks = []
-    async for chunk in response.aiter_stream():
-        trace.received_bytes += len(chunk)
-        chunks.append(chunk)
-    return b''.join(chunks)
-
-
 async def close(conn: httpcore.AsyncHTTPConnection) -> None:
     """Close a connection even if the calling task is cancelled."""
     with trio.CancelScope(shield=True):
--- a/tests/unit/gateway/test_change_budget.py
+++ b/tests/unit/gateway/test_change_budget.py
@@ -267,7 +267,7 @@
     def _passes(self, at):
         return not self._silent[0] <= at < self._silent[1]
 
-    async def watch(self, _, after):
+    async def watch(self, _, after, on_receive=None):
         """Yield changes by long polling."""
         while True:
             sent_at = clock.now()
--- a/tests/unit/gateway/test_following.py
+++ b/tests/unit/gateway/test_following.py
@@ -104,7 +104,7 @@
         self.silent = False
         self.gaps = 0
 
-    async def watch(self, host, after):
+    async def watch(self, host, after, on_receive=None):
         self.polls.append((host.host_id, after))
         if self.gaps:
             self.gaps -= 1
@@ -230,7 +230,7 @@
 
 
 def _ticking(peers):
-    async def watch(host, after):
+    async def watch(host, after, on_receive=None):
         peers.polls.append((host.host_id, after))
         while True:
             await trio.sleep(0.7)
@@ -367,7 +367,7 @@
     scene.local_view.heard_age = lambda: 60.0 - trio.current_time()
     replies = []
 
-    async def watch(host, after):
+    async def watch(host, after, on_receive=None):
         await trio.sleep(peer_changes.LONG_POLL_S)
         replies.append(host.host_id)
         yield kv.WatchProgress(after, clock.now())
