Deny no route and no key by declarations that may be outdated

What callers saw: 404, which is final, for a route that had been added 6.2 s before; the same view was too old to honour keys (503). Cause: a route that the table lacks was refused before the age of the view was looked at, and no host knew that it lacked a version that others had. Change: hosts state the newest version that they know of in their load datagrams.

--- a/src/corianderloft/_internal/gateway/app.py
+++ b/src/corianderloft/_internal/gateway/app.py
@@ -125,10 +125,12 @@
         table = self._view.table
         if table is None:
             return refusals.Refusal(refusals.Reason.NOT_READY, RETRY_AFTER_S)
+        if self._view.is_overdue():
+            return _outdated()
         path = caller.raw_path.decode('latin-1')
         route = table.find(head.host, path)
         if route is None:
-            return refusals.Refusal(refusals.Reason.UNKNOWN_ROUTE)
+            return self._deny(refusals.Reason.UNKNOWN_ROUTE)
         workspace = self._authenticate(table, route, head)
         if isinstance(workspace, refusals.Refusal):
             return workspace
@@ -158,14 +160,18 @@
         if route.public or not table.has_workspaces:
             return None
         if not self._view.is_current():
-            return refusals.Refusal(
-                refusals.Reason.STALE_KEYS, RETRY_AFTER_S, True
-            )
+            return _outdated()
         workspace = table.keys.get(head.key or '')
         if workspace is None:
-            return refusals.Refusal(refusals.Reason.UNKNOWN_KEY)
+            return self._deny(refusals.Reason.UNKNOWN_KEY)
         return workspace
 
+    def _deny(self, reason: refusals.Reason) -> refusals.Refusal:
+        """Refuse for good what does not exist, if the view can tell."""
+        if self._view.can_deny():
+            return refusals.Refusal(reason)
+        return _outdated()
+
     def _build_request(
         self,
         caller: exchange.Exchange,
@@ -267,6 +273,11 @@
         )
 
 
+def _outdated() -> refusals.Refusal:
+    """Return the refusal by a host that may lack the newest declarations."""
+    return refusals.Refusal(refusals.Reason.STALE_KEYS, RETRY_AFTER_S, True)
+
+
 def _tier(
     route: routing.Route, workspace: routing.Workspace | None
 ) -> ids.Tier:
--- a/src/corianderloft/_internal/gateway/change_budget.py
+++ b/src/corianderloft/_internal/gateway/change_budget.py
@@ -41,6 +41,10 @@
 SEND_S = 0.1
 """From the last check of a server's state until a request arrives there."""
 
+NOTICE_S = 0.5
+"""From when another host has declarations in force until this host hears of
+that; the interval between datagrams with the full state."""
+
 MIN_WAIT_S = 0.2
 """Shortest wait of a watch."""
 
@@ -130,6 +134,33 @@
     return age
 
 
+def max_missing_time(apply_time: float) -> float:
+    """Return how long a host may lack declarations that others have.
+
+    Parameters
+    ----------
+    apply_time : float
+        Time within which declarations must be in force, in seconds.
+    """
+    return max(0.0, usable(apply_time) - NOTICE_S - SEND_S)
+
+
+def max_denial_age(apply_time: float, store_failing: bool) -> float:
+    """Return the age of the view up to which it proves what does not exist.
+
+    A change that is older than the time in which it must be in force is
+    included then, or the store would have delivered it meanwhile.
+
+    Parameters
+    ----------
+    apply_time : float
+        Time within which declarations must be in force, in seconds.
+    store_failing : bool
+        Whether calls to the store fail, so that nothing is delivered.
+    """
+    return apply_time if store_failing else apply_time + STORE_DELAY_S
+
+
 def allows_following(bounds: settings.Bounds) -> bool:
     """Return whether the bounds leave time to follow another host."""
     return _time_until_stale(bounds, True, 0.0) >= MIN_FOLLOWING_S
--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -98,6 +98,7 @@
             max(cfg.bounds.entry_expiry, membership.LEASE_TTL_S),
             dependencies.store_layout.hosts_prefix + cfg.host_id,
             cfg.bounds.min_outage,
+            cfg.bounds.apply_time,
         )
         self._retry_budget = budget.RetryBudget(
             cfg.bounds.retry_ratio,
@@ -222,7 +223,9 @@
             },
         )
         self._cfg = cfg
-        self._view.use_revocation_time(cfg.bounds.revocation_time)
+        self._view.use_bounds(
+            cfg.bounds.revocation_time, cfg.bounds.apply_time
+        )
         self._retry_budget.set_limits(
             cfg.bounds.retry_ratio,
             cfg.bounds.retry_slack,
--- a/src/corianderloft/_internal/gateway/load_exchange.py
+++ b/src/corianderloft/_internal/gateway/load_exchange.py
@@ -52,7 +52,7 @@
 
 
 class StoreContact(typing.Protocol):
-    """What hosts tell each other of their contact with the store."""
+    """What hosts tell each other of the store and of the declarations."""
 
     def contact(self) -> outages.Contact | None:
         """Return what to tell other hosts."""
@@ -62,11 +62,18 @@
     ) -> None:
         """Use what another host tells."""
 
+    def newest_version(self) -> int:
+        """Return the newest version that this or another host has."""
+
+    def use_version(self, version: int) -> None:
+        """Use the version that another host has, or knows of."""
+
 
 class LoadExchange(listener.Listener):
     """Sends the loads of this host and receives those of other hosts.
 
-    Hosts tell each other in the same datagrams whether they hear of the store.
+    Hosts tell each other in the same datagrams whether they hear of the store
+    and which declarations they know of.
 
     Parameters
     ----------
@@ -207,7 +214,11 @@
         full: bool,
     ) -> None:
         data = self._builders[scope].next_datagram(
-            loads, demands, full, self._store_contact.contact()
+            loads,
+            demands,
+            full,
+            self._store_contact.contact(),
+            self._store_contact.newest_version(),
         )
         if data is not None:
             await _send_datagram(sock, data, recipients)
@@ -251,6 +262,7 @@
         if changed is not None and message.contact is not None:
             self._store_contact.use_contact(source.host_id, message.contact)
         if changed is not None:
+            self._store_contact.use_version(message.version)
             self._placer.update_peer_loads(
                 source.label, received.loads, changed
             )
--- a/src/corianderloft/_internal/gateway/load_messages.py
+++ b/src/corianderloft/_internal/gateway/load_messages.py
@@ -71,6 +71,9 @@
     contact : Contact or None
         Contact of the sender with the store; only in messages with the full
         state.
+    version : int
+        Newest version of the declarations that the sender knows of; 0 if it
+        states none. Only in messages with the full state.
     """
 
     source: Source
@@ -82,6 +85,7 @@
         default_factory=dict
     )
     contact: outages.Contact | None = None
+    version: int = 0
 
 
 def encode(message: Message) -> bytes:
@@ -109,6 +113,7 @@
                 round(message.contact.unbroken_s, 3),
                 round(message.contact.age_s, 3),
             ],
+            message.version,
         ]
     )
 
@@ -116,10 +121,11 @@
 def decode(data: bytes) -> Message | None:
     """Decode a datagram; return None if it is malformed."""
     try:
-        # Hosts of an earlier release send no demands, or no contact.
+        # Hosts of an earlier release send no demands, contact or version.
         host_id, scope, start, sequence, full, rows, *rest = orjson.loads(data)
         demand_rows = rest[0] if rest else ()
         contact = rest[1] if len(rest) > 1 else None
+        version = rest[2] if len(rest) > 2 else 0
         loads = {
             (
                 ids.EngineId(str(engine_id)),
@@ -142,6 +148,7 @@
             loads,
             demands,
             None if contact is None else _contact(*contact),
+            integers.bounded(version, 0),
         )
     except (ValueError, TypeError):
         return None
@@ -188,6 +195,7 @@
         demands: Demands,
         full: bool,
         contact: outages.Contact | None = None,
+        version: int = 0,
     ) -> bytes | None:
         """Return the next datagram, or None if there is nothing to send.
 
@@ -201,6 +209,8 @@
             Whether to send the full state instead of changes only.
         contact : Contact or None
             Contact of this host with the store.
+        version : int
+            Newest version of the declarations that this host knows of.
         """
         for key in self._last_loads.keys() | loads.keys():
             if self._last_loads.get(key) != loads.get(key):
@@ -219,6 +229,7 @@
                 dict(content),
                 dict(demands) if full else {},
                 contact if full else None,
+                version if full else 0,
             )
         )
 
--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -3,11 +3,14 @@
 import collections.abc
 import dataclasses
 import logging
+import math
 
+from corianderloft._internal.gateway import change_budget
 from corianderloft._internal.gateway import confirmation
 from corianderloft._internal.gateway import crash_messages
 from corianderloft._internal.gateway import departures
 from corianderloft._internal.gateway import entry_log
+from corianderloft._internal.gateway import later_versions
 from corianderloft._internal.gateway import layout
 from corianderloft._internal.gateway import outages
 from corianderloft._internal.kv import eras
@@ -64,6 +67,9 @@
     min_outage : float
         Shortest outage of the store in which the entry of a live server or
         host may expire, in seconds; 0 if that is not known.
+    apply_time : float
+        Maximum time until declarations take effect, in seconds; infinite if
+        unspecified.
 
     Attributes
     ----------
@@ -78,8 +84,11 @@
         entry_expiry: float = 0.0,
         own_key: str = '',
         min_outage: float = 0.0,
+        apply_time: float = math.inf,
     ) -> None:
         super().__init__(min_outage)
+        self._apply_time = apply_time
+        self._later_versions = later_versions.LaterVersions()
         self._layout = store_layout
         self._entry_expiry = entry_expiry
         self._own_key = own_key
@@ -120,13 +129,54 @@
         """Version of the declarations in force; 0 before the first."""
         return 0 if self.table is None else self.table.version
 
-    def use_revocation_time(self, revocation_time: float | None) -> None:
-        """Change how long a revoked key may be honoured, in seconds."""
+    def newest_version(self) -> int:
+        """Return the newest version that this or another host has."""
+        return self._later_versions.newest(self.version)
+
+    def use_version(self, version: int) -> None:
+        """Use the version that another host has, or knows of."""
+        self._later_versions.note(version, self.version, clock.now())
+
+    def use_bounds(
+        self, revocation_time: float | None, apply_time: float
+    ) -> None:
+        """Change how long a revoked key or an old version may be used.
+
+        Parameters
+        ----------
+        revocation_time : float or None
+            Maximum time for which a revoked key may be honoured, in seconds.
+        apply_time : float
+            Maximum time until declarations take effect, in seconds.
+        """
         self._revocation_time = revocation_time
+        self._apply_time = apply_time
+
+    def is_overdue(self) -> bool:
+        """Return whether a later version should have arrived by now."""
+        missing_for = self._missing_for()
+        return missing_for is not None and missing_for > (
+            change_budget.max_missing_time(self._apply_time)
+        )
+
+    def can_deny(self) -> bool:
+        """Return whether a route or key that is not known does not exist.
+
+        A later version may have it, and so may one that this host has not
+        heard of, if nothing has confirmed the view in time.
+        """
+        if self._missing_for() is not None or not self.is_current():
+            return False
+        return self.age() < change_budget.max_denial_age(
+            self._apply_time, self._store_failing
+        )
+
+    def _missing_for(self) -> float | None:
+        return self._later_versions.missing_for(self.version, clock.now())
 
     def is_current(self) -> bool:
         """Return whether the view is fresh enough to honour keys."""
-        if self.table is None:
+        if self.table is None or self.is_overdue():
             return False
         if self._revocation_time is None:
             return True
