--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -310,4 +310,5 @@
         peer_port=cfg.peer_port,
         failure_domain=cfg.failure_domain,
         start=secrets.token_hex(4),
+        link_kbps=cfg.link_kbps,
     )
--- a/src/corianderloft/_internal/gateway/settings.py
+++ b/src/corianderloft/_internal/gateway/settings.py
@@ -95,6 +95,8 @@
         Guarantees of the deployment.
     store : Store
         Connection settings of the platform's store.
+    link_kbps : int
+        Bandwidth of the link of this host, in kbit/s; 0 if unknown.
     """
 
     host_id: ids.HostId
@@ -108,3 +110,4 @@
     max_open_files: int
     bounds: Bounds
     store: Store
+    link_kbps: int = 0
--- a/src/corianderloft/_internal/models/members.py
+++ b/src/corianderloft/_internal/models/members.py
@@ -28,6 +28,8 @@
         0 if unknown.
     era : Era or None
         Era of the store in which it registered; None if unknown.
+    link_kbps : int
+        Bandwidth of its link, in kbit/s; 0 if unknown.
     """
 
     host_id: ids.HostId
@@ -38,3 +40,4 @@
     start: str
     version: int = dataclasses.field(default=0, compare=False)
     era: ids.Era | None = dataclasses.field(default=None, compare=False)
+    link_kbps: int = dataclasses.field(default=0, compare=False)
--- a/src/corianderloft/_internal/platform/entries.py
+++ b/src/corianderloft/_internal/platform/entries.py
@@ -47,6 +47,7 @@
             'start': member.start,
             'version': member.version,
             'era': member.era,
+            'link_kbps': member.link_kbps,
         }
     )
 
@@ -65,6 +66,7 @@
             start=_text(entry['start']),
             version=integers.bounded(entry.get('version', 0), 0),
             era=_era(entry.get('era')),
+            link_kbps=integers.bounded(entry.get('link_kbps', 0), 0),
         )
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
--- a/src/corianderloft/_internal/platform/settings.py
+++ b/src/corianderloft/_internal/platform/settings.py
@@ -88,9 +88,17 @@
         max_open_files=int(data['limits']['max_fds']),
         bounds=_bounds(data['bounds'], data.get('heartbeat_ms')),
         store=_store(data['platform']),
+        link_kbps=_link_kbps(data['limits']),
     )
 
 
+def _link_kbps(limits: typing.Any) -> int:
+    """Return the bandwidth of the link; 0 if it is not stated."""
+    if limits.get('link_mbps') is None:
+        return 0
+    return int(_number(limits, 'link_mbps') * 1000)
+
+
 HEARTBEATS_UNTIL_EXPIRY = 3
 """Heartbeats without one of which the store removes the entry of a server."""
 
