--- a/src/corianderloft/_internal/gateway/change_log.py
+++ b/src/corianderloft/_internal/gateway/change_log.py
@@ -11,8 +11,8 @@
 from corianderloft._internal.models import ids
 
 MAX_EVENTS = 512
-"""Maximum number of changes kept: more than 20 s of them at 25 per second,
-far more than the lag of a host that follows this one."""
+"""Maximum number of keys whose last change is kept: more than 20 s of changes
+at 25 per second, far more than the lag of a host that follows this one."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,11 +42,14 @@
     """Log of the changes that this host received from the store.
 
     Changes are served to other hosts only while this host watches the store
-    itself, so that a host never follows one that follows another.
+    itself, so that a host never follows one that follows another. Only the
+    last change of each key is kept, as values may be large.
     """
 
     def __init__(self) -> None:
-        self._events: collections.deque[kv.WatchEvent] = collections.deque()
+        self._events: collections.OrderedDict[str, kv.WatchEvent] = (
+            collections.OrderedDict()
+        )
         self._complete_after = ids.Revision(0)
         self._revision = ids.Revision(0)
         self._as_of = float('-inf')
@@ -114,9 +117,12 @@
         progress: kv.WatchProgress,
     ) -> None:
         """Append the changes that a watch of the store delivered."""
-        self._events.extend(events)
+        for event in events:
+            self._events[event.key] = event
+            self._events.move_to_end(event.key)
         while len(self._events) > MAX_EVENTS:
-            self._complete_after = self._events.popleft().revision
+            _, dropped = self._events.popitem(last=False)
+            self._complete_after = max(self._complete_after, dropped.revision)
         self._advance(progress)
 
     def stop(self) -> None:
@@ -140,11 +146,10 @@
         """
         if not self.is_usable(revision) or revision < self._complete_after:
             return None
-        latest = {e.key: e for e in self._events if e.revision > revision}
         return Changes(
             self._revision,
             self._as_of,
-            tuple(latest.values()),
+            tuple(e for e in self._events.values() if e.revision > revision),
             self._heard_at,
         )
 
--- a/src/corianderloft/_internal/gateway/change_server.py
+++ b/src/corianderloft/_internal/gateway/change_server.py
@@ -51,12 +51,7 @@
                 await self._log.wait_progress()
             changes = self._log.since(after)
         if changes is not None:
-            body = change_messages.encode(
-                changes,
-                received_at,
-                change_messages.COMPRESSION_PARAMETER in parameters,
-                change_messages.HEARD_PARAMETER in parameters,
-            )
+            body = _encode(changes, received_at, parameters)
             await request.respond(200, body)
         elif self._log.is_usable(after):
             await request.respond_raw(change_messages.GAP_STATUS, (), b'')
@@ -66,6 +61,22 @@
             )
 
 
+def _encode(
+    changes: change_log.Changes,
+    received_at: float,
+    parameters: collections.abc.Container[str],
+) -> bytes:
+    """Encode changes in the newest form that the other host reads."""
+    if change_messages.RAW_PARAMETER in parameters:
+        return change_messages.encode_raw(changes, received_at)
+    return change_messages.encode(
+        changes,
+        received_at,
+        change_messages.COMPRESSION_PARAMETER in parameters,
+        change_messages.HEARD_PARAMETER in parameters,
+    )
+
+
 def _parse_query(
     query: bytes,
 ) -> tuple[ids.Revision, float, collections.abc.Container[str]] | None:
--- a/src/corianderloft/_internal/gateway/peer_changes.py
+++ b/src/corianderloft/_internal/gateway/peer_changes.py
@@ -101,6 +101,7 @@
         f'&{change_messages.COMPRESSION_PARAMETER}=1'
         f'&{change_messages.ERA_PARAMETER}=1'
         f'&{change_messages.HEARD_PARAMETER}=1'
+        f'&{change_messages.RAW_PARAMETER}=1'
     )
     result = await client.call('GET', path, b'', LONG_POLL_S, on_receive)
     if not isinstance(result, connections.Reply):
--- a/tests/unit/gateway/test_change_log.py
+++ b/tests/unit/gateway/test_change_log.py
@@ -4,6 +4,8 @@
 gap whenever it no longer holds all changes after the requested revision.
 """
 
+import random
+
 import hypothesis
 from hypothesis import strategies
 import orjson
@@ -134,6 +136,57 @@
     assert change_messages.decode(data, sent_at=10.0) == changes
 
 
+@hypothesis.given(
+    sent_events=strategies.lists(events, max_size=5),
+    heard_at=strategies.none() | strategies.floats(0, 20),
+)
+def test_changes_survive_encoding_with_raw_values(sent_events, heard_at):
+    changes = change_log.Changes(7, 11.5, tuple(sent_events), heard_at)
+    data = change_messages.encode_raw(changes, received_at=0.0)
+    assert change_messages.decode(data, sent_at=0.0) == changes
+
+
+@hypothesis.given(
+    strategies.lists(events, min_size=1, max_size=3), strategies.data()
+)
+def test_a_cut_message_with_raw_values_is_malformed(sent_events, data):
+    changes = change_log.Changes(7, 11.5, tuple(sent_events))
+    message = change_messages.encode_raw(changes, received_at=0.0)
+    size = data.draw(strategies.integers(0, len(message) - 1))
+    assert change_messages.decode(message[:size], sent_at=0.0) is None
+
+
+def test_raw_values_take_less_than_base64():
+    rng = random.Random(1)
+    routes = [
+        {
+            'name': f'r-{rng.randrange(10**9)}',
+            'host': 'desk.example',
+            'path_prefix': f'/{rng.randrange(10**9)}/',
+            'timeout_ms': 4000,
+        }
+        for _ in range(1400)
+    ]
+    value = orjson.dumps({'routes': routes})
+    event = kv.WatchEvent('k', kv.KeyValue('k', value, 7, 1), 7)
+    changes = change_log.Changes(7, 5.0, (event,))
+    raw = change_messages.encode_raw(changes, 5.0)
+    text = change_messages.encode(changes, 5.0, compress=True)
+    assert len(raw) < len(text)
+
+
+def test_many_versions_of_a_large_value_take_the_memory_of_one():
+    log = log_of()
+    for revision in range(1, 200):
+        item = kv.KeyValue('k', bytes(1000), revision, 1)
+        log.record(
+            (kv.WatchEvent('k', item, revision),),
+            kv.WatchProgress(revision, 2.0),
+        )
+    assert len(log.since(0).events) == 1
+    assert len(log._events) == 1
+
+
 def test_network_latency_only_makes_as_of_earlier():
     changes = change_log.Changes(7, 11.0, ())
     data = change_messages.encode(changes, received_at=10.0)
