Follow another delegate behind a narrow link; budget what a change carries

Cause: a host whose delegate failed turned to the store, which sends up to 1.4 MB without compression, 1.1 s of a link of 10 Mbit/s; the pause after a change left time for the delivery, but not for the transfer. Change: if declarations of the present size need more than the budgeted 0.3 s on the link of a host, it follows a delegate of another group, those of its failure domain first, and only then watches the store. The pause subtracts the time of the transfer.

--- a/src/corianderloft/_internal/gateway/change_budget.py
+++ b/src/corianderloft/_internal/gateway/change_budget.py
@@ -27,8 +27,8 @@
 client of the store."""
 
 READ_S = 0.3
-"""Connecting to the store and reading what has changed, or all of it; the
-store usually replies within 4 ms."""
+"""Connecting to the store and reading what has changed; the store usually
+replies within 4 ms. Large values take longer, see `transfer_time`."""
 
 RELAY_S = 0.3
 """From the reply of the store at a host until the hosts that follow it have
@@ -45,6 +45,9 @@
 """From when another host has declarations in force until this host hears of
 that; the interval between datagrams with the full state."""
 
+ENCODING_RATIO = 4 / 3
+"""Size of a value in a reply of the store, which is base64, to its size."""
+
 MIN_WAIT_S = 0.2
 """Shortest wait of a watch."""
 
@@ -69,8 +72,27 @@
     return min(bounds.drain_time, bounds.apply_time)
 
 
+def transfer_time(value_bytes: int, link_kbps: int) -> float:
+    """Return how long a value takes to arrive from the store, in seconds.
+
+    Parameters
+    ----------
+    value_bytes : int
+        Size of the value.
+    link_kbps : int
+        Bandwidth of the link, in kbit/s; 0 if it is not known, and then
+        nothing is added for the transfer.
+    """
+    if not link_kbps:
+        return 0.0
+    return value_bytes * ENCODING_RATIO * 8 / (link_kbps * 1000)
+
+
 def max_pause(
-    bounds: settings.Bounds, is_delegate: bool, heard_age: float
+    bounds: settings.Bounds,
+    is_delegate: bool,
+    heard_age: float,
+    transfer_s: float = 0.0,
 ) -> float:
     """Return the longest pause before a host watches again, in seconds.
 
@@ -84,8 +106,10 @@
         Whether other hosts follow this one.
     heard_age : float
         Time since the store was last known to be up, in seconds.
+    transfer_s : float
+        Time in which new declarations arrive on the link, in seconds.
     """
-    steps = STORE_DELAY_S + APPLY_S + SEND_S
+    steps = STORE_DELAY_S + transfer_s + APPLY_S + SEND_S
     if is_delegate:
         steps += RELAY_S
     until_stale = _time_until_stale(bounds, is_delegate, heard_age)
--- a/src/corianderloft/_internal/gateway/following.py
+++ b/src/corianderloft/_internal/gateway/following.py
@@ -19,6 +19,7 @@
 from corianderloft._internal.kv import backoff
 from corianderloft._internal.kv import eras
 from corianderloft._internal.kv import interface as kv
+from corianderloft._internal.models import ids
 from corianderloft._internal.models import listener
 from corianderloft._internal.models import members
 from corianderloft._internal.placement import groups
@@ -49,9 +50,9 @@
 delegate may hold a poll without changes for the whole time."""
 
 PEER_COOLDOWN_S = 3.0
-"""Mean time for which a host watches the store itself after it lost contact
-with its delegate, before it tries the delegate again. The entry of a failed
-delegate stays listed until its lease expires."""
+"""Mean time for which a host follows another one or watches the store itself
+after it lost contact with its delegate, before it tries the delegate again.
+The entry of a failed delegate stays listed until its lease expires."""
 
 EXPIRY_CHECK_INTERVAL_S = 0.1
 """Interval between checks for entries that were not registered again."""
@@ -119,7 +120,7 @@
         self._view = local_view
         self._own = own
         self._assignment = groups.assign(own, (own,))
-        self._cooldown_until = float('-inf')
+        self._failed_until: dict[ids.HostId, float] = {}
         self._store_refused = False
         self._has_read = False
         self._needs_read = True
@@ -222,17 +223,44 @@
         result = await self._follow(delegate)
         if result not in _SOURCE_FAILED:
             return result
-        self._cooldown_until = trio.current_time() + jittered(PEER_COOLDOWN_S)
-        # No change was missed, so a watch can go on from here.
+        now = trio.current_time()
+        self._failed_until = {
+            host_id: until
+            for host_id, until in self._failed_until.items()
+            if until > now
+        }
+        self._failed_until[delegate.host_id] = now + jittered(PEER_COOLDOWN_S)
+        # No change was missed, so another source can go on from here.
         return FollowResult.SWITCH_SOURCE
 
     def _host_to_follow(self) -> members.Member | None:
-        """Return the host to follow, or None to watch the store."""
-        if trio.current_time() < self._cooldown_until:
-            return None
-        if not change_budget.allows_following(self._bounds()):
+        """Return the host to follow, or None to watch the store.
+
+        If the delegate fails, another one is followed only on a link on which
+        the declarations take long to arrive from the store.
+        """
+        delegate = self._assignment.delegate
+        if delegate is None or not change_budget.allows_following(
+            self._bounds()
+        ):
             return None
-        return self._assignment.delegate
+        candidates = [delegate]
+        if self._transfer_time() > change_budget.READ_S:
+            candidates += self._assignment.successors
+        now = trio.current_time()
+        return next(
+            (
+                host
+                for host in candidates
+                if self._failed_until.get(host.host_id, 0.0) <= now
+            ),
+            None,
+        )
+
+    def _transfer_time(self) -> float:
+        return change_budget.transfer_time(
+            self._view.declaration_bytes, self._own.link_kbps
+        )
 
     async def _watch(self) -> FollowResult:
         result = FollowResult.NO_RESPONSE
@@ -317,15 +345,8 @@
                     events.clear()
                     if self._view.heard_age() > self._max_evidence_age():
                         return self._leave_stale(delegate)
-                    if self._assignment.delegate != delegate:
-                        # The change log holds only changes received from
-                        # the store, so watching the store needs a new read.
-                        has_host_to_follow = self._host_to_follow() is not None
-                        return (
-                            FollowResult.SWITCH_SOURCE
-                            if has_host_to_follow
-                            else FollowResult.GAP
-                        )
+                    if self._host_to_follow() != delegate:
+                        return FollowResult.SWITCH_SOURCE
                 elif isinstance(item, peer_changes.Gap):
                     logger.info(
                         'changes are missing; reading the store',
@@ -398,7 +419,10 @@
 
     async def _pause(self) -> None:
         delay = watch_pace.mean_pause(
-            self._bounds(), self._view, self._is_followed()
+            self._bounds(),
+            self._view,
+            self._is_followed(),
+            self._transfer_time(),
         )
         await trio.sleep(jittered(delay))
 
--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -75,6 +75,8 @@
     ----------
     table : RoutingTable or None
         Current declarations; None until the first were read.
+    declaration_bytes : int
+        Size of their entry in the store.
     """
 
     def __init__(
@@ -105,6 +107,7 @@
         self._required_version = 0
         self._required_until = float('-inf')
         self.table: routing.RoutingTable | None = None
+        self.declaration_bytes = 0
 
     def add_listener(self, subscriber: listener.Listener) -> None:
         """Notify a listener of all later changes."""
@@ -435,6 +438,7 @@
         if not self._is_newer_table(table):
             return
         self.table = table
+        self.declaration_bytes = len(item.value)
         logger.info(
             'declarations in force',
             extra=eras.log_fields(item.mod_revision)
--- a/src/corianderloft/_internal/gateway/watch_pace.py
+++ b/src/corianderloft/_internal/gateway/watch_pace.py
@@ -49,7 +49,10 @@
 
 
 def mean_pause(
-    bounds: settings.Bounds, local_view: view.View, is_delegate: bool = False
+    bounds: settings.Bounds,
+    local_view: view.View,
+    is_delegate: bool = False,
+    transfer_s: float = 0.0,
 ) -> float:
     """Return the mean pause after a change, in seconds.
 
@@ -64,10 +67,14 @@
         Local copy of the store.
     is_delegate : bool
         Whether other hosts follow this one.
+    transfer_s : float
+        Time in which new declarations arrive on the link, in seconds.
     """
     max_pause = min(
         MAX_PAUSE_S,
-        change_budget.max_pause(bounds, is_delegate, local_view.heard_age()),
+        change_budget.max_pause(
+            bounds, is_delegate, local_view.heard_age(), transfer_s
+        ),
         _time_to_confirm(bounds, local_view) - change_budget.MIN_WAIT_S,
     )
     return max(0.0, max_pause / (1 + change_budget.JITTER_RATIO))
--- a/tests/unit/gateway/test_following.py
+++ b/tests/unit/gateway/test_following.py
@@ -32,6 +32,7 @@
 
     revision = 0
     confirmed_at = 0.0
+    declaration_bytes = 0
 
     def __init__(self):
         self.confirmed_or_applied = []
@@ -375,3 +376,30 @@
     monkeypatch.setattr(peer_changes, 'watch', watch)
     await _run(scene, 10)
     assert replies
+
+
+async def test_a_host_with_a_narrow_link_follows_another_delegate(
+    scene, monkeypatch, autojump_clock
+):
+    async def watch(host, after, on_receive=None):
+        scene.peers.polls.append((host.host_id, after))
+        if host == DELEGATE:
+            yield kv.WatchEnded('no reply', after)
+            return
+        async with contextlib.aclosing(_ticking(scene.peers)(host, after)) as (
+            items
+        ):
+            async for item in items:
+                yield item
+
+    monkeypatch.setattr(peer_changes, 'watch', watch)
+    scene.local_view.declaration_bytes = 10**6
+    own = dataclasses.replace(FOLLOWER, link_kbps=10_000)
+    follower = following.Follower(
+        scene.store, scene.local_view, lambda: gateway.BOUNDS, own
+    )
+    narrow = dataclasses.replace(scene, follower=follower)
+    await _run(narrow, following.PEER_COOLDOWN_S / 2)
+    successor, *_ = PLACES[FOLLOWER].successors
+    assert scene.peers.polls[1][0] == successor.host_id
+    assert scene.store.watches == 0
