--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -65,6 +65,9 @@
     crash_part : str
         ID of a prompt part. The server crashes when it begins a response to a
         request with this part.
+    crash_body : bytes
+        The server crashes when it runs a request with this body, in a stream
+        after ``crash_events`` events.
     rate_limit : str
         Requests per second that responses name, if any.
     leaving : bool
@@ -117,6 +120,8 @@
         self.endless_pause = 0.0
         self.error_status = 500
         self.crash_part = ''
+        self.crash_body = None
+        self.crash_events = 0
         self.rate_limit = ''
         self.leaving = False
         self.retry_after = ''
@@ -192,6 +197,10 @@
 
     async def _run(self, stream, http, headers):
         mode = self._mode_for(self.seen[-1].target)
+        crashes = self.seen[-1].body == self.crash_body
+        if crashes and not self.crash_events:
+            self._scope.cancel()
+            return False
         if mode == 'hang':
             await stream.receive_some(1)
             self.disconnects += 1
@@ -215,7 +224,7 @@
         if mode in ('unframed_stream', 'half_event', 'end_stream'):
             return await self._stream_until_close(stream, headers)
         if mode in ('stream', 'cut_stream'):
-            return await self._stream(stream, http, headers)
+            return await self._stream(stream, http, headers, crashes)
         if mode == 'cut':
             await self._respond(stream, http, headers, 200, b'part', cut=True)
             return False
@@ -325,7 +334,7 @@
         self._scope.cancel()
         return False
 
-    async def _stream(self, stream, http, headers):
+    async def _stream(self, stream, http, headers, crashes=False):
         first = int(headers.get('last-event-id', -1)) + 1
         fields = [
             ('Content-Type', 'text/event-stream'),
@@ -345,6 +354,9 @@
             self._scope.cancel()
             return False
         for number in range(first, self.events):
+            if crashes and number >= self.crash_events:
+                self._scope.cancel()
+                return False
             truncates = self.mode == 'cut_stream' and first == 0
             if truncates and number == self.cut_after:
                 await stream.send_all(http.send(h11.Data(data=b'id: 9')))
