Stop a request that crashes each server that runs it

What callers saw: 502 for a request that ended a server each time; up to 22 servers of one service ended under it, which took along the requests of others. Cause: evidence of crashes was kept for the shared parts of prompts only. A request without a prompt left none, and one whose parts sound requests share was cleared by these; a crash after content was not counted at all. Change: the whole request is one more suspect beside its parts, known by a hash of method, path, workspace and body: counted, merged, told, stored and refused by the same code. Its quarantine needs no comparison with others, as it concerns no other. Suspects with most crashes are repeated first and kept longest, since each crash now leaves one for each request that was lost. Class of fault: a rule that names one way in which something repeats.

--- a/src/corianderloft/_internal/gateway/app.py
+++ b/src/corianderloft/_internal/gateway/app.py
@@ -12,6 +12,7 @@
 from corianderloft._internal.gateway import routed_request
 from corianderloft._internal.gateway import stopping
 from corianderloft._internal.gateway import view
+from corianderloft._internal.models import crashes
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import routing
 from corianderloft._internal.network import engine_pool
@@ -198,6 +199,12 @@
             arrived=arrived,
             deadline=arrived + timeout,
             prompt=head.prompt,
+            request_suspect=crashes.request_suspect(
+                caller.method,
+                target,
+                workspace.name if workspace else '',
+                body,
+            ),
         )
         return routed_request.RoutedRequest(
             caller.method,
--- a/src/corianderloft/_internal/gateway/crash_guard.py
+++ b/src/corianderloft/_internal/gateway/crash_guard.py
@@ -7,6 +7,7 @@
 from corianderloft._internal.gateway import refusals
 from corianderloft._internal.gateway import request_log
 from corianderloft._internal.gateway import sending
+from corianderloft._internal.models import crashes as crash_models
 from corianderloft._internal.models import states
 from corianderloft._internal.placement import crash_evidence
 from corianderloft._internal.placement import engines
@@ -29,6 +30,9 @@
     ) -> None:
         self._crashes = crashes
         self._job = job
+        self._suspects = crash_models.suspects_of(
+            job.prompt, job.request_suspect
+        )
 
     def is_quarantined(self) -> bool:
         """Return whether the request must not be sent now."""
@@ -41,7 +45,7 @@
             if now >= quarantine.settled_at:
                 remaining_s = quarantine.until - now
                 request_log.quarantined(
-                    self._job, quarantine.part_id, remaining_s
+                    self._job, quarantine.suspect_id, remaining_s
                 )
                 return refusals.Refusal(
                     refusals.Reason.CRASHES_BACKENDS, remaining_s
@@ -51,7 +55,7 @@
 
     def stops_retries(self) -> bool:
         """Return whether the request may crash the next server as well."""
-        return self._crashes.stops_retries(self._job.prompt)
+        return self._crashes.stops_retries(self._suspects)
 
     async def check(
         self,
@@ -59,29 +63,27 @@
         engine: engines.Engine,
         failure: sending.SendFailure,
     ) -> sending.SendFailure:
-        """Find out whether a server that broke off a response has crashed.
-
-        A server that had sent content had survived the prompt.
-        """
-        prompt = self._job.prompt
+        """Find out whether a server that broke off a response has crashed."""
         if (
-            prompt is None
-            or not failure.disconnected
-            or attempt.progress is sending.Progress.CONTENT
+            not failure.disconnected
             or engine.instance.state is not states.BackendState.LIVE
             or not await attempt.server_is_gone()
         ):
             return failure
-        self._crashes.record_crash(prompt, engine.key, trio.current_time())
+        self._crashes.record_crash(
+            self._suspects,
+            engine.key,
+            trio.current_time(),
+            responded=attempt.progress is sending.Progress.CONTENT,
+        )
         return dataclasses.replace(
             failure, outcome=interface.AttemptOutcome.CRASHED
         )
 
     def record_complete(self, received: sending.ReceivedHead) -> None:
         """Record a complete response."""
-        prompt = self._job.prompt
-        if prompt is not None and received.status < 300:
-            self._crashes.record_complete(prompt, trio.current_time())
+        if received.status < 300:
+            self._crashes.record_complete(self._suspects, trio.current_time())
 
     def _quarantine(self) -> crash_evidence.Quarantine | None:
-        return self._crashes.quarantine(self._job.prompt, trio.current_time())
+        return self._crashes.quarantine(self._suspects, trio.current_time())
--- a/src/corianderloft/_internal/gateway/crash_messages.py
+++ b/src/corianderloft/_internal/gateway/crash_messages.py
@@ -1,4 +1,4 @@
-"""Datagrams in which hosts report prompt parts that crash backend servers.
+"""Datagrams in which hosts report what crashes backend servers.
 
 They travel beside the loads: from a host to its group, from the delegate of a
 group to those of other groups, and from each delegate to its own group.
@@ -44,7 +44,7 @@
 
 
 class CrashReports:
-    """Sends and receives the evidence on prompt parts.
+    """Sends and receives the evidence on prompt parts and requests.
 
     Parameters
     ----------
@@ -61,9 +61,9 @@
     ) -> None:
         self._evidence = evidence
         self._on_change = on_change
-        self._pending: dict[
-            load_messages.Scope, dict[ids.PromptPartId, int]
-        ] = {scope: {} for scope in load_messages.Scope}
+        self._pending: dict[load_messages.Scope, dict[ids.SuspectId, int]] = {
+            scope: {} for scope in load_messages.Scope
+        }
         evidence.set_change_listener(self._note_own)
 
     def next_datagram(
@@ -76,21 +76,21 @@
         scope : Scope
             Whom it goes to.
         full : bool
-            Whether to repeat what changed lately and the parts whose requests
+            Whether to repeat what changed lately and the suspects that
             are refused, for hosts that were not known when they changed.
         """
         pending = self._pending[scope]
-        part_ids = list(pending)[:MAX_PARTS_PER_DATAGRAM]
-        for part_id in part_ids:
-            pending[part_id] -= 1
-            if not pending[part_id]:
-                del pending[part_id]
+        suspect_ids = list(pending)[:MAX_PARTS_PER_DATAGRAM]
+        for suspect_id in suspect_ids:
+            pending[suspect_id] -= 1
+            if not pending[suspect_id]:
+                del pending[suspect_id]
         if pending:
             self._on_change()
         if full:
-            repeated = self._evidence.parts_to_repeat(trio.current_time())
-            part_ids += repeated[-MAX_PARTS_PER_DATAGRAM:]
-        reports = map(self._evidence.report, dict.fromkeys(part_ids))
+            repeated = self._evidence.suspects_to_repeat(trio.current_time())
+            suspect_ids += repeated[-MAX_PARTS_PER_DATAGRAM:]
+        reports = map(self._evidence.report, dict.fromkeys(suspect_ids))
         rows = [_row(report) for report in reports if report is not None]
         if not rows:
             return None
@@ -106,24 +106,24 @@
             return Received.MALFORMED
         now = trio.current_time()
         news = [
-            report.part_id
+            report.suspect_id
             for report in reports
             if self._evidence.merge(report, now)
         ]
         if scope in _NEXT_SCOPE:
-            for part_id in news:
-                self._note(_NEXT_SCOPE[scope], part_id)
+            for suspect_id in news:
+                self._note(_NEXT_SCOPE[scope], suspect_id)
         return Received.NEWS if news else Received.NOTHING_NEW
 
-    def _note_own(self, part_id: ids.PromptPartId) -> None:
+    def _note_own(self, suspect_id: ids.SuspectId) -> None:
         for scope in _SCOPES_OF_OWN:
-            self._note(scope, part_id)
+            self._note(scope, suspect_id)
         self._on_change()
 
     def _note(
-        self, scope: load_messages.Scope, part_id: ids.PromptPartId
+        self, scope: load_messages.Scope, suspect_id: ids.SuspectId
     ) -> None:
-        self._pending[scope][part_id] = load_messages.SENDS_PER_CHANGE
+        self._pending[scope][suspect_id] = load_messages.SENDS_PER_CHANGE
 
 
 def encode_report(report: crashes.CrashReport) -> bytes:
@@ -140,7 +140,7 @@
 
 
 def _row(report: crashes.CrashReport) -> list[object]:
-    return [report.part_id, sorted(report.crashed), sorted(report.cleared)]
+    return [report.suspect_id, sorted(report.crashed), sorted(report.cleared)]
 
 
 def _decode_row(row: typing.Any) -> crashes.CrashReport:
@@ -151,9 +151,9 @@
     ValueError, TypeError
         If the row is malformed.
     """
-    part_id, crashed, cleared = row
+    suspect_id, crashed, cleared = row
     return crashes.CrashReport(
-        ids.PromptPartId(str(part_id)), _runs(crashed), _runs(cleared)
+        ids.SuspectId(str(suspect_id)), _runs(crashed), _runs(cleared)
     )
 
 
--- a/src/corianderloft/_internal/gateway/crash_record.py
+++ b/src/corianderloft/_internal/gateway/crash_record.py
@@ -1,4 +1,4 @@
-"""Keeps prompt parts that crash backend servers in the store.
+"""Keeps prompt parts and requests that crash backend servers in the store.
 
 Hosts tell each other, so this serves hosts that start after all others have
 ended.
@@ -36,14 +36,14 @@
 
 
 class CrashRecord:
-    """Writes the harmful parts that this host found.
+    """Writes the harmful suspects that this host found.
 
     Parameters
     ----------
     store : KeyValueClient
         The store.
     prefix : str
-        Prefix of the keys; the ID of the part follows.
+        Prefix of the keys; the ID of the part or request follows.
     evidence : CrashEvidence
         Evidence as known to this host.
     listed_era : callable
@@ -84,11 +84,11 @@
 
     async def _correct_entries(self) -> None:
         for report in self._evidence.stored_reports(trio.current_time()):
-            if not self._is_listed(self._prefix + report.part_id):
-                await self._update(report.part_id, report)
-        for part_id in self._evidence.cleared_parts():
-            if self._is_listed(self._prefix + part_id):
-                await self._update(part_id, None)
+            if not self._is_listed(self._prefix + report.suspect_id):
+                await self._update(report.suspect_id, report)
+        for suspect_id in self._evidence.cleared_suspects():
+            if self._is_listed(self._prefix + suspect_id):
+                await self._update(suspect_id, None)
 
     async def _follow_evidence(self) -> typing.NoReturn:
         while True:
@@ -96,21 +96,21 @@
             await trio.sleep(crash_evidence.SETTLE_S)
             now = trio.current_time()
             for report in self._evidence.take_unstored(now):
-                await self._update(report.part_id, report)
-            for part_id in self._evidence.take_cleared():
-                await self._update(part_id, None)
+                await self._update(report.suspect_id, report)
+            for suspect_id in self._evidence.take_cleared():
+                await self._update(suspect_id, None)
 
     async def _update(
         self,
-        part_id: ids.PromptPartId,
+        suspect_id: ids.SuspectId,
         report: crashes.CrashReport | None,
     ) -> None:
-        """Write the entry of a part, or remove it if there is no report."""
-        key = self._prefix + part_id
+        """Write an entry, or remove it if there is no report."""
+        key = self._prefix + suspect_id
         if len(key.encode('utf-8')) > MAX_KEY_BYTES:
             logger.warning(
                 'crashes of a prompt part not stored: its ID is too long',
-                extra={'part': part_id[:MAX_KEY_BYTES]},
+                extra={'part': suspect_id[:MAX_KEY_BYTES]},
             )
             return
         cause = ''
--- a/src/corianderloft/_internal/gateway/request_log.py
+++ b/src/corianderloft/_internal/gateway/request_log.py
@@ -6,6 +6,7 @@
 
 from corianderloft._internal.gateway import metrics
 from corianderloft._internal.gateway import sending
+from corianderloft._internal.models import crashes
 from corianderloft._internal.models import ids
 from corianderloft._internal.placement import engines
 from corianderloft._internal.placement import interface
@@ -56,6 +57,7 @@
             'cause': failure.detail,
             'received': progress.value,
             'parts': _shared_part_ids(job),
+            'request_hash': job.request_suspect,
         },
     )
 
@@ -80,14 +82,19 @@
 
 
 def quarantined(
-    job: interface.Job, part_id: ids.PromptPartId, remaining_s: float
+    job: interface.Job, suspect_id: ids.SuspectId, remaining_s: float
 ) -> None:
-    """Log that a request is refused since its prompt crashes servers."""
+    """Log that a request is refused since it crashes servers."""
+    is_request = crashes.is_request(suspect_id)
     logger.warning(
-        'request not sent: its prompt crashes backend servers',
+        (
+            'request not sent: it crashes backend servers'
+            if is_request
+            else 'request not sent: its prompt crashes backend servers'
+        ),
         extra={
             'request_id': job.request_id,
-            'part': part_id,
+            'request_hash' if is_request else 'part': suspect_id,
             'retry_after_s': round(remaining_s, 1),
         },
     )
--- a/src/corianderloft/_internal/models/ids.py
+++ b/src/corianderloft/_internal/models/ids.py
@@ -20,6 +20,7 @@
 FencingNumber = typing.NewType('FencingNumber', int)
 LeaseId = typing.NewType('LeaseId', int)
 PromptPartId = typing.NewType('PromptPartId', str)
+SuspectId = typing.NewType('SuspectId', str)
 
 Tier = typing.NewType('Tier', int)
 """Priority of a class; 0 is the highest."""
--- a/src/corianderloft/_internal/placement/crash_evidence.py
+++ b/src/corianderloft/_internal/placement/crash_evidence.py
@@ -1,10 +1,11 @@
-"""Prompt parts on which backend servers crash.
+"""Prompt parts and whole requests on which backend servers crash.
 
 A backend server that crashes takes along all of its requests, and only one of
-them may be the cause. Each crash is counted against the shared prompt parts
-of the requests whose response had not begun; a complete response clears its
-parts. Requests with a part that has crashed several servers and was part of
-no complete response since then are quarantined, which is to say refused.
+them may be the cause. Each crash is counted against these requests, and
+against the shared prompt parts of those whose response had not begun; a
+complete response clears its request and its parts. A part or request that has
+crashed several servers, with no complete response since then, is quarantined,
+which is to say refused.
 
 The evidence of several hosts is merged by set union, so reports may arrive
 more than once and in any order.
@@ -19,16 +20,17 @@
 
 from corianderloft._internal.models import crashes
 from corianderloft._internal.models import ids
-from corianderloft._internal.models import instances
 
 logger = logging.getLogger(__name__)
 
 CRASHES_TO_QUARANTINE = 3
-"""Crashed servers, without a complete response since, after which requests
-with a part are refused. Two may fail at once for a reason of their own."""
+"""Crashed servers, without a complete response since, after which a request
+or those with a part are refused. Two may fail at once for a reason of their
+own."""
 
 CRASHES_TO_STOP_RETRIES = 2
-"""Crashed servers after which a request with a part is not sent again."""
+"""Crashed servers after which a request, or one with a part, is not sent
+again."""
 
 SETTLE_S = 0.6
 """Time for other hosts to report complete responses, during which requests
@@ -47,35 +49,36 @@
 """Duration of a quarantine since the last crash. It grows with the crashes,
 since the first requests after its end may crash a server each."""
 
-MAX_RECORDS = 1024
-"""Parts with crashes that are kept; the oldest are dropped."""
+MAX_RECORDS = 4096
+"""Suspects that are kept; those that changed first are dropped. A server that
+crashes leaves one for each request that it was running."""
 
-MAX_COMPLETE_PARTS = 8192
-"""Parts of complete responses that are remembered."""
+MAX_COMPLETE = 8192
+"""Parts, and requests, of complete responses that are remembered."""
 
-MAX_CRASHES_PER_PART = 20
-"""Crashes that are kept for each part."""
+MAX_CRASHES_PER_SUSPECT = 20
+"""Crashes that are kept for each suspect."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Quarantine:
-    """Requests with a part are held until it has settled, then refused.
+    """A request is held until its quarantine has settled, then refused.
 
     Attributes
     ----------
-    part_id : PromptPartId
-        The part.
+    suspect_id : SuspectId
+        The part or request that crashes servers.
     settled_at, until : float
         When requests are refused from, and until, on trio's clock.
     """
 
-    part_id: ids.PromptPartId
+    suspect_id: ids.SuspectId
     settled_at: float
     until: float
 
 
 class _Record:
-    """Evidence against one part; times are on trio's clock."""
+    """Evidence against one suspect; times are on trio's clock."""
 
     def __init__(self) -> None:
         self.crashed: frozenset[crashes.ServerRun] = frozenset()
@@ -106,80 +109,103 @@
     """Evidence of all hosts, as known to this one."""
 
     def __init__(self) -> None:
-        self._records: dict[ids.PromptPartId, _Record] = {}
-        self._completed_at: collections.OrderedDict[
-            ids.PromptPartId, float
-        ] = collections.OrderedDict()
-        self._on_change: collections.abc.Callable[[ids.PromptPartId], None] = (
+        self._records: collections.OrderedDict[ids.SuspectId, _Record] = (
+            collections.OrderedDict()
+        )
+        # Requests must not displace the parts, which are far fewer.
+        self._parts_completed = _Completions()
+        self._requests_completed = _Completions()
+        self._on_change: collections.abc.Callable[[ids.SuspectId], None] = (
             _do_nothing
         )
-        self._cleared: list[ids.PromptPartId] = []
+        self._cleared: list[ids.SuspectId] = []
         self._record_changed = trio.Event()
 
     def set_change_listener(
-        self, changed: collections.abc.Callable[[ids.PromptPartId], None]
+        self, changed: collections.abc.Callable[[ids.SuspectId], None]
     ) -> None:
-        """Set the function called when this host adds evidence on a part."""
+        """Set the function called when this host adds evidence."""
         self._on_change = changed
 
     def record_crash(
-        self, prompt: instances.Prompt, server: crashes.ServerRun, now: float
+        self,
+        suspects: crashes.Suspects,
+        server: crashes.ServerRun,
+        now: float,
+        responded: bool = False,
     ) -> None:
-        """Record that a server crashed before it responded to a request."""
-        for part in prompt.shared_parts:
-            if self._is_recent(part.part_id, now):
+        """Record that a server crashed with a request.
+
+        Parameters
+        ----------
+        suspects : Suspects
+            What may be the cause.
+        server : ServerRun
+            The server.
+        now : float
+            Current time, on trio's clock, in seconds.
+        responded : bool
+            Whether its response had begun: the server had survived the
+            prompt then, and only the whole request may be the cause.
+        """
+        if responded:
+            suspects = dataclasses.replace(suspects, parts=())
+        for suspect_id in suspects.all:
+            if self._is_recent(suspect_id, now):
                 continue
-            record = self._record(part.part_id)
-            if len(record.crashed) < MAX_CRASHES_PER_PART:
+            record = self._record(suspect_id)
+            if len(record.crashed) < MAX_CRASHES_PER_SUSPECT:
                 record.seen_here = True
                 crashed = record.crashed | {server}
-                self._update(part.part_id, crashed, record.cleared, now)
-                self._on_change(part.part_id)
+                self._update(suspect_id, crashed, record.cleared, now)
+                self._on_change(suspect_id)
 
-    def record_complete(self, prompt: instances.Prompt, now: float) -> None:
+    def record_complete(self, suspects: crashes.Suspects, now: float) -> None:
         """Record a complete response."""
-        for part in prompt.shared_parts:
-            self._completed_at[part.part_id] = now
-            self._completed_at.move_to_end(part.part_id)
-            self._clear(part.part_id, now)
-        while len(self._completed_at) > MAX_COMPLETE_PARTS:
-            self._completed_at.popitem(last=False)
+        for suspect_id in suspects.all:
+            self._completions(suspect_id).record(suspect_id, now)
+            self._clear(suspect_id, now)
 
     def merge(self, report: crashes.CrashReport, now: float) -> bool:
         """Add the evidence of another host; return whether any is new."""
-        record = self._records.get(report.part_id)
+        record = self._records.get(report.suspect_id)
         if record is not None and (
             report.crashed <= record.crashed
             and report.cleared <= record.cleared
         ):
             return False
-        record = self._record(report.part_id)
+        record = self._record(report.suspect_id)
         self._update(
-            report.part_id,
+            report.suspect_id,
             record.crashed | report.crashed,
             record.cleared | report.cleared,
             now,
         )
-        if self._is_recent(report.part_id, now):
-            self._clear(report.part_id, now)
+        if self._is_recent(report.suspect_id, now):
+            self._clear(report.suspect_id, now)
         return True
 
     def quarantine(
-        self, prompt: instances.Prompt | None, now: float
+        self, suspects: crashes.Suspects, now: float
     ) -> Quarantine | None:
         """Return the quarantine that a request falls under, if any.
 
-        Parts with the same crashes cannot be told apart: a request falls
-        under the quarantine only if it has all of them. A part whose crashes
-        are all explained by another harmful part is not held responsible.
+        Suspects with the same crashes cannot be told apart: a request falls
+        under the quarantine of a part only if it has all of them. A part whose
+        crashes are all explained by another harmful suspect is not held
+        responsible. The quarantine of a whole request concerns no other.
         """
-        if not self._records or prompt is None:
+        if not self._records:
             return None
-        own = {part.part_id for part in prompt.shared_parts}
-        for part_id in own:
-            if not self._is_harmful(part_id, now):
+        if suspects.request is not None and self._is_harmful(
+            suspects.request, now
+        ):
+            return self._quarantine_of(suspects.request)
+        own = set(suspects.all)
+        for suspect_id in suspects.parts:
+            if not self._is_harmful(suspect_id, now):
                 continue
-            record = self._records[part_id]
+            record = self._records[suspect_id]
             others = [
                 (other, found.open)
                 for other, found in self._records.items()
@@ -188,178 +214,221 @@
             if any(crashed > record.open for _, crashed in others):
                 continue
             if own.issuperset(other for other, _ in others):
-                assert record.settled_at is not None
-                return Quarantine(
-                    part_id, record.settled_at, record.quarantined_until
-                )
+                return self._quarantine_of(suspect_id)
         return None
 
-    def stops_retries(self, prompt: instances.Prompt | None) -> bool:
+    def _quarantine_of(self, suspect_id: ids.SuspectId) -> Quarantine:
+        record = self._records[suspect_id]
+        assert record.settled_at is not None
+        return Quarantine(
+            suspect_id, record.settled_at, record.quarantined_until
+        )
+
+    def stops_retries(self, suspects: crashes.Suspects) -> bool:
         """Return whether a request may crash the next server as well."""
-        return prompt is not None and any(
+        return any(
             len(record.open) >= CRASHES_TO_STOP_RETRIES
-            for part in prompt.shared_parts
-            if (record := self._records.get(part.part_id)) is not None
+            for suspect_id in suspects.all
+            if (record := self._records.get(suspect_id)) is not None
         )
 
-    def report(self, part_id: ids.PromptPartId) -> crashes.CrashReport | None:
-        """Return the evidence on a part."""
-        record = self._records.get(part_id)
+    def report(self, suspect_id: ids.SuspectId) -> crashes.CrashReport | None:
+        """Return the evidence on a suspect."""
+        record = self._records.get(suspect_id)
         if record is None:
             return None
-        return crashes.CrashReport(part_id, record.crashed, record.cleared)
+        return crashes.CrashReport(suspect_id, record.crashed, record.cleared)
 
-    def harmful_parts(self, now: float) -> list[ids.PromptPartId]:
-        """Return the parts whose requests are refused, oldest first."""
+    def harmful_suspects(self, now: float) -> list[ids.SuspectId]:
+        """Return the suspects that are refused, oldest first."""
         return [
-            part_id
-            for part_id in self._records
-            if self._is_harmful(part_id, now)
+            suspect_id
+            for suspect_id in self._records
+            if self._is_harmful(suspect_id, now)
         ]
 
-    def parts_to_repeat(self, now: float) -> list[ids.PromptPartId]:
-        """Return the parts that other hosts may not know of, newest last.
+    def suspects_to_repeat(self, now: float) -> list[ids.SuspectId]:
+        """Return the suspects that other hosts may not know of.
 
-        These are parts whose requests are refused, and those whose evidence
-        has changed lately: a crash that only one host knows of brings no part
-        closer to being refused.
+        These are the ones that are refused, and those whose evidence has
+        changed lately: a crash that only one host knows of brings no suspect
+        closer to being refused. Those with most crashes come last, and of
+        these the newest: each crash has many suspects that never have another.
         """
-        parts = [
-            (record.changed_at, part_id)
-            for part_id, record in self._records.items()
+        found = [
+            (len(record.open), record.changed_at, suspect_id)
+            for suspect_id, record in self._records.items()
             if record.changed_at > now - REPEAT_S
-            or self._is_harmful(part_id, now)
+            or self._is_harmful(suspect_id, now)
         ]
-        return [part_id for _, part_id in sorted(parts)]
+        return [suspect_id for _, _, suspect_id in sorted(found)]
 
     async def wait_for_record_change(self) -> None:
-        """Wait until this host finds or clears a harmful part."""
+        """Wait until this host finds or clears a harmful suspect."""
         await self._record_changed.wait()
         self._record_changed = trio.Event()
 
-    def take_cleared(self) -> list[ids.PromptPartId]:
-        """Return the parts in the store that this host has cleared."""
+    def take_cleared(self) -> list[ids.SuspectId]:
+        """Return the suspects in the store that this host has cleared."""
         taken, self._cleared = self._cleared, []
         return taken
 
     def take_unstored(self, now: float) -> list[crashes.CrashReport]:
-        """Return harmful parts that the store lacks, found by this host."""
+        """Return harmful suspects that the store lacks, found here."""
         found = [
-            part_id
-            for part_id in self.harmful_parts(now)
-            if self._records[part_id].seen_here
-            and not self._records[part_id].stored
+            suspect_id
+            for suspect_id in self.harmful_suspects(now)
+            if self._records[suspect_id].seen_here
+            and not self._records[suspect_id].stored
         ]
-        for part_id in found:
-            self._records[part_id].stored = True
+        for suspect_id in found:
+            self._records[suspect_id].stored = True
         return [
             crashes.CrashReport(
-                part_id,
-                self._records[part_id].crashed,
-                self._records[part_id].cleared,
+                suspect_id,
+                self._records[suspect_id].crashed,
+                self._records[suspect_id].cleared,
             )
-            for part_id in found
+            for suspect_id in found
         ]
 
     def stored_reports(self, now: float) -> list[crashes.CrashReport]:
-        """Return the harmful parts that the store held or is to hold."""
+        """Return the harmful suspects that the store held or is to hold."""
         return [
-            crashes.CrashReport(part_id, record.crashed, record.cleared)
-            for part_id, record in self._records.items()
-            if self._is_harmful(part_id, now)
+            crashes.CrashReport(suspect_id, record.crashed, record.cleared)
+            for suspect_id, record in self._records.items()
+            if self._is_harmful(suspect_id, now)
             and (record.stored or record.seen_here)
         ]
 
-    def cleared_parts(self) -> list[ids.PromptPartId]:
-        """Return the parts whose crashes are all cleared."""
+    def cleared_suspects(self) -> list[ids.SuspectId]:
+        """Return the suspects whose crashes are all cleared."""
         return [
-            part_id
-            for part_id, record in self._records.items()
+            suspect_id
+            for suspect_id, record in self._records.items()
             if record.crashed and not record.open
         ]
 
     def merge_stored(self, report: crashes.CrashReport, now: float) -> None:
         """Add evidence from the store."""
         self.merge(report, now)
-        record = self._record(report.part_id)
+        record = self._record(report.suspect_id)
         record.stored = True
         if record.settled_at is not None:
             # It had settled when it was stored.
             record.settled_at = now
 
-    def _is_harmful(self, part_id: ids.PromptPartId, now: float) -> bool:
-        record = self._records.get(part_id)
+    def _is_harmful(self, suspect_id: ids.SuspectId, now: float) -> bool:
+        record = self._records.get(suspect_id)
         return (
             record is not None
             and record.settled_at is not None
             and now < record.quarantined_until
         )
 
-    def _is_recent(self, part_id: ids.PromptPartId, now: float) -> bool:
-        completed_at = self._completed_at.get(part_id, float('-inf'))
+    def _is_recent(self, suspect_id: ids.SuspectId, now: float) -> bool:
+        completed_at = self._completions(suspect_id).last_at(suspect_id)
         return now - completed_at < RECENT_RESPONSE_S
 
-    def _record(self, part_id: ids.PromptPartId) -> _Record:
-        record = self._records.get(part_id)
+    def _completions(self, suspect_id: ids.SuspectId) -> '_Completions':
+        if crashes.is_request(suspect_id):
+            return self._requests_completed
+        return self._parts_completed
+
+    def _record(self, suspect_id: ids.SuspectId) -> _Record:
+        record = self._records.get(suspect_id)
         if record is None:
             while len(self._records) >= MAX_RECORDS:
                 self._drop_oldest()
-            record = self._records[part_id] = _Record()
+            record = self._records[suspect_id] = _Record()
         return record
 
     def _drop_oldest(self) -> None:
         harmless = (
-            part_id
-            for part_id, record in self._records.items()
+            suspect_id
+            for suspect_id, record in self._records.items()
             if record.settled_at is None
         )
         del self._records[next(harmless, next(iter(self._records)))]
 
-    def _clear(self, part_id: ids.PromptPartId, now: float) -> None:
-        record = self._records.get(part_id)
+    def _clear(self, suspect_id: ids.SuspectId, now: float) -> None:
+        record = self._records.get(suspect_id)
         if record is None or not record.open:
             return
-        self._update(part_id, record.crashed, record.crashed, now)
-        self._on_change(part_id)
+        self._update(suspect_id, record.crashed, record.crashed, now)
+        self._on_change(suspect_id)
         if record.stored:
             record.stored = False
-            self._cleared.append(part_id)
+            self._cleared.append(suspect_id)
             self._record_changed.set()
 
     def _update(
         self,
-        part_id: ids.PromptPartId,
+        suspect_id: ids.SuspectId,
         crashed: frozenset[crashes.ServerRun],
         cleared: frozenset[crashes.ServerRun],
         now: float,
     ) -> None:
-        record = self._records[part_id]
+        record = self._records[suspect_id]
         if crashed - record.crashed - cleared:
             record.last_crash_at = now
         if (crashed, cleared) != (record.crashed, record.cleared):
             record.changed_at = now
         record.crashed, record.cleared = crashed, cleared
+        self._records.move_to_end(suspect_id)
         harmful = len(record.open) >= CRASHES_TO_QUARANTINE
         if harmful and record.settled_at is None:
             record.settled_at = now + SETTLE_S
-            _log_harmful(part_id, record)
+            _log_harmful(suspect_id, record)
             if record.seen_here:
                 self._record_changed.set()
         elif not harmful and record.settled_at is not None:
             record.settled_at = None
-            logger.info('prompt part cleared', extra={'part': part_id})
+            _log_cleared(suspect_id)
+
+
+class _Completions:
+    """When responses with a part, or to a request, were last complete."""
+
+    def __init__(self) -> None:
+        self._last_at: collections.OrderedDict[ids.SuspectId, float] = (
+            collections.OrderedDict()
+        )
+
+    def record(self, suspect_id: ids.SuspectId, now: float) -> None:
+        """Record a complete response."""
+        self._last_at[suspect_id] = now
+        self._last_at.move_to_end(suspect_id)
+        if len(self._last_at) > MAX_COMPLETE:
+            self._last_at.popitem(last=False)
+
+    def last_at(self, suspect_id: ids.SuspectId) -> float:
+        """Return the time of the last one; minus infinity without any."""
+        return self._last_at.get(suspect_id, float('-inf'))
+
+
+def _log_cleared(suspect_id: ids.SuspectId) -> None:
+    if crashes.is_request(suspect_id):
+        logger.info('request cleared', extra={'request_hash': suspect_id})
+    else:
+        logger.info('prompt part cleared', extra={'part': suspect_id})
 
 
-def _log_harmful(part_id: ids.PromptPartId, record: _Record) -> None:
+def _log_harmful(suspect_id: ids.SuspectId, record: _Record) -> None:
+    is_request = crashes.is_request(suspect_id)
     logger.warning(
-        'prompt part crashes backend servers',
+        (
+            'request crashes backend servers'
+            if is_request
+            else 'prompt part crashes backend servers'
+        ),
         extra={
-            'part': part_id,
+            'request_hash' if is_request else 'part': suspect_id,
             'engines': sorted(engine_id for engine_id, _ in record.open),
             'quarantine_s': record.quarantine_s,
         },
     )
 
 
-def _do_nothing(part_id: ids.PromptPartId) -> None:
+def _do_nothing(suspect_id: ids.SuspectId) -> None:
     """Do nothing."""
--- a/src/corianderloft/_internal/placement/interface.py
+++ b/src/corianderloft/_internal/placement/interface.py
@@ -41,6 +41,8 @@
         When the caller stops waiting for the answer, on trio's clock.
     prompt : Prompt or None
         Prompt size and parts, for a request to a model.
+    request_suspect : SuspectId or None
+        What identifies the request if it comes again.
     """
 
     request_id: str
@@ -51,6 +53,7 @@
     arrived: float
     deadline: float
     prompt: instances.Prompt | None = None
+    request_suspect: ids.SuspectId | None = None
 
     @property
     def urgency(self) -> int:
--- a/tests/unit/gateway/test_crash_messages.py
+++ b/tests/unit/gateway/test_crash_messages.py
@@ -9,6 +9,7 @@
 
 from corianderloft._internal.gateway import crash_messages
 from corianderloft._internal.gateway import load_messages
+from corianderloft._internal.models import crashes
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import instances
 from corianderloft._internal.placement import crash_evidence
@@ -27,7 +28,7 @@
         own = instances.PromptPart(ids.PromptPartId('own'), 1)
         shared = instances.PromptPart(ids.PromptPartId(part), 1)
         self.evidence.record_crash(
-            instances.Prompt(2, 1, (shared, own)),
+            crashes.suspects_of(instances.Prompt(2, 1, (shared, own))),
             (ids.EngineId(f'e-{number}'), number),
             1.0,
         )
@@ -112,7 +113,9 @@
     send(host, Scope.HOST, other)
     shared = instances.PromptPart(ids.PromptPartId('bad'), 1)
     own = instances.PromptPart(ids.PromptPartId('own'), 1)
-    host.evidence.record_complete(instances.Prompt(2, 1, (shared, own)), 20.0)
+    host.evidence.record_complete(
+        crashes.suspects_of(instances.Prompt(2, 1, (shared, own))), 20.0
+    )
     send(host, Scope.HOST)
     await trio.sleep(21.0)
     send(host, Scope.HOST, other, full=True)
