Stop requests that crash servers on the project's own interface

Cause: neither calls nor completions of the own interface kept any evidence on crashes, so a request that ends its servers went on to the next one. A seed that the host chose does not count as part of a request. Each host keeps its own evidence.

--- a/src/corianderloft/_internal/entry/attempts.py
+++ b/src/corianderloft/_internal/entry/attempts.py
@@ -76,6 +76,7 @@
         self._attempt_record = attempt_record
         self._task = task
         self._closed = False
+        self._failure: outbound.Failure | None = None
         self._sent_priority = grant.priority
         self._event_buffer = sse.EventBuffer()
         self._first_token_timeout_s = timeouts.first_token_timeout(
@@ -293,7 +294,13 @@
             self._call.ticket.idempotent,
         )
 
+    @property
+    def failure(self) -> outbound.Failure | None:
+        """How the attempt failed; None if it did not."""
+        return self._failure
+
     def _record_failure(self, failure: outbound.Failure) -> outbound.Failure:
+        self._failure = failure
         self._attempt_record.end = failure.end
         self._attempt_record.may_have_run = failure.may_have_run
         return failure
--- a/src/corianderloft/_internal/entry/chat.py
+++ b/src/corianderloft/_internal/entry/chat.py
@@ -2,15 +2,19 @@
 
 import dataclasses
 
+import orjson
 import trio
 
 from corianderloft._internal.decisions import interface
 from corianderloft._internal.entry import attempts
+from corianderloft._internal.entry import calls
 from corianderloft._internal.entry import components as host_components
+from corianderloft._internal.entry import crash_guard
 from corianderloft._internal.entry import hedging
 from corianderloft._internal.entry import responses
 from corianderloft._internal.entry import retrying
 from corianderloft._internal.metrics import reasons as counts
+from corianderloft._internal.models import crashes
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import reasons
 from corianderloft._internal.models import requests
@@ -48,12 +52,23 @@
         self._failed_engines: set[ids.EngineId] = set()
         self._model_version: ids.ModelVersion | None = response.model
         self._attempt_count = 0
+        self._crash_guard = crash_guard.CrashGuard(
+            components.crashes,
+            _suspect(self._call),
+            self._record,
+            components.settings.backends.connect_time,
+        )
 
     async def run(self) -> Completed | requests.Refused:
         """Attempt the request until it is complete or refused."""
         ticket = self._remaining_ticket()
         while True:
+            refused = await self._crash_guard.refusal()
+            if refused is not None:
+                return refused
             result = await self._run_attempts(ticket)
+            if isinstance(result, Completed):
+                self._crash_guard.record_complete()
             if isinstance(result, (Completed, requests.Refused)):
                 return result
             decision = retrying.decide(
@@ -63,6 +78,8 @@
                 self._attempt_count,
                 self._response.tokens,
             )
+            if self._crash_guard.stops_retries():
+                decision = retrying.CRASHES
             if isinstance(decision, interface.GiveUp):
                 return retrying.give_up(
                     result,
@@ -91,6 +108,8 @@
                 a.backend.engine_id for a in result.attempts
             }
             self._attempt_count += len(result.attempts)
+            for attempt in result.attempts:
+                await self._check_crash(attempt)
             return (
                 self._with_run_state(result.last_failure)
                 if isinstance(result.last_failure, requests.Refused)
@@ -114,12 +133,20 @@
             end = failure.end if failure else interface.AttemptEnd.COMPLETE
             self._failed_engines.add(attempt.backend.engine_id)
             self._attempt_count += 1
+            await self._check_crash(attempt)
             return Completed() if failure is None else failure
         finally:
             if self._response.complete:
                 end = interface.AttemptEnd.COMPLETE
             await attempt.close(end)
 
+    async def _check_crash(self, attempt: attempts.Attempt) -> None:
+        failure = attempt.failure
+        if failure is not None:
+            await self._crash_guard.check(
+                attempt.backend, failure.end, failure.may_have_run
+            )
+
     async def _begin_attempt(
         self, ticket: requests.Ticket
     ) -> attempts.Attempt | requests.Refused:
@@ -184,3 +211,21 @@
         if self._record.run_state() is states.RunState.NOT_RUN:
             return refused
         return dataclasses.replace(refused, run=self._record.run_state())
+
+
+def _suspect(call: calls.ChatCall) -> ids.SuspectId:
+    """Return what identifies a request if its caller sends it again.
+
+    A seed that the caller did not set is new each time.
+    """
+    body = {
+        name: value
+        for name, value in call.body.items()
+        if name != 'seed' or call.seeded
+    }
+    return crashes.request_suspect(
+        'POST',
+        call.ticket.service.encode(),
+        call.ticket.workspace,
+        orjson.dumps(body, option=orjson.OPT_SORT_KEYS),
+    )
--- a/src/corianderloft/_internal/entry/components.py
+++ b/src/corianderloft/_internal/entry/components.py
@@ -12,6 +12,7 @@
 from corianderloft._internal.network import connections
 from corianderloft._internal.network import outbound
 from corianderloft._internal.network import silence
+from corianderloft._internal.placement import crash_evidence
 from corianderloft._internal.settings import root
 from corianderloft._internal.shared import interface as shared_state
 
@@ -42,6 +43,8 @@
         Records of recent requests.
     inflight : InFlightRequests
         Requests in flight.
+    crashes : CrashEvidence
+        Requests that crash backend servers, as seen by this host.
     """
 
     settings: root.Settings
@@ -53,6 +56,7 @@
     responses: responses.ResponseStore
     records: records.RecordStore
     inflight: inflight.InFlightRequests
+    crashes: crash_evidence.CrashEvidence
 
 
 def build_components(
@@ -84,4 +88,5 @@
         ),
         records=records.RecordStore(settings.operators.explained_requests),
         inflight=inflight.InFlightRequests(),
+        crashes=crash_evidence.CrashEvidence(),
     )
--- a/src/corianderloft/_internal/entry/plain.py
+++ b/src/corianderloft/_internal/entry/plain.py
@@ -10,10 +10,12 @@
 from corianderloft._internal.entry import backend_responses
 from corianderloft._internal.entry import calls
 from corianderloft._internal.entry import components as host_components
+from corianderloft._internal.entry import crash_guard
 from corianderloft._internal.entry import records
 from corianderloft._internal.entry import retrying
 from corianderloft._internal.entry import timeouts
 from corianderloft._internal.models import backends
+from corianderloft._internal.models import crashes
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import reasons
 from corianderloft._internal.models import requests
@@ -78,6 +80,17 @@
         self._record = record
         self._failed_engines: set[ids.EngineId] = set()
         self._claim_valid_until = math.inf
+        self._crash_guard = crash_guard.CrashGuard(
+            components.crashes,
+            crashes.request_suspect(
+                f'{call.method} {call.ticket.service}',
+                call.target,
+                call.ticket.workspace,
+                call.body,
+            ),
+            record,
+            components.settings.backends.connect_time,
+        )
 
     async def run(self) -> PlainResult:
         """Return the response; with an idempotency key, run at most once."""
@@ -124,6 +137,9 @@
     async def _send(self) -> PlainResult:
         ticket = self._call.ticket
         for count in range(1, MAX_ATTEMPTS + 1):
+            refused = await self._crash_guard.refusal()
+            if refused is not None:
+                return refused
             grant = await self._components.dispatcher.acquire(
                 ticket, self._failed_engines
             )
@@ -134,10 +150,16 @@
                 return self._claim_expired()
             result = await self._run_attempt(grant)
             if isinstance(result, PlainResponse):
+                self._crash_guard.record_complete()
                 return result
+            await self._crash_guard.check(
+                grant.backend, result.end, result.may_have_run
+            )
             decision = retrying.decide(
                 self._components.dispatcher, ticket, result, count
             )
+            if self._crash_guard.stops_retries():
+                decision = retrying.CRASHES
             if isinstance(decision, interface.GiveUp):
                 return retrying.give_up(
                     result,
--- a/src/corianderloft/_internal/entry/refusals.py
+++ b/src/corianderloft/_internal/entry/refusals.py
@@ -33,6 +33,7 @@
     _Reason.CLAIM_UNAVAILABLE: 503,
     _Reason.CLAIM_IN_PROGRESS: 409,
     _Reason.KEY_REUSED: 409,
+    _Reason.CRASHES_BACKENDS: 503,
     _Reason.RETRIES_EXHAUSTED: 502,
     _Reason.BACKEND_ERROR: 502,
     _Reason.OUTCOME_UNKNOWN: 504,
--- a/src/corianderloft/_internal/entry/retrying.py
+++ b/src/corianderloft/_internal/entry/retrying.py
@@ -13,12 +13,16 @@
 _Reason = reasons.RefusalReason
 _RetryRefusal = reasons.RetryRefusalReason
 
+CRASHES = interface.GiveUp(_RetryRefusal.CRASHES_BACKENDS)
+"""Decision on a request that may crash the next backend server as well."""
+
 REFUSAL_REASONS: dict[reasons.RetryRefusalReason, reasons.RefusalReason] = {
     _RetryRefusal.NOT_IDEMPOTENT: _Reason.OUTCOME_UNKNOWN,
     _RetryRefusal.BUDGET: _Reason.RETRIES_EXHAUSTED,
     _RetryRefusal.DEADLINE: _Reason.DEADLINE,
     _RetryRefusal.ATTEMPTS: _Reason.RETRIES_EXHAUSTED,
     _RetryRefusal.NO_OTHER_BACKEND: _Reason.BACKEND_ERROR,
+    _RetryRefusal.CRASHES_BACKENDS: _Reason.RETRIES_EXHAUSTED,
 }
 """Refusal reason sent to the caller, by reason for not retrying."""
 
--- a/src/corianderloft/_internal/models/reasons.py
+++ b/src/corianderloft/_internal/models/reasons.py
@@ -25,6 +25,7 @@
     CLAIM_UNAVAILABLE = 'claim_unavailable'
     CLAIM_IN_PROGRESS = 'claim_in_progress'
     KEY_REUSED = 'key_reused'
+    CRASHES_BACKENDS = 'crashes_backends'
     RETRIES_EXHAUSTED = 'retries_exhausted'
     BACKEND_ERROR = 'backend_error'
     OUTCOME_UNKNOWN = 'outcome_unknown'
@@ -51,3 +52,4 @@
     DEADLINE = 'deadline'
     ATTEMPTS = 'attempts'
     NO_OTHER_BACKEND = 'no_other_backend'
+    CRASHES_BACKENDS = 'crashes_backends'
--- a/tests/lib/engines.py
+++ b/tests/lib/engines.py
@@ -128,8 +128,15 @@
         self.seen: list[ReceivedRequest] = []
         self.connections = 0
         self.streams: list[trio.SocketStream] = []
+        self.scope = trio.CancelScope()
         self.cancelled = trio.Event()
 
+    async def crash(self) -> None:
+        """End all connections and accept no new ones."""
+        for stream in self.streams:
+            await trio.aclose_forcefully(stream)
+        self.scope.cancel()
+
     async def handle(self, stream: trio.SocketStream) -> None:
         """Run the script for each request on one connection."""
         self.connections += 1
@@ -155,7 +162,7 @@
     """Start a scripted engine; return it and its backend server entry."""
     engine = Engine(script)
     listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
-    nursery.start_soon(trio.serve_listeners, engine.handle, listeners)
+    nursery.start_soon(_serve, engine, listeners)
     backend = backends.Backend(
         ids.EngineId(name),
         ids.ServiceName(service),
@@ -168,6 +175,11 @@
     return engine, backend
 
 
+async def _serve(engine: Engine, listeners: list[trio.SocketListener]) -> None:
+    with engine.scope:
+        await trio.serve_listeners(engine.handle, listeners)
+
+
 def event(number: int) -> bytes:
     """Return the server-sent event of a token, equal on all engines."""
     chunk = {'choices': [{'delta': {'content': f't{number} \\nid: 99'}}]}
