Give requests refused by outdated declarations a reason of their own

Cause: the refusal of an unknown key or route by a host that lacks a later version used the reason of a view that is too old to honour keys. Change: the reason is 'outdated_declarations'. The test asserts of it what it asserts of 401: such refusals end when the declarations must be in force.

--- a/src/corianderloft/_internal/gateway/app.py
+++ b/src/corianderloft/_internal/gateway/app.py
@@ -161,7 +161,9 @@
         if route.public or not table.has_workspaces:
             return None
         if not self._view.is_current():
-            return _outdated()
+            return refusals.Refusal(
+                refusals.Reason.STALE_KEYS, RETRY_AFTER_S, True
+            )
         workspace = table.keys.get(head.key or '')
         if workspace is None:
             return self._deny(refusals.Reason.UNKNOWN_KEY)
@@ -282,7 +284,7 @@
 
 def _outdated() -> refusals.Refusal:
     """Return the refusal by a host that may lack the newest declarations."""
-    return refusals.Refusal(refusals.Reason.STALE_KEYS, RETRY_AFTER_S, True)
+    return refusals.Refusal(refusals.Reason.OUTDATED, RETRY_AFTER_S, True)
 
 
 def _tier(
--- a/src/corianderloft/_internal/gateway/refusals.py
+++ b/src/corianderloft/_internal/gateway/refusals.py
@@ -11,6 +11,7 @@
 
     NOT_READY = 'not_ready'
     STALE_KEYS = 'stale_keys'
+    OUTDATED = 'outdated_declarations'
     UNKNOWN_ROUTE = 'unknown_route'
     UNKNOWN_KEY = 'unknown_key'
     TOO_LARGE = 'too_large'
@@ -29,6 +30,7 @@
 _STATUS = {
     Reason.NOT_READY: 503,
     Reason.STALE_KEYS: 503,
+    Reason.OUTDATED: 503,
     Reason.UNKNOWN_ROUTE: 404,
     Reason.UNKNOWN_KEY: 401,
     Reason.TOO_LARGE: 413,
--- a/tests/functional/test_deployment_variants.py
+++ b/tests/functional/test_deployment_variants.py
@@ -88,3 +88,9 @@
         record for record in result.records if record.status == 401
     ]
     assert all(record.sent_at < in_force for record in unauthorized)
+    outdated = [
+        record
+        for record in result.records
+        if b'outdated_declarations' in record.body
+    ]
+    assert all(record.sent_at < in_force for record in outdated)
--- a/tests/unit/gateway/test_large_declarations.py
+++ b/tests/unit/gateway/test_large_declarations.py
@@ -129,3 +129,4 @@
         await trio.sleep(0.7)
         answer = await system.request(target='/added/1')
     assert answer.status == 503
+    assert b'outdated_declarations' in answer.body
