Forget withdrawn versions everywhere; follow a delegate that is back

Cause: a host passed on the newest version that it had ever heard of, so one that was withdrawn would have stopped each host that starts later for ten seconds; and since hosts no longer read the store after the loss of their delegate, one that the store refuses polled a delegate that was back once for each of its own failed calls until the cooldown ended. Change: only versions that a host has or still waits for are passed on; a host whose source replies with sound evidence ends its cooldown. Tests: test_a_version_that_never_comes_is_given_up, test_a_delegate_that_replies_again_is_followed_at_once (fails without the change).

--- a/src/corianderloft/_internal/gateway/following.py
+++ b/src/corianderloft/_internal/gateway/following.py
@@ -345,6 +345,7 @@
                     events.clear()
                     if self._view.heard_age() > self._max_evidence_age():
                         return self._leave_stale(delegate)
+                    self._failed_until.pop(delegate.host_id, None)
                     if self._host_to_follow() != delegate:
                         return FollowResult.SWITCH_SOURCE
                 elif isinstance(item, peer_changes.Gap):
--- a/src/corianderloft/_internal/gateway/later_versions.py
+++ b/src/corianderloft/_internal/gateway/later_versions.py
@@ -29,13 +29,18 @@
             collections.deque()
         )
 
-    def newest(self, own_version: int) -> int:
-        """Return the newest version that this host knows of."""
-        return max(self._newest, own_version)
+    def newest(self, own_version: int, now: float) -> int:
+        """Return the newest version that this host has or waits for.
+
+        What it does not wait for any more must not reach other hosts anew.
+        """
+        if self.missing_for(own_version, now) is None:
+            return own_version
+        return self._missing[-1][0]
 
     def note(self, version: int, own_version: int, now: float) -> None:
         """Record that another host has a version in force."""
-        if version <= self.newest(own_version):
+        if version <= max(self._newest, own_version):
             return
         self._newest = version
         if len(self._missing) < MAX_VERSIONS:
--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -138,7 +138,7 @@
 
     def newest_version(self) -> int:
         """Return the newest version that this or another host has."""
-        return self._later_versions.newest(self.version)
+        return self._later_versions.newest(self.version, clock.now())
 
     def use_version(self, version: int) -> None:
         """Use the version that another host has, or knows of."""
--- a/tests/unit/gateway/test_following.py
+++ b/tests/unit/gateway/test_following.py
@@ -313,6 +313,33 @@
     assert scene.store.reads <= 20
 
 
+async def test_a_delegate_that_replies_again_is_followed_at_once(
+    scene, monkeypatch, autojump_clock
+):
+    # It was polled once for each failed call to the store.
+    async def watch(host, after, on_receive=None):
+        scene.peers.polls.append((host.host_id, after))
+        if len(scene.peers.polls) < 3:
+            yield kv.WatchEnded('no reply', after)
+            return
+        while True:
+            await trio.sleep(peer_changes.LONG_POLL_S)
+            yield kv.WatchProgress(after, clock.now())
+
+    monkeypatch.setattr(peer_changes, 'watch', watch)
+    monkeypatch.setattr(following, 'PEER_COOLDOWN_S', 60.0)
+
+    async def refuse_later():
+        await trio.sleep(0.5)
+        scene.store.unavailable = True
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(refuse_later)
+        scene.store.watch = _failing_watch(scene.store)
+        await _run(scene, 30)
+    assert len(scene.peers.polls) == 3
+
+
 async def test_a_gap_causes_one_read_and_the_host_keeps_following(
     scene, autojump_clock
 ):
--- a/tests/unit/gateway/test_later_versions.py
+++ b/tests/unit/gateway/test_later_versions.py
@@ -28,7 +28,7 @@
 def test_a_version_is_missing_since_the_first_word_of_it():
     record = noted((5, 1.0), (5, 2.0), (4, 2.5), (7, 3.0))
     assert record.missing_for(OWN, 3.5) == 2.5
-    assert record.newest(OWN) == 7
+    assert record.newest(OWN, 3.5) == 7
 
 
 def test_a_version_that_arrived_is_not_missing():
@@ -39,7 +39,11 @@
 
 def test_a_version_that_never_comes_is_given_up():
     record = noted((5, 1.0))
-    assert record.missing_for(OWN, 1.0 + later_versions.BELIEF_S) is None
+    end = 1.0 + later_versions.BELIEF_S
+    assert record.missing_for(OWN, end) is None
+    assert record.newest(OWN, end) == OWN
+    record.note(5, OWN, end + 1.0)
+    assert record.missing_for(OWN, end + 1.0) is None
 
 
 @hypothesis.given(st.floats(1.0, 20.0))
