Let a delegate be killed in the middle of a reply in the test of narrow links

The property test drew a delegate that freezes, or refuses connections, but a reply on its way was only held up. Now it is cut if the process is gone.

--- a/tests/lib/narrow_network.py
+++ b/tests/lib/narrow_network.py
@@ -37,7 +37,11 @@
 
 
 class Site:
-    """A server: a coroutine that maps a target to a status and a body."""
+    """A server: a coroutine that maps a target to a status and a body.
+
+    While it is frozen it sends nothing; if it refuses, its process is gone and
+    replies that are on their way are cut.
+    """
 
     def __init__(self, link, handle):
         self.link = link
@@ -94,6 +98,9 @@
                 body,
             )
             for start in range(0, len(data), CHUNK_BYTES):
+                if self._site.fails() and self._site.refuses:
+                    await self._send.aclose()
+                    return
                 if self._site.fails():
                     await trio.sleep_until(self._site.frozen[1])
                 chunk = data[start : start + CHUNK_BYTES]
@@ -101,7 +108,10 @@
                 await self._send.send(chunk)
 
     async def read(self, max_bytes, timeout=None):
-        chunk = await self._receive.receive()
+        try:
+            chunk = await self._receive.receive()
+        except trio.EndOfChannel as exc:
+            raise httpcore.ReadError('the connection was reset') from exc
         await trio.sleep_until(self._link.reserve(len(chunk)))
         return chunk
 
