Budget for the whole interval between two datagrams

Cause: NOTICE_S was 0.5 s, and the datagrams that tell of versions leave every 0.53 s at the most; nothing tied the two together.

--- a/src/corianderloft/_internal/gateway/change_budget.py
+++ b/src/corianderloft/_internal/gateway/change_budget.py
@@ -41,9 +41,10 @@
 SEND_S = 0.1
 """From the last check of a server's state until a request arrives there."""
 
-NOTICE_S = 0.5
-"""From when another host has declarations in force until this host hears of
-that; the interval between datagrams with the full state."""
+NOTICE_S = 0.6
+"""From when another host of the group has declarations in force until this
+host hears of that; longer than the interval between datagrams with the full
+state."""
 
 ENCODING_RATIO = 4 / 3
 """Size of a value in a reply of the store, which is base64, to its size."""
--- a/tests/unit/gateway/test_later_versions.py
+++ b/tests/unit/gateway/test_later_versions.py
@@ -11,6 +11,7 @@
 
 from corianderloft._internal.gateway import change_budget
 from corianderloft._internal.gateway import later_versions
+from corianderloft._internal.gateway import load_exchange
 from corianderloft._internal.gateway import load_messages
 from corianderloft._internal.models import ids
 
@@ -58,6 +59,11 @@
     )
 
 
+def test_word_of_a_version_comes_with_a_datagram_in_time():
+    interval = load_exchange.REFRESH_INTERVAL_S
+    assert interval + load_exchange.SEND_INTERVAL_S <= change_budget.NOTICE_S
+
+
 def test_without_a_bound_nothing_is_overdue():
     assert change_budget.max_missing_time(math.inf) == math.inf
 
