--- a/src/corianderloft/_internal/gateway/view.py
+++ b/src/corianderloft/_internal/gateway/view.py
@@ -5,12 +5,10 @@
 import logging
 import math
 
-from corianderloft._internal.gateway import change_budget
-from corianderloft._internal.gateway import confirmation
 from corianderloft._internal.gateway import crash_messages
+from corianderloft._internal.gateway import declared_copy
 from corianderloft._internal.gateway import departures
 from corianderloft._internal.gateway import entry_log
-from corianderloft._internal.gateway import later_versions
 from corianderloft._internal.gateway import layout
 from corianderloft._internal.gateway import outages
 from corianderloft._internal.kv import eras
@@ -19,7 +17,6 @@
 from corianderloft._internal.models import instances
 from corianderloft._internal.models import listener
 from corianderloft._internal.models import members
-from corianderloft._internal.models import routing
 from corianderloft._internal.models import states
 from corianderloft._internal.utils import clock
 
@@ -50,7 +47,7 @@
     until: float
 
 
-class View(confirmation.ConfirmedCopy):
+class View(declared_copy.DeclaredCopy):
     """Local copy of the store, with the time of its last confirmation.
 
     Parameters
@@ -70,16 +67,6 @@
     apply_time : float
         Maximum time until declarations take effect, in seconds; infinite if
         unspecified.
-
-    Attributes
-    ----------
-    table : RoutingTable or None
-        Current declarations; None until the first were read.
-    declaration_bytes : int
-        Size of their entry in the store.
-    apply_s : float
-        Time that they took from their entry until they were in force, in
-        seconds.
     """
 
     def __init__(
@@ -91,16 +78,13 @@
         min_outage: float = 0.0,
         apply_time: float = math.inf,
     ) -> None:
-        super().__init__(min_outage)
-        self._apply_time = apply_time
-        self._later_versions = later_versions.LaterVersions()
+        super().__init__(min_outage, revocation_time, apply_time)
         self._layout = store_layout
         self._entry_expiry = entry_expiry
         self._own_key = own_key
         self._departures = departures.Departures()
         self._held: dict[str, _HeldEntry] = {}
         self._entering_era = False
-        self._revocation_time = revocation_time
         self._items: dict[str, kv.KeyValue] = {}
         self._missing: dict[str, _MissingEntry] = {}
         self._instances: dict[str, instances.Instance] = {}
@@ -109,9 +93,6 @@
         self._settled_at = float('-inf')
         self._required_version = 0
         self._required_until = float('-inf')
-        self.table: routing.RoutingTable | None = None
-        self.declaration_bytes = 0
-        self.apply_s = 0.0
 
     def add_listener(self, subscriber: listener.Listener) -> None:
         """Notify a listener of all later changes."""
@@ -131,56 +112,6 @@
         """Return whether the store holds an entry, as known here."""
         return key in self._items
 
-    @property
-    def version(self) -> int:
-        """Version of the declarations in force; 0 before the first."""
-        return 0 if self.table is None else self.table.version
-
-    def newest_version(self) -> int:
-        """Return the newest version that this or another host has."""
-        return self._later_versions.newest(self.version, clock.now())
-
-    def use_version(self, version: int) -> None:
-        """Use the version that another host has, or knows of."""
-        self._later_versions.note(version, self.version, clock.now())
-
-    def use_bounds(
-        self, revocation_time: float | None, apply_time: float
-    ) -> None:
-        """Change how long a revoked key or an old version may be used.
-
-        Parameters
-        ----------
-        revocation_time : float or None
-            Maximum time for which a revoked key may be honoured, in seconds.
-        apply_time : float
-            Maximum time until declarations take effect, in seconds.
-        """
-        self._revocation_time = revocation_time
-        self._apply_time = apply_time
-
-    def is_overdue(self) -> bool:
-        """Return whether a later version should have arrived by now."""
-        missing_for = self._missing_for()
-        return missing_for is not None and missing_for > (
-            change_budget.max_missing_time(self._apply_time)
-        )
-
-    def can_deny(self) -> bool:
-        """Return whether a route or key that is not known does not exist.
-
-        A later version may have it, and so may one that this host has not
-        heard of, if nothing has confirmed the view in time.
-        """
-        if self._missing_for() is not None or not self.is_current():
-            return False
-        return self.age() < change_budget.max_denial_age(
-            self._apply_time, self._store_failing
-        )
-
-    def _missing_for(self) -> float | None:
-        return self._later_versions.missing_for(self.version, clock.now())
-
     def is_current(self) -> bool:
         """Return whether the view is fresh enough to honour keys."""
         if self.table is None or self.is_overdue():
@@ -458,16 +389,6 @@
             },
         )
 
-    def _is_newer_table(self, table: routing.RoutingTable) -> bool:
-        """Return whether declarations are to replace those in force.
-
-        A store that came back from a copy may hold older ones. A version
-        that it lost may be given out again for other declarations.
-        """
-        if self.table is None or table.version > self.table.version:
-            return True
-        return table.version == self.table.version and table != self.table
-
     def _apply_removal(self, key: str) -> None:
         if not self._may_be_lease_expiry(key):
             self._drop_entry(key)
