--- a/src/corianderloft/_internal/gateway/settings.py
+++ b/src/corianderloft/_internal/gateway/settings.py
@@ -1,6 +1,7 @@
 """Settings of a gateway process."""
 
 import dataclasses
+import enum
 
 from corianderloft._internal.models import ids
 
@@ -73,6 +74,58 @@
     min_lease_ttl: float = 0.0
 
 
+class DutyKind(enum.Enum):
+    """Calls to the platform's API that one host at a time may make."""
+
+    USAGE = 'usage'
+    SCALING = 'scaling'
+
+
+@dataclasses.dataclass(frozen=True)
+class PlatformApi:
+    """Connection settings of the platform's API.
+
+    Attributes
+    ----------
+    address : str
+        IP address.
+    port : int
+        TCP port.
+    duties : frozenset of DutyKind
+        Duties that the platform asks for.
+    calls_per_s : float
+        Calls per second that it accepts from all hosts together.
+    """
+
+    address: str
+    port: int
+    duties: frozenset[DutyKind]
+    calls_per_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class DutyBounds:
+    """Guarantees of the deployment for duties of one host at a time.
+
+    Attributes
+    ----------
+    lease_time : float
+        Time in which the holder may not change to another host and back, in
+        seconds.
+    report_window : float
+        Length of a window of usage in seconds.
+    usage_delay : float
+        Time after the end of a window in which its usage is due, in seconds.
+    fencing_checked : bool
+        Whether the platform rejects calls with an outdated fencing token.
+    """
+
+    lease_time: float
+    report_window: float
+    usage_delay: float
+    fencing_checked: bool
+
+
 @dataclasses.dataclass(frozen=True)
 class GatewaySettings:
     """Settings of one gateway process.
@@ -97,6 +150,14 @@
         Connection settings of the platform's store.
     link_kbps : int
         Bandwidth of the link of this host, in kbit/s; 0 if unknown.
+    platform_api : PlatformApi or None
+        Set if the platform asks for duties.
+    duty_bounds : DutyBounds or None
+        Set together with ``platform_api``.
+    memory_bytes : int
+        Memory that this process may use, in bytes; 0 if unknown.
+    memory_admission : bool
+        Whether requests are admitted by the memory that engines have left.
     """
 
     host_id: ids.HostId
@@ -111,3 +172,7 @@
     bounds: Bounds
     store: Store
     link_kbps: int = 0
+    platform_api: PlatformApi | None = None
+    duty_bounds: DutyBounds | None = None
+    memory_bytes: int = 0
+    memory_admission: bool = False
--- a/src/corianderloft/_internal/models/instances.py
+++ b/src/corianderloft/_internal/models/instances.py
@@ -29,6 +29,11 @@
         Maximum number of requests processed concurrently.
     state : BackendState
         Whether it accepts new requests.
+    reclaimable : bool
+        Whether the platform may take it away at short notice.
+    leaves_after : float or None
+        Time after which it ends, in seconds, as of its newest entry; None if
+        it has not said so.
     """
 
     engine_id: ids.EngineId
@@ -39,6 +44,8 @@
     failure_domain: ids.FailureDomain
     slots: int
     state: states.BackendState
+    reclaimable: bool = False
+    leaves_after: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/corianderloft/_internal/models/routing.py
+++ b/src/corianderloft/_internal/models/routing.py
@@ -94,6 +94,30 @@
     memory_tokens: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Scaling:
+    """How many engines of a service may be ordered, and their prices.
+
+    Attributes
+    ----------
+    min_engines, max_engines : int
+        Bounds on the engines of both kinds together in one failure domain.
+    boot_time : float
+        Time from an order until a new engine serves, in seconds.
+    reclaimable_price : float or None
+        Price of a reclaimable engine as a fraction of the price of an
+        on-demand one; None if there are no reclaimable engines.
+    prices : dict
+        Price of one second of an on-demand engine by failure domain.
+    """
+
+    min_engines: int
+    max_engines: int
+    boot_time: float
+    reclaimable_price: float | None
+    prices: collections.abc.Mapping[ids.FailureDomain, float]
+
+
 @dataclasses.dataclass(frozen=True)
 class RoutedService:
     """A service behind the gateway.
@@ -109,12 +133,15 @@
         all hosts together.
     model : ModelService or None
         Set when its backend servers are model engines.
+    scaling : Scaling or None
+        Set when its engines can be ordered from the platform.
     """
 
     name: ids.ServiceName
     health_path: str
     max_connections: int
     model: ModelService | None
+    scaling: Scaling | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/corianderloft/_internal/platform/configuration.py
+++ b/src/corianderloft/_internal/platform/configuration.py
@@ -1,6 +1,7 @@
 """The operator's configuration document."""
 
 import functools
+import logging
 import math
 import typing
 
@@ -8,6 +9,12 @@
 
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import routing
+from corianderloft._internal.utils import integers
+
+logger = logging.getLogger(__name__)
+
+MAX_ENGINES = 10**6
+"""Bound on the engines of a service in one failure domain."""
 
 MAX_KNOWN_ROUTES = 8192
 """Routes that are kept decoded: most are the same in the next version, and a
@@ -114,4 +121,52 @@
             if engine
             else None
         ),
+        scaling=_scaling(service),
     )
+
+
+def _scaling(service: _Document) -> routing.Scaling | None:
+    """Return the bounds and prices of a service; None if none are valid."""
+    scaling = service.get('scaling')
+    if scaling is None:
+        return None
+    try:
+        return _valid_scaling(scaling)
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        logger.warning(
+            'engines of a service cannot be ordered',
+            extra={'service': service['name'], 'cause': repr(exc)},
+        )
+        return None
+
+
+def _valid_scaling(scaling: _Document) -> routing.Scaling:
+    min_engines = integers.bounded(scaling['min'], 0, MAX_ENGINES)
+    max_engines = integers.bounded(scaling['max'], 0, MAX_ENGINES)
+    if min_engines > max_engines:
+        raise ValueError(f'min {min_engines} exceeds max {max_engines}')
+    reclaimable_price = scaling.get('spot_price')
+    prices = {
+        ids.FailureDomain(domain): _non_negative(price)
+        for domain, price in scaling['zone_prices'].items()
+    }
+    return routing.Scaling(
+        min_engines=min_engines,
+        max_engines=max_engines,
+        boot_time=_non_negative(scaling['boot_time_s']),
+        reclaimable_price=(
+            None
+            if reclaimable_price is None
+            else _non_negative(reclaimable_price)
+        ),
+        prices=prices,
+    )
+
+
+def _non_negative(value: typing.Any) -> float:
+    """Return a number that must be finite and not negative."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f'{value!r} is not a number')
+    if not 0 <= value < math.inf:
+        raise ValueError(f'{value!r} is out of range')
+    return float(value)
--- a/src/corianderloft/_internal/platform/entries.py
+++ b/src/corianderloft/_internal/platform/entries.py
@@ -12,6 +12,9 @@
 MAX_SLOTS = 10**6
 MAX_PORT = 65535
 
+MAX_LEAVES_AFTER_S = 86_400.0
+"""Bound on the time that an engine states until its end."""
+
 _STATES = {
     'ready': states.BackendState.LIVE,
     'draining': states.BackendState.LEAVING,
@@ -32,11 +35,20 @@
             failure_domain=ids.FailureDomain(_text(entry['zone'])),
             slots=integers.bounded(entry['slots'], 1, MAX_SLOTS),
             state=_STATES[entry['state']],
+            reclaimable=entry.get('spot') is True,
+            leaves_after=_leaves_after(entry.get('leaves_ms')),
         )
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
 
 
+def _leaves_after(value: object) -> float | None:
+    """Return a time in seconds; None if it is not a number of milliseconds."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    return min(max(0.0, value / 1000), MAX_LEAVES_AFTER_S)
+
+
 def encode_member(member: members.Member) -> bytes:
     """Return the store entry of an entry host."""
     return orjson.dumps(
--- a/src/corianderloft/_internal/platform/settings.py
+++ b/src/corianderloft/_internal/platform/settings.py
@@ -1,5 +1,6 @@
 """Settings file that the users' platform writes for each process."""
 
+import collections.abc
 import dataclasses
 import math
 import os
@@ -89,9 +90,65 @@
         bounds=_bounds(data['bounds'], data.get('heartbeat_ms')),
         store=_store(data['platform']),
         link_kbps=_link_kbps(data['limits']),
+        platform_api=_platform_api(data),
+        duty_bounds=_duty_bounds(data),
+        memory_bytes=_memory_bytes(data['limits']),
+        memory_admission=PRESSURE in _contracts(data),
     )
 
 
+DUTIES = 'leader'
+PRESSURE = 'pressure'
+"""Names in the list of contracts: the platform asks for duties; engines end
+if the requests that they hold exceed their memory."""
+
+_DUTY_KINDS = {
+    'usage_report': settings.DutyKind.USAGE,
+    'autoscale': settings.DutyKind.SCALING,
+}
+
+
+def _contracts(data: typing.Any) -> collections.abc.Collection[str]:
+    return data.get('contracts') or ()
+
+
+def _platform_api(data: typing.Any) -> settings.PlatformApi | None:
+    """Return the settings of the platform's API; None if it has no duties."""
+    api = data.get('cloud')
+    if DUTIES not in _contracts(data) or not api:
+        return None
+    address, _, _ = api['address'].rpartition(':')
+    return settings.PlatformApi(
+        address=address,
+        port=_port(api['address']),
+        duties=frozenset(
+            _DUTY_KINDS[name]
+            for name in api.get('duties') or ()
+            if name in _DUTY_KINDS
+        ),
+        calls_per_s=_number(api, 'duty_per_s'),
+    )
+
+
+def _duty_bounds(data: typing.Any) -> settings.DutyBounds | None:
+    if _platform_api(data) is None:
+        return None
+    bounds = data['bounds']
+    return settings.DutyBounds(
+        lease_time=_number(bounds, 'lease_ms') / 1000,
+        report_window=_number(bounds, 'report_window_s'),
+        usage_delay=_number(bounds, 'usage_late_s'),
+        fencing_checked=bool(bounds.get('enforce_fencing', False)),
+    )
+
+
+def _memory_bytes(limits: typing.Any) -> int:
+    """Return the memory of the process in bytes; 0 if it is not stated."""
+    if limits.get('memory_mb') is None:
+        return 0
+    return int(_number(limits, 'memory_mb') * 10**6)
+
+
 def _link_kbps(limits: typing.Any) -> int:
     """Return the bandwidth of the link; 0 if it is not stated."""
     if limits.get('link_mbps') is None:
--- a/tests/unit/platform/test_decoding.py
+++ b/tests/unit/platform/test_decoding.py
@@ -175,3 +175,77 @@
     changed = gateway.ROUTES[0]['name']
     assert new[changed].timeout == 0.077
     assert all(new[name] is old[name] for name in new if name != changed)
+
+
+SCALING = {
+    'min': 1,
+    'max': 30,
+    'boot_time_s': 4.0,
+    'spot_price': 0.15,
+    'zone_prices': {'cairo-a': 1.0, 'cairo-b': 0.8},
+}
+
+
+def _decoded_scaling(scaling):
+    document = orjson.loads(gateway.configuration())
+    service = document['services'][0]
+    service['scaling'] = scaling
+    decoded = configuration.decode(orjson.dumps(document))
+    return decoded.services[service['name']].scaling
+
+
+def test_scaling_of_a_service_is_decoded():
+    decoded = _decoded_scaling(SCALING)
+    assert (decoded.min_engines, decoded.max_engines) == (1, 30)
+    assert decoded.prices['cairo-b'] == 0.8
+
+
+@pytest.mark.parametrize(
+    'wrong',
+    [
+        {'min': 31},
+        {'max': 10**15},
+        {'boot_time_s': 'soon'},
+        {'spot_price': -1},
+        {'zone_prices': None},
+    ],
+)
+def test_invalid_scaling_does_not_take_the_document_out_of_force(wrong):
+    assert _decoded_scaling(SCALING | wrong) is None
+
+
+def test_reclaimable_engine_states_when_it_leaves():
+    entry = ENTRY | {'spot': True, 'state': 'draining', 'leaves_ms': 2500}
+    decoded = entries.decode_instance('e-1', orjson.dumps(entry))
+    assert decoded.reclaimable
+    assert decoded.leaves_after == 2.5
+    assert not entries.decode_instance('e', orjson.dumps(ENTRY)).reclaimable
+
+
+DUTY_SETTINGS = """
+node: a
+ip: 10.0.0.1
+zone: cairo-a
+listen: {front: '10.0.0.1:1', ready: '10.0.0.1:2', directory: '10.0.0.1:3'}
+internal_ports: [10, 11]
+limits: {max_fds: 100, memory_mb: 128}
+bounds:
+  {fail_closed: false, grace_s: 8, retry_budget_ratio: 0.2, budget_slack: 5,
+  budget_window_s: 10, ttl_max_s: 5, lease_ms: 3000, report_window_s: 5,
+  usage_late_s: 10, enforce_fencing: false}
+platform: {address: '10.0.0.9:9'}
+cloud:
+  {address: '10.0.0.8:8', duties: [usage_report, autoscale, other],
+  duty_per_s: 50.0}
+"""
+
+
+@pytest.mark.parametrize('contracts', [[], ['leader'], ['pressure']])
+def test_settings_ask_for_duties_and_admission_by_memory(tmp_path, contracts):
+    path = tmp_path / 'settings.yaml'
+    path.write_text(f'{DUTY_SETTINGS}contracts: {contracts}\n')
+    cfg = settings.read(str(path))
+    assert (cfg.platform_api is not None) is ('leader' in contracts)
+    assert (cfg.duty_bounds is not None) is ('leader' in contracts)
+    assert cfg.memory_admission is ('pressure' in contracts)
+    assert cfg.memory_bytes == 128_000_000
