--- a/src/corianderloft/_internal/gateway/metrics.py
+++ b/src/corianderloft/_internal/gateway/metrics.py
@@ -17,6 +17,8 @@
 )
 sends_failed: collections.Counter[str] = collections.Counter()
 retries_refused: collections.Counter[str] = collections.Counter()
+usage_reports: collections.Counter[str] = collections.Counter()
+duty_held = False
 _latencies: collections.deque[tuple[str, float | None, float]] = (
     collections.deque(maxlen=MAX_PENDING_LATENCIES)
 )
@@ -39,6 +41,11 @@
     retries_refused[service] += 1
 
 
+def count_usage_report(event: str) -> None:
+    """Count a usage report that was sent, repeated, missed or failed."""
+    usage_reports[event] += 1
+
+
 def observe(route: str, first_byte_s: float | None, total_s: float) -> None:
     """Record the latencies of a response, in seconds."""
     _latencies.append((route, first_byte_s, total_s))
--- a/src/corianderloft/_internal/gateway/metrics_page.py
+++ b/src/corianderloft/_internal/gateway/metrics_page.py
@@ -48,6 +48,13 @@
     'Time from arrival to the end of an answer, by route.',
     LATENCY_BUCKETS_S,
 )
+_DUTY_HELD = registry.gauge(
+    'duty_held', 'Whether this host holds the lease for the duties.'
+)
+_USAGE_REPORTS = registry.counter(
+    'usage_reports_total',
+    'Usage reports, by event: sent, repeated, missed or failed.',
+)
 _STORE_ERA = registry.gauge(
     'store_era',
     'Times that the store came back from an older copy, as it states.',
@@ -78,5 +85,8 @@
         if first_byte_s is not None:
             _FIRST_BYTE_SECONDS.observe({'route': route}, first_byte_s)
         _RESPONSE_SECONDS.observe({'route': route}, total_s)
+    _DUTY_HELD.set({}, int(metrics.duty_held))
+    for event, count in metrics.usage_reports.items():
+        _USAGE_REPORTS.set({'event': event}, count)
     _STORE_ERA.set({}, metrics.store_era())
     _LOG_LINES_DROPPED.set({}, metrics.dropped_lines())
--- a/src/corianderloft/_internal/shared/leases/lease.py
+++ b/src/corianderloft/_internal/shared/leases/lease.py
@@ -1,28 +1,29 @@
 """A lease that at most one host holds at a time.
 
-The holder checks the expiry of its lease on the monotonic clock before each
-action, so a holder that was paused notices that the lease has expired. The
-fencing number is the revision at which the lease was acquired and therefore
-always increases.
+The holder checks the expiry of its lease before each action, on a clock that
+also runs while the host is suspended, so a holder that was paused or suspended
+notices that the lease has expired. The fencing number is the revision at which
+the lease was acquired and therefore always increases, also if the service
+comes back from an older copy.
 """
 
 import dataclasses
 import random
 import typing
 
-import pydantic
+import orjson
 import trio
 
 from corianderloft._internal.kv import interface as kv_interface
-from corianderloft._internal.metrics import registry
 from corianderloft._internal.models import ids
+from corianderloft._internal.utils import clock
 
 LEASE_PREFIX = 'corianderloft/leases/'
 EXPIRY_MARGIN_S = 1.0
 RETRY_DELAY_S = 0.5
 
-TAKEN = registry.counter('leases_taken', 'Leases that this host took.')
-LOST = registry.counter('leases_lost', 'Leases that this host lost.')
+GIVEN_UP = 'given up'
+"""Cause of the end of a lease that its holder released."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -34,10 +35,9 @@
     fencing : FencingNumber
         Fencing number, larger than that of every earlier holder.
     taken_at : float
-        When the lease was acquired, on trio's clock, in seconds.
+        When the lease was acquired, on `clock.now`, in seconds.
     valid_until : float
-        Time after which the holder must not act, on trio's clock, in
-        seconds.
+        Time after which the holder must not act, on `clock.now`, in seconds.
     """
 
     fencing: ids.FencingNumber
@@ -61,13 +61,21 @@
     lease_id: int
 
 
-_RECORD = pydantic.TypeAdapter(LeaseRecord)
+class Observer(typing.Protocol):
+    """Hears of changes of a lease, for the log and the metrics."""
+
+    def taken(self, held: HeldLease) -> None:
+        """Note that this host acquired the lease."""
+
+    def lost(self, held: HeldLease, cause: str) -> None:
+        """Note that this host no longer holds the lease."""
 
 
 @dataclasses.dataclass(frozen=True)
 class _Grant:
     lease_id: ids.LeaseId
     expires_at: float
+    era: ids.Era
 
 
 class Lease:
@@ -85,6 +93,12 @@
         Time to live in seconds, an integer of at least 3.
     rng : random.Random
         Source of jitter.
+    prefix : str
+        Prefix of the key; the name follows.
+    expiry_margin : float
+        Time before the expiry from which the holder must not act, in seconds.
+    observer : Observer or None
+        Hears of changes of the lease.
     """
 
     def __init__(
@@ -94,18 +108,29 @@
         host_id: ids.HostId,
         ttl: float,
         rng: random.Random,
+        prefix: str = LEASE_PREFIX,
+        expiry_margin: float = EXPIRY_MARGIN_S,
+        observer: Observer | None = None,
     ) -> None:
         self._kv = kv
-        self._key = LEASE_PREFIX + name
+        self._key = prefix + name
         self._host_id = host_id
         self._ttl = ttl
         self._rng = rng
+        self._expiry_margin = expiry_margin
+        self._observer = observer
         self._held: HeldLease | None = None
+        self._held_era = ids.Era(0)
 
     def current(self, min_remaining: float = 0.0) -> HeldLease | None:
-        """Return the lease if it is valid for ``min_remaining`` seconds."""
+        """Return the lease if it is valid for ``min_remaining`` seconds.
+
+        A service that came back from an older copy may have lost it.
+        """
         held = self._held
-        if held and trio.current_time() + min_remaining < held.valid_until:
+        if held is None or self._kv.era != self._held_era:
+            return None
+        if clock.now() + min_remaining < held.valid_until:
             return held
         return None
 
@@ -116,14 +141,12 @@
             while True:
                 grant = await self._grant()
                 if grant and await self._acquire(grant):
-                    await self._renew_until_lost(grant)
-                    LOST.inc({})
-                self._held = None
+                    self._drop(await self._renew_until_lost(grant))
                 await self._revoke(grant)
                 grant = None
                 await trio.sleep(self._rng.uniform(0.5, 1.0) * self._ttl / 2)
         finally:
-            self._held = None
+            self._drop(GIVEN_UP)
             with trio.move_on_after(1) as scope:
                 scope.shield = True
                 await self._revoke(grant)
@@ -133,20 +156,18 @@
         found = await self._kv.get(self._key)
         if not isinstance(found, kv_interface.Found) or found.items:
             return None
-        requested_at = trio.current_time()
+        requested_at, era = clock.now(), self._kv.era
         granted = await self._kv.grant_lease(self._ttl)
         if not isinstance(granted, kv_interface.LeaseGranted):
             return None
-        return _Grant(granted.lease_id, requested_at + granted.ttl)
+        return _Grant(granted.lease_id, requested_at + granted.ttl, era)
 
     async def _acquire(self, grant: _Grant) -> bool:
         """Write the key; retry if the reply is lost."""
         record = LeaseRecord(self._host_id, grant.lease_id)
-        put = kv_interface.Put(
-            self._key, _RECORD.dump_json(record), grant.lease_id
-        )
+        put = kv_interface.Put(self._key, orjson.dumps(record), grant.lease_id)
         absent = kv_interface.Compare(self._key, ids.Revision(0))
-        while trio.current_time() < grant.expires_at - EXPIRY_MARGIN_S:
+        while clock.now() < grant.expires_at - self._expiry_margin:
             outcome = await self._kv.transact([absent], [put])
             match outcome:
                 case kv_interface.Written(revision):
@@ -162,29 +183,44 @@
         return False
 
     def _set_held(self, revision: ids.Revision, grant: _Grant) -> bool:
-        TAKEN.inc({})
+        """Hold the lease, unless the service was restored meanwhile."""
+        if self._kv.era != grant.era:
+            return False
+        self._held_era = grant.era
         self._held = HeldLease(
             ids.FencingNumber(revision),
-            trio.current_time(),
-            grant.expires_at - EXPIRY_MARGIN_S,
+            clock.now(),
+            grant.expires_at - self._expiry_margin,
         )
+        if self._observer:
+            self._observer.taken(self._held)
         return True
 
-    async def _renew_until_lost(self, grant: _Grant) -> None:
-        """Renew the lease until it is lost or has expired locally."""
+    def _drop(self, cause: str) -> None:
+        held, self._held = self._held, None
+        if held and self._observer:
+            self._observer.lost(held, cause)
+
+    async def _renew_until_lost(self, grant: _Grant) -> str:
+        """Renew the lease until it is lost or has expired; return why."""
         while held := self.current():
             await trio.sleep(self._rng.uniform(0.8, 1.0) * self._ttl / 3)
-            requested_at = trio.current_time()
+            requested_at = clock.now()
             if requested_at >= held.valid_until:
-                return
+                break
             renewed = await self._kv.renew_lease(grant.lease_id)
             if isinstance(renewed, kv_interface.LeaseLost):
-                return
+                return 'the service no longer has it'
             if isinstance(renewed, kv_interface.LeaseGranted):
                 self._held = dataclasses.replace(
                     held,
-                    valid_until=requested_at + renewed.ttl - EXPIRY_MARGIN_S,
+                    valid_until=(
+                        requested_at + renewed.ttl - self._expiry_margin
+                    ),
                 )
+        if self._kv.era != self._held_era:
+            return 'the service came back from an older copy'
+        return 'not renewed in time'
 
     async def _revoke(self, grant: _Grant | None) -> None:
         if grant:
@@ -192,4 +228,7 @@
 
 
 def _matches(item: kv_interface.KeyValue, record: LeaseRecord) -> bool:
-    return _RECORD.validate_json(item.value) == record
+    try:
+        return bool(orjson.loads(item.value) == dataclasses.asdict(record))
+    except ValueError:
+        return False
--- a/src/corianderloft/_internal/shared/orders/sender.py
+++ b/src/corianderloft/_internal/shared/orders/sender.py
@@ -18,6 +18,7 @@
 from corianderloft._internal.models import states
 from corianderloft._internal.shared.leases import lease
 from corianderloft._internal.shared.orders import interface
+from corianderloft._internal.utils import clock
 
 ORDER_TIMEOUT_S = 5.0
 RECONCILE_INTERVAL_S = 10.0
@@ -88,7 +89,7 @@
         )
         if (
             fencing_checked
-            or trio.current_time() >= held.taken_at + self._takeover_wait
+            or clock.now() >= held.taken_at + self._takeover_wait
         ):
             return held
         return None
--- a/src/corianderloft/_internal/shared/orders/services.py
+++ b/src/corianderloft/_internal/shared/orders/services.py
@@ -11,6 +11,7 @@
 from corianderloft._internal.models import catalog
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import states
+from corianderloft._internal.shared.leases import counts
 from corianderloft._internal.shared.leases import lease
 from corianderloft._internal.shared.orders import interface
 from corianderloft._internal.shared.orders import sender
@@ -123,7 +124,12 @@
         self, name: ids.ServiceName, scope: trio.CancelScope
     ) -> None:
         service_lease = lease.Lease(
-            self._kv, f'orders/{name}', self._host_id, LEASE_TTL_S, self._rng
+            self._kv,
+            f'orders/{name}',
+            self._host_id,
+            LEASE_TTL_S,
+            self._rng,
+            observer=counts.LeaseCounts(),
         )
         orders = sender.OrderSender(
             service_lease,
--- a/tests/unit/shared/test_leases.py
+++ b/tests/unit/shared/test_leases.py
@@ -12,12 +12,19 @@
 from corianderloft._internal.shared.orders import interface
 from corianderloft._internal.shared.orders import sender
 from corianderloft._internal.shared.orders import services
+from corianderloft._internal.utils import clock
 from tests.lib import fake_kv
 
 TTL_S = 15.0
 BACKEND = backends.Backend('e1', 'desk', 's', 'm1', '127.0.0.1', 1, 'fd')
 
 
+@pytest.fixture(autouse=True)
+def _mocked_clock(monkeypatch):
+    """Let the clock of leases be that of the test."""
+    monkeypatch.setattr(clock, 'now', trio.current_time)
+
+
 class FakeEngine:
     """Engine that optionally checks fencing numbers."""
 
