Report the usage of workspaces while this host holds the duties

Runs are counted where requests are sent, exchanged over the hosts' UDP port and reported once for each window. The store holds the counts of a window before it is reported, so that a next holder repeats them exactly.

--- a/src/corianderloft/_internal/gateway/app.py
+++ b/src/corianderloft/_internal/gateway/app.py
@@ -6,6 +6,7 @@
 import trio
 
 from corianderloft._internal.gateway import dialect
+from corianderloft._internal.gateway.duties import runs
 from corianderloft._internal.gateway import forwarding
 from corianderloft._internal.gateway import metrics
 from corianderloft._internal.gateway import refusals
@@ -64,7 +65,9 @@
         pool: engine_pool.EnginePool,
         header_dialect: dialect.Dialect,
         shutdown: stopping.GracefulShutdown,
+        run_counter: runs.RunCounter,
     ) -> None:
+        self._run_counter = run_counter
         self._view = local_view
         self._placer = request_placer
         self._pool = pool
@@ -98,6 +101,7 @@
             caller,
             self._shutdown.draining,
             self._steps,
+            self._run_counter,
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
--- a/src/corianderloft/_internal/gateway/duties/duty.py
+++ b/src/corianderloft/_internal/gateway/duties/duty.py
@@ -128,7 +128,9 @@
         acts_from = held.taken_at + self._ttl + interface.CALL_TIMEOUT_S
         if clock.now() < acts_from:
             return None
-        return interface.Held(held.fencing, acts_from, held.valid_until)
+        return interface.Held(
+            held.fencing, acts_from, held.valid_until, held.taken_at
+        )
 
     async def run(self) -> typing.NoReturn:
         """Compete for the lease, until cancelled; then release it."""
--- a/src/corianderloft/_internal/gateway/duties/interface.py
+++ b/src/corianderloft/_internal/gateway/duties/interface.py
@@ -27,11 +27,15 @@
         Time before which the holder must not act, on `clock.now`, in seconds.
     valid_until : float
         Time from which the holder must not act, on `clock.now`, in seconds.
+    taken_at : float or None
+        When the lease was acquired, on `clock.now`; None if not known, which
+        counts as ``acts_from``.
     """
 
     token: ids.FencingNumber
     acts_from: float
     valid_until: float
+    taken_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -7,6 +7,7 @@
 
 from corianderloft._internal.gateway import crash_guard
 from corianderloft._internal.gateway import dialect
+from corianderloft._internal.gateway.duties import runs
 from corianderloft._internal.gateway import life_watch
 from corianderloft._internal.gateway import metrics
 from corianderloft._internal.gateway import refusals
@@ -69,6 +70,8 @@
         Whether the caller's connection is closed after the response.
     steps : Steps
         Distances between the IDs of events.
+    run_counter : RunCounter
+        Counts the runs of the request.
 
     Attributes
     ----------
@@ -92,12 +95,15 @@
         caller: exchange.Exchange,
         closes_connection: bool,
         steps: event_ids.Steps,
+        run_counter: runs.RunCounter,
     ) -> None:
         self._placer = request_placer
         self._pool = pool
         self._dialect = header_dialect
         self._request = request
         self._steps = steps
+        self._run_counter = run_counter
+        self._run = run_counter.run(None)
         self._writer = response_writer.ResponseWriter(
             caller, closes_connection
         )
@@ -280,6 +286,9 @@
             self._pool, self._dialect, engine, self._request
         )
         outcome = interface.AttemptOutcome.CALLER_LEFT
+        self._run = self._run_counter.run(self._request.job.workspace)
+        if not engine.serves_model:
+            self._run.began()
         # A request that was sent may have run unless the send or the
         # response shows that it did not.
         self._may_have_run_on.add(engine.key)
@@ -296,6 +305,7 @@
             )
             if not result.may_have_run:
                 self._may_have_run_on.discard(engine.key)
+                self._run.did_not_run()
             request_log.send_failed(
                 self._request.job, engine, result, attempt.progress
             )
@@ -306,6 +316,8 @@
                 and trio.current_time() >= self._request.job.deadline
             ):
                 outcome = interface.AttemptOutcome.TIMED_OUT
+            if not attempt.may_have_sent:
+                self._run.did_not_run()
             attempt.close()
             grant.close(outcome)
 
@@ -401,6 +413,8 @@
         if sending.is_stream(self._request.kind, received):
             return await self._relay(attempt, received, grant, watch, life)
         grant.started()
+        if received.status < 300:
+            self._run.began()
         body = await attempt.read_all()
         if watch is not None:
             watch.pause()
@@ -461,6 +475,7 @@
         relay = stream_relay.StreamRelay(
             self._assembly, self._writer, self._record_step
         )
+        grant.on_started = self._run.began
         failure = await relay.run(attempt, received, grant, watch, life)
         if failure is not None:
             return failure
--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -14,6 +14,9 @@
 from corianderloft._internal.gateway import auxiliary_apps
 from corianderloft._internal.gateway import crash_record
 from corianderloft._internal.gateway import dialect
+from corianderloft._internal.gateway.duties import host_duties
+from corianderloft._internal.gateway.duties import interface as duty_interface
+from corianderloft._internal.gateway.duties import runs
 from corianderloft._internal.gateway import following
 from corianderloft._internal.gateway import layout
 from corianderloft._internal.gateway import load_exchange
@@ -71,6 +74,8 @@
         addresses, or None.
     read_settings : callable
         Reads the settings again; returns None if they are invalid.
+    platform_api : PlatformApi or None
+        The platform's API, if it asks for duties.
     """
 
     cfg: settings.GatewaySettings
@@ -81,6 +86,7 @@
     read_settings: collections.abc.Callable[
         [], settings.GatewaySettings | None
     ]
+    platform_api: duty_interface.PlatformApi | None = None
 
 
 class Host:
@@ -140,15 +146,44 @@
             lambda: eras.era_of(self._view.revision),
             self._view.has_entry,
         )
+        self._duties = self._host_duties(dependencies, own)
+        counter: runs.RunCounter | None = None
+        if self._duties is not None:
+            counter = self._duties.usage
         self._app = app.GatewayApp(
             self._view,
             self._placer,
             self._pool,
             dependencies.header_dialect,
             self._shutdown,
+            counter or runs.NoCounter(),
         )
         self._readiness = auxiliary_apps.Readiness(self._view, self._shutdown)
 
+    def _host_duties(
+        self, dependencies: Dependencies, own: members.Member
+    ) -> host_duties.HostDuties | None:
+        """Return the duties, if the platform asks for any."""
+        api = dependencies.platform_api
+        if api is None or self._cfg.platform_api is None:
+            return None
+        duties = host_duties.HostDuties(
+            self._cfg,
+            dependencies.store,
+            dependencies.store_layout.duties_prefix,
+            api,
+            own,
+            self._load_exchange.send,
+            random.Random(),
+        )
+        self._load_exchange.add_handler(duties.exchange)
+        self._view.add_listener(duties)
+        return duties
+
+    async def _run_duties(self) -> None:
+        if self._duties is not None:
+            await self._duties.run(self._shutdown.wait_draining)
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully.
 
@@ -167,6 +202,7 @@
                     self._load_exchange.run,
                     self._crash_record.run,
                     self._run_membership,
+                    self._run_duties,
                     self._housekeeping,
                     self._poll_settings,
                 ):
@@ -184,6 +220,8 @@
                 await self._shutdown.run(
                     self._membership, self._cfg.bounds.termination_grace
                 )
+                if self._duties is not None:
+                    await self._duties.send_last()
                 self._pool.close()
                 nursery.cancel_scope.cancel()
 
--- a/src/corianderloft/_internal/gateway/layout.py
+++ b/src/corianderloft/_internal/gateway/layout.py
@@ -23,6 +23,8 @@
         Decode a value; return None if it is malformed.
     encode_member : callable
         Encodes the entry of this host.
+    duties_prefix : str
+        Key prefix of the lease for the duties, and of their records.
     """
 
     configuration_key: str
@@ -39,3 +41,4 @@
         [str, bytes], members.Member | None
     ]
     encode_member: collections.abc.Callable[[members.Member], bytes]
+    duties_prefix: str
--- a/src/corianderloft/_internal/gateway/load_exchange.py
+++ b/src/corianderloft/_internal/gateway/load_exchange.py
@@ -69,6 +69,17 @@
         """Use the version that another host has, or knows of."""
 
 
+class DatagramHandler(typing.Protocol):
+    """A part with datagrams of its own on the same port."""
+
+    @property
+    def prefix(self) -> bytes:
+        """Beginning of its datagrams, and of no others."""
+
+    def receive(self, data: bytes) -> bool:
+        """Use a datagram; return False if it is malformed."""
+
+
 class LoadExchange(listener.Listener):
     """Sends the loads of this host and receives those of other hosts.
 
@@ -102,6 +113,8 @@
             for scope in messages.Scope
         }
         self._malformed_count = 0
+        self._handlers: list[DatagramHandler] = []
+        self._sock: trio.socket.SocketType | None = None
         self._next_sums_at = float('-inf')
         request_placer.set_load_listener(self._mark_changed)
         self._rates = rate_messages.RateReports(request_placer, own)
@@ -115,12 +128,24 @@
         """Use a new list of entry hosts."""
         self._assignment = groups.assign(self._own, current)
 
+    def add_handler(self, handler: DatagramHandler) -> None:
+        """Pass datagrams with the prefix of a handler to it."""
+        self._handlers.append(handler)
+
+    async def send(
+        self, data: bytes, recipients: collections.abc.Sequence[members.Member]
+    ) -> None:
+        """Send a datagram of a handler; it may be lost."""
+        if self._sock is not None:
+            await _send_datagram(self._sock, data, recipients)
+
     async def run(self) -> None:
         """Exchange loads until cancelled."""
         with trio.socket.socket(
             trio.socket.AF_INET, trio.socket.SOCK_DGRAM
         ) as sock:
             await sock.bind((self._own.address, self._own.peer_port))
+            self._sock = sock
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._send, sock)
                 nursery.start_soon(self._receive, sock)
@@ -230,6 +255,13 @@
             except OSError as exc:
                 logger.debug('receiving a load datagram failed: %s', exc)
                 continue
+            handler = next(
+                (h for h in self._handlers if data.startswith(h.prefix)), None
+            )
+            if handler is not None:
+                if not handler.receive(data):
+                    self._log_malformed()
+                continue
             if rate_messages.is_rate_datagram(data):
                 self._apply_rates(data)
                 continue
--- a/src/corianderloft/_internal/gateway/sending.py
+++ b/src/corianderloft/_internal/gateway/sending.py
@@ -113,6 +113,8 @@
     ----------
     progress : Progress
         How much of the response arrived.
+    may_have_sent : bool
+        Whether a part of the request may have been sent.
     """
 
     def __init__(
@@ -129,6 +131,7 @@
         self._conn: engine_connection.EngineConnection | None = None
         self._fully_read = False
         self.progress = Progress.NOTHING
+        self.may_have_sent = False
 
     async def open(
         self, resume_after: int | None
@@ -144,6 +147,7 @@
                 False,
                 'the server has left since it was chosen',
             )
+        self.may_have_sent = True
         failure = await conn.send(
             self._request.method,
             self._request.target,
--- a/src/corianderloft/_internal/kv/connections.py
+++ b/src/corianderloft/_internal/kv/connections.py
@@ -19,6 +19,12 @@
 OnReceive = collections.abc.Callable[[int], None]
 """Called with the size of each part of a reply that arrives."""
 
+MaySend = collections.abc.Callable[[], bool]
+"""Returns whether a request may still be written."""
+
+SocketOption = tuple[int, int, int] | tuple[int, int, bytes]
+"""Level, name and value."""
+
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header; ``name`` is in lower case."""
@@ -55,9 +61,25 @@
 CallResult = Reply | NotSent | ReplyLost
 
 
+class Withheld(httpcore.LocalProtocolError):
+    """A request was not written, or not completely, as it came too late."""
+
+
+_WRITES = (
+    'http11.send_request_headers.started',
+    'http11.send_request_body.started',
+)
+
+
 class SendTrace:
     """Records whether httpcore started to send a request, and its reply.
 
+    Parameters
+    ----------
+    may_send : callable or None
+        Asked immediately before the head and the body are written; the
+        request is abandoned if it returns false.
+
     Attributes
     ----------
     sent : bool
@@ -66,12 +88,15 @@
         Bytes of the body of the reply that have arrived.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, may_send: MaySend | None = None) -> None:
+        self._may_send = may_send
         self.sent = False
         self.received_bytes = 0
 
     async def __call__(self, event: str, _: typing.Any) -> None:
         """Handle an event of httpcore's ``trace`` extension."""
+        if self._may_send and event in _WRITES and not self._may_send():
+            raise Withheld('the request came too late')
         if event == 'http11.send_request_headers.started':
             self.sent = True
 
@@ -124,6 +149,8 @@
         Maximum number of idle connections.
     idle_expiry : float
         Time after which an idle connection is not reused, in seconds.
+    socket_options : sequence of SocketOption
+        Options of each socket.
     """
 
     def __init__(
@@ -133,7 +160,9 @@
         call_timeout: float,
         idle_limit: int,
         idle_expiry: float,
+        socket_options: collections.abc.Sequence[SocketOption] = (),
     ) -> None:
+        self._socket_options = socket_options
         self._url = httpcore.URL(endpoint)
         self._connect_timeout = connect_timeout
         self._call_timeout = call_timeout
@@ -146,7 +175,9 @@
     def open(self) -> httpcore.AsyncHTTPConnection:
         """Return a new connection, which is opened by its first request."""
         return httpcore.AsyncHTTPConnection(
-            origin=self._url.origin, keepalive_expiry=self._idle_expiry
+            origin=self._url.origin,
+            keepalive_expiry=self._idle_expiry,
+            socket_options=self._socket_options,
         )
 
     def request(
@@ -155,6 +186,7 @@
         content: bytes,
         trace: SendTrace,
         method: str = 'POST',
+        extra_headers: Headers = (),
     ) -> httpcore.Request:
         """Build a request and count its bytes as sent."""
         control.count_bytes(control.Direction.SENT, len(path) + len(content))
@@ -169,6 +201,7 @@
             (b'host', host),
             (b'content-type', b'application/json'),
             (b'content-length', str(len(content)).encode()),
+            *extra_headers,
         ]
         extensions = {
             'trace': trace,
@@ -193,6 +226,8 @@
         content: bytes,
         hold_time: float = 0.0,
         on_receive: OnReceive | None = None,
+        extra_headers: Headers = (),
+        may_send: MaySend | None = None,
     ) -> CallResult:
         """Send a request and read the complete reply.
 
@@ -206,11 +241,15 @@
             Time for which the service may delay the reply, in seconds.
         on_receive : callable or None
             Called for each part of the reply that arrives.
+        extra_headers : sequence of tuple
+            Further headers of the request.
+        may_send : callable or None
+            Whether the request may still be written; see `SendTrace`.
         """
         conn = await self._acquire()
-        trace = SendTrace()
+        trace = SendTrace(may_send)
         result: CallResult | None = None
-        req = self.request(path, content, trace, method)
+        req = self.request(path, content, trace, method, extra_headers)
         try:
             with trio.move_on_after(self._call_timeout + hold_time) as scope:
                 deadline = _Deadline(scope, self._call_timeout)
--- a/src/corianderloft/_internal/placement/grants.py
+++ b/src/corianderloft/_internal/placement/grants.py
@@ -1,5 +1,6 @@
 """Permissions to send a request to a backend server."""
 
+import collections.abc
 import typing
 
 import trio
@@ -29,9 +30,13 @@
         self._issuer = issuer
         self._request_number = number
         self.engine = engine
+        # Called each time that the start of the answer is recorded.
+        self.on_started: collections.abc.Callable[[], None] | None = None
 
     def started(self) -> None:
         """Record that the answer has started."""
+        if self.on_started is not None:
+            self.on_started()
         if self.engine.record_started(
             self._request_number, trio.current_time()
         ):
--- a/src/corianderloft/_internal/platform/daemon.py
+++ b/src/corianderloft/_internal/platform/daemon.py
@@ -13,6 +13,7 @@
 from corianderloft._internal.logs import bounded
 from corianderloft._internal.logs import handlers
 from corianderloft._internal.platform import address_query
+from corianderloft._internal.platform import api
 from corianderloft._internal.platform import configuration
 from corianderloft._internal.platform import entries
 from corianderloft._internal.platform import headers
@@ -33,6 +34,7 @@
     decode_instance=entries.decode_instance,
     decode_member=entries.decode_member,
     encode_member=entries.encode_member,
+    duties_prefix=names.DUTIES_PREFIX,
 )
 
 
@@ -76,10 +78,26 @@
         header_dialect=headers.PlatformDialect(),
         decode_domain=address_query.decode_domain,
         read_settings=functools.partial(_reload, reader),
+        platform_api=_platform_api(cfg),
     )
     trio.run(_run, dependencies, handler)
 
 
+def _platform_api(
+    cfg: gateway_settings.GatewaySettings,
+) -> api.PlatformApi | None:
+    """Return the client of the platform's API, if it asks for duties."""
+    settings_of_api = cfg.platform_api
+    if settings_of_api is None or not settings_of_api.duties:
+        return None
+    return api.PlatformApi(
+        settings_of_api.address,
+        settings_of_api.port,
+        cfg.host_id,
+        settings_of_api.calls_per_s,
+    )
+
+
 def _reload(
     reader: settings.Reader,
 ) -> gateway_settings.GatewaySettings | None:
--- a/src/corianderloft/_internal/platform/names.py
+++ b/src/corianderloft/_internal/platform/names.py
@@ -15,6 +15,9 @@
 RETRY_AFTER = b'retry-after'
 RESUME_AFTER = b'last-event-id'
 
+DUTY_HOLDER = b'corianderloft-duty-holder'
+FENCING_TOKEN = b'corianderloft-fencing-token'
+
 SYSTEM_HEADERS = frozenset(
     (
         TARGET_INSTANCE,
@@ -37,6 +40,7 @@
 INSTANCES_PREFIX = 'servers/'
 HOSTS_PREFIX = 'hosts/'
 CRASHES_PREFIX = 'crashes/'
+DUTIES_PREFIX = 'duties/'
 
 LOWEST_PRIORITY = 9
 """Engine priorities range from 0, which is served first, to 9."""
