Order engines from the platform by demand

Cause: the number of engines never changes, although each is paid by the second and reclaimable ones cost a fraction. Change: hosts measure demand on arrival and report it; the host that holds the duties decides for each service how many engines of which kind are ordered in each failure domain, and sends the orders. Not yet started by the host.

--- a/src/corianderloft/_internal/gateway/metrics.py
+++ b/src/corianderloft/_internal/gateway/metrics.py
@@ -19,6 +19,11 @@
 retries_refused: collections.Counter[str] = collections.Counter()
 usage_reports: collections.Counter[str] = collections.Counter()
 duty_held = False
+engines_wanted: dict[tuple[str, str, str], int] = {}
+engines_ordered: dict[tuple[str, str, str], int] = {}
+"""Engines by service, failure domain and kind, while this host orders them."""
+
+engine_orders: collections.Counter[str] = collections.Counter()
 _latencies: collections.deque[tuple[str, float | None, float]] = (
     collections.deque(maxlen=MAX_PENDING_LATENCIES)
 )
@@ -46,6 +51,11 @@
     usage_reports[event] += 1
 
 
+def count_order(result: str) -> None:
+    """Count an order of engines by its result."""
+    engine_orders[result] += 1
+
+
 def observe(route: str, first_byte_s: float | None, total_s: float) -> None:
     """Record the latencies of a response, in seconds."""
     _latencies.append((route, first_byte_s, total_s))
--- a/src/corianderloft/_internal/gateway/metrics_page.py
+++ b/src/corianderloft/_internal/gateway/metrics_page.py
@@ -4,6 +4,10 @@
 start of a host by a fifth.
 """
 
+import collections.abc
+
+from aioprometheus import collectors
+
 from corianderloft._internal.gateway import metrics
 from corianderloft._internal.metrics import exposition
 from corianderloft._internal.metrics import registry
@@ -55,6 +59,19 @@
     'usage_reports_total',
     'Usage reports, by event: sent, repeated, missed or failed.',
 )
+_ENGINES_WANTED = registry.gauge(
+    'gateway_engines_wanted',
+    'Engines that the demand calls for, by service, zone and kind; 0 at hosts '
+    'that do not order engines.',
+)
+_ENGINES_ORDERED = registry.gauge(
+    'gateway_engines_ordered',
+    'Engines that are ordered, by service, zone and kind; 0 at hosts that do '
+    'not order engines.',
+)
+_ENGINE_ORDERS = registry.counter(
+    'gateway_engine_orders_total', 'Orders of engines, by result.'
+)
 _STORE_ERA = registry.gauge(
     'store_era',
     'Times that the store came back from an older copy, as it states.',
@@ -88,5 +105,26 @@
     _DUTY_HELD.set({}, int(metrics.duty_held))
     for event, count in metrics.usage_reports.items():
         _USAGE_REPORTS.set({'event': event}, count)
+    _set_engines(_ENGINES_WANTED, metrics.engines_wanted)
+    _set_engines(_ENGINES_ORDERED, metrics.engines_ordered)
+    for result, count in metrics.engine_orders.items():
+        _ENGINE_ORDERS.set({'result': result}, count)
     _STORE_ERA.set({}, metrics.store_era())
     _LOG_LINES_DROPPED.set({}, metrics.dropped_lines())
+
+
+_seen_engine_labels: set[tuple[str, str, str]] = set()
+
+
+def _set_engines(
+    gauge: collectors.Gauge,
+    counts: collections.abc.Mapping[tuple[str, str, str], int],
+) -> None:
+    """Set a gauge of engines; to 0 where they are ordered no more."""
+    _seen_engine_labels.update(counts)
+    for labels in _seen_engine_labels:
+        service, zone, kind = labels
+        gauge.set(
+            {'service': service, 'zone': zone, 'kind': kind},
+            counts.get(labels, 0),
+        )
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -1,5 +1,6 @@
 """Assigns the requests of this host to backend servers."""
 
+import collections
 import collections.abc
 import itertools
 import math
@@ -18,6 +19,7 @@
 from corianderloft._internal.placement import budget
 from corianderloft._internal.placement import crash_evidence
 from corianderloft._internal.placement import decision_log
+from corianderloft._internal.placement import demand_reports
 from corianderloft._internal.placement import engine_model
 from corianderloft._internal.placement import engines
 from corianderloft._internal.placement import grants
@@ -77,6 +79,8 @@
         Retry budget.
     crashes : CrashEvidence
         Prompt parts on which backend servers crash.
+    arrivals : LocalDemand
+        Demand for the services whose engines can be ordered.
     """
 
     def __init__(
@@ -107,6 +111,7 @@
         self._peer_demands: dict[str, Demands] = {}
         self.retries = retries
         self.crashes = crash_evidence.CrashEvidence()
+        self.arrivals = demand_reports.LocalDemand(domain)
         self._on_load_change: collections.abc.Callable[[], None] = _do_nothing
 
     def use_table(self, table: routing.RoutingTable) -> None:
@@ -115,6 +120,7 @@
         A service may be declared, or changed, after its servers registered.
         """
         self._table = table
+        self.arrivals.use_table(table)
         for engine in self._engines.values():
             engine.use_model(self._model_of(engine.instance))
         self.wake()
@@ -186,8 +192,13 @@
         """
         waiter = queue.Waiter(job, exclude, next(self._request_numbers))
         self._sizes.record(job, self._speed(job.service))
+        if not exclude:
+            self.arrivals.record_arrival(job, trio.current_time())
+        meter = self.arrivals.meter(job.service)
         self._queue.add(waiter)
         self.dispatch()
+        if meter is not None:
+            meter.record_waiting(job, 1)
         try:
             with trio.move_on_at(self._wait_deadline(waiter)):
                 await waiter.granted.wait()
@@ -199,12 +210,16 @@
             raise
         finally:
             self._queue.discard(waiter)
+            if meter is not None:
+                meter.record_waiting(job, -1)
         if waiter.engine is None:
             self._try_dispatch(waiter, trio.current_time(), last_chance=True)
         if waiter.engine is None:
             refusal = self._refusal(job)
             live = self._view(job.service).live
             decision_log.refused(waiter, refusal, live, len(self._queue))
+            if meter is not None:
+                meter.record_refused(trio.current_time())
             return refusal
         return grants.Grant(self, waiter.engine, waiter.number)
 
@@ -309,6 +324,23 @@
             and (load := engine.own_load()) != engines.NO_LOAD
         }
 
+    def listed_servers(self) -> list[engines.Engine]:
+        """Return all backend servers with a registration."""
+        return list(self._engines.values())
+
+    def in_flight(self) -> dict[ids.ServiceName, int]:
+        """Return the requests of this host at servers, by service."""
+        counts: collections.Counter[ids.ServiceName] = collections.Counter()
+        for engine in self._engines.values():
+            requests = engine.own_load().requests
+            if requests:
+                counts[engine.instance.service] += requests
+        return counts
+
+    def prefill_rate(self, service: ids.ServiceName) -> float:
+        """Return the learned prefill rate of an engine of a service."""
+        return self._speed(service).prefill_rate
+
     def set_load_listener(
         self, changed: collections.abc.Callable[[], None]
     ) -> None:
@@ -478,6 +510,9 @@
             self._meter(waiter.job.service).record(
                 not context.long_prompts, prompt.unshared_tokens, context.now
             )
+        meter = self.arrivals.meter(waiter.job.service)
+        if meter is not None:
+            meter.record_assigned(waiter.job, prefill_tokens, context.now)
         request = engines.InFlightRequest(
             prefill_tokens,
             kv_tokens,
