--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -106,7 +106,10 @@
             cfg.bounds.retry_window,
         )
         self._placer = placer.Placer(
-            cfg.failure_domain, self._retry_budget, random.Random()
+            cfg.failure_domain,
+            self._retry_budget,
+            random.Random(),
+            memory_admission=cfg.memory_admission,
         )
         self._view.add_listener(self._placer)
         self._pool = engine_pool.EnginePool()
--- a/src/corianderloft/_internal/gateway/stream_relay.py
+++ b/src/corianderloft/_internal/gateway/stream_relay.py
@@ -48,6 +48,9 @@
 
         The end of the response itself is left to the caller of this.
         """
+        # The number of events tells the length of the output only if the run
+        # has all of them.
+        from_beginning = self._response.last_id is None
         rejected = self._response.begin_run(response_ends.run_head(received))
         if rejected is not None:
             return response_ends.rejected_run(rejected)
@@ -72,6 +75,8 @@
             rejected = self._add(events, is_progress)
             if rejected is not None:
                 return response_ends.rejected_run(rejected)
+            if from_beginning:
+                grant.events += events.count(sse.EVENT_END)
             if is_progress:
                 grant.started()
                 if watch is not None:
--- /dev/null
+++ b/src/corianderloft/_internal/placement/admission.py
@@ -0,0 +1,281 @@
+"""Admission of requests by the memory and slots that engines have left."""
+
+import dataclasses
+import math
+import random
+
+from corianderloft._internal.models import instances
+from corianderloft._internal.placement import drain_rate
+from corianderloft._internal.placement import engines
+from corianderloft._internal.placement import fair_queue
+from corianderloft._internal.placement import interface
+from corianderloft._internal.placement import lengths
+from corianderloft._internal.placement import queue
+
+REPORT_AGE_S = 0.06
+"""Age of what is known of other hosts' loads: two intervals between their
+datagrams, as changes are also passed on by delegates."""
+
+RESERVE_DEVIATIONS = 2.0
+"""Standard deviations of the requests that other hosts send within
+`REPORT_AGE_S` that the reserve covers, beside their mean number."""
+
+MAX_RESERVE_RATIO = 0.25
+"""Largest part of an engine's memory that is kept for other hosts."""
+
+URGENT_RESERVE_RATIO = 0.05
+"""Part of an engine's memory that only the most urgent requests use."""
+
+CONTENDED_ENGINES = 8
+"""Engines that a queued request may go to, as in `lanes`."""
+
+DRAW_INTERVAL_S = 0.03
+"""Interval between draws for a nearly full engine: the time in which hosts
+hear of each other's requests."""
+
+MAX_DRAWS = 4096
+"""Engines whose last draw is kept."""
+
+WAIT_TOLERANCE = 1.5
+"""Factor by which the estimated wait must exceed the time left before a
+request is refused for it."""
+
+FIRST_CHECK_RATIO = 0.12
+CHECK_RATIO = 0.25
+"""Time to the first and between the next estimates for a queued request, in
+multiples of its target. A refusal within an eighth of it costs nothing."""
+
+RETRY_MARGIN_RATIO = 0.25
+"""Time that a refusal leaves for another attempt of the caller, in multiples
+of its target."""
+
+MIN_WAIT_RATIO = queue.MAX_WAIT_TARGET_RATIO
+"""Time that a request is queued at least, in multiples of its target, also
+if answers take longer than its deadline allows."""
+
+RETRY_AFTER_JITTER = (0.75, 1.25)
+"""Bounds of the random factor on the retry delay, so that callers that were
+refused together do not return together."""
+
+MIN_RETRY_AFTER_RATIO = 0.1
+"""Shortest retry delay in multiples of the target."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Need:
+    """Memory that a request occupies until its end.
+
+    Attributes
+    ----------
+    own_tokens : int
+        Unshared prompt tokens and expected output.
+    shared_parts : tuple of PromptPart
+        Parts that occupy memory once for all requests that use them.
+    """
+
+    own_tokens: int
+    shared_parts: tuple[instances.PromptPart, ...] = ()
+
+    @property
+    def tokens(self) -> int:
+        """Tokens on an engine without any other request."""
+        return self.own_tokens + sum(p.tokens for p in self.shared_parts)
+
+
+@dataclasses.dataclass
+class _Draw:
+    admitted: bool
+    until: float
+
+
+class Admission:
+    """Decides which engines can hold a request, and how long it waits.
+
+    Responds to bursts of long prompts over engines whose memory is full
+    before their slots are, and to many hosts that send to the same engine
+    before they hear of each other.
+
+    Parameters
+    ----------
+    rng : Random
+        Source of random numbers.
+
+    Attributes
+    ----------
+    queue : FairQueue
+        Requests that no engine can take now.
+    lengths : OutputLengths
+        Learned output lengths and durations.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self.queue = fair_queue.FairQueue()
+        self.lengths = lengths.OutputLengths()
+        self._drains: dict[fair_queue.Lane, drain_rate.DrainRate] = {}
+        self._draws: dict[engines.Key, _Draw] = {}
+
+    def need(self, job: interface.Job) -> Need:
+        """Return the memory that a request will occupy."""
+        prompt = job.prompt
+        if prompt is None:
+            return Need(0)
+        shared = prompt.shared_parts
+        own = max(0, prompt.tokens - sum(part.tokens for part in shared))
+        return Need(own + self.lengths.expected_output(job), shared)
+
+    def admits(
+        self, context: interface.Context, engine: engines.Engine
+    ) -> bool:
+        """Return whether an engine can hold a request until its end.
+
+        The loads of other hosts are old, and each of these hosts counts a
+        shared part that its own requests use, so a part that requests of
+        several hosts use counts several times.
+        """
+        capacity = engine.memory_tokens
+        if context.job.prompt is None or not capacity:
+            return True
+        need = self.need(context.job)
+        if need.tokens > capacity:
+            # The engine turns it away itself.
+            return True
+        unreported = engine.unreported_requests(context.now)
+        present = engine.requests() + unreported
+        if present <= 0:
+            return True
+        if present + 1 > engine.instance.slots:
+            return False
+        held = engine.kv_tokens() * present / max(1, engine.requests())
+        if not engine.requests():
+            held = unreported * need.tokens
+        added = need.own_tokens + engine.shared.missing(need.shared_parts)
+        reserve = self._reserve(context, capacity, need)
+        free = capacity - held - reserve
+        if added > free:
+            return False
+        return self._draw(context, engine, free / max(1, added))
+
+    def _reserve(
+        self, context: interface.Context, capacity: int, need: Need
+    ) -> float:
+        """Return the memory kept for what is on its way from other hosts."""
+        demand = context.demand
+        rate = demand.long if context.long_prompts else demand.short
+        others = (context.hosts - 1) / context.hosts
+        count = (
+            others
+            * rate
+            * REPORT_AGE_S
+            / max(1, need.own_tokens)
+            / max(1, len(context.view.live))
+        )
+        reserve = need.tokens * (
+            count + RESERVE_DEVIATIONS * math.sqrt(max(0.0, count))
+        )
+        reserve = min(reserve, MAX_RESERVE_RATIO * capacity)
+        if not context.most_urgent:
+            reserve += URGENT_RESERVE_RATIO * capacity
+        return reserve
+
+    def _draw(
+        self, context: interface.Context, engine: engines.Engine, fits: float
+    ) -> bool:
+        """Return whether this host may use a nearly full engine now.
+
+        Hosts do not know who else will send to it. If all have as many
+        requests waiting as this one, and each sends with the probability
+        that is drawn here, they send about as many as fit.
+        """
+        live = max(1, len(context.view.live))
+        waiting = max(1, context.waiting)
+        contenders = (
+            (context.hosts - 1) * waiting * min(CONTENDED_ENGINES, live) / live
+        )
+        if contenders + 1 <= fits:
+            return True
+        draw = self._draws.get(engine.key)
+        if draw is None or context.now >= draw.until:
+            admitted = self._rng.random() < max(1.0, fits) / (contenders + 1)
+            interval = DRAW_INTERVAL_S * self._rng.uniform(0.5, 1.5)
+            draw = _Draw(admitted, context.now + interval)
+            if len(self._draws) >= MAX_DRAWS:
+                self._draws.clear()
+            self._draws[engine.key] = draw
+        return draw.admitted
+
+    def create_waiter(
+        self, job: interface.Job, exclude: queue.Keys, number: int, long: bool
+    ) -> queue.Waiter:
+        """Return a request to be queued, with the latest time to wait.
+
+        A request waits as long as its answer may end before its deadline, so
+        that its caller has the time for another attempt if it is refused.
+        """
+        waiter = queue.Waiter(job, exclude, number)
+        if job.prompt is None:
+            return waiter
+        waiter.long_prompt = long
+        waiter.tokens = max(1, self.need(job).own_tokens)
+        latest = (
+            job.deadline
+            - self.lengths.expected_duration(job)
+            - RETRY_MARGIN_RATIO * job.route.target
+        )
+        waiter.wait_deadline = min(
+            job.deadline, max(waiter.wait_deadline, latest)
+        )
+        return waiter
+
+    def next_check(self, waiter: queue.Waiter, now: float) -> float:
+        """Return when to estimate the wait of a queued request again."""
+        target = waiter.job.route.target
+        first = waiter.job.arrived + FIRST_CHECK_RATIO * target
+        return first if now < first else now + CHECK_RATIO * target
+
+    def is_hopeless(self, waiter: queue.Waiter, now: float) -> bool:
+        """Return whether a request will not be served before its deadline."""
+        if waiter.job.prompt is None:
+            return False
+        ahead = self.queue.tokens_ahead(waiter)
+        wait = self._drain(waiter).wait(ahead, now)
+        time_left = waiter.wait_deadline - now
+        return wait is not None and wait > WAIT_TOLERANCE * time_left
+
+    def retry_after(
+        self, waiter: queue.Waiter, backlog: int, now: float
+    ) -> float | None:
+        """Return the retry delay of a refused request, None if unknown.
+
+        Parameters
+        ----------
+        waiter : Waiter
+            The request.
+        backlog : int
+            Tokens of the requests that were ahead of it.
+        now : float
+            Current time on trio's clock.
+        """
+        wait = self._drain(waiter).wait(backlog, now)
+        if wait is None:
+            return None
+        target = waiter.job.route.target
+        latest = max(
+            MIN_RETRY_AFTER_RATIO * target,
+            waiter.job.deadline - now - waiter.job.route.target,
+        )
+        wait = min(max(wait, MIN_RETRY_AFTER_RATIO * target), latest)
+        return wait * self._rng.uniform(*RETRY_AFTER_JITTER)
+
+    def note_queued(self, waiter: queue.Waiter, now: float) -> None:
+        """Record whether requests of the lane of a request wait."""
+        waiting = self.queue.waiting_like(waiter)
+        self._drain(waiter).note_backlog(waiting > 0, now)
+
+    def note_dispatched(self, waiter: queue.Waiter, now: float) -> None:
+        """Record that a request was dispatched."""
+        self._drain(waiter).record(waiter.tokens, now)
+
+    def _drain(self, waiter: queue.Waiter) -> drain_rate.DrainRate:
+        lane = waiter.job.service, waiter.long_prompt
+        return self._drains.setdefault(lane, drain_rate.DrainRate())
--- a/src/corianderloft/_internal/placement/decision_log.py
+++ b/src/corianderloft/_internal/placement/decision_log.py
@@ -17,6 +17,7 @@
     refusal: interface.Refused,
     live: collections.abc.Sequence[engines.Engine],
     waiting: int,
+    ahead: int = 0,
 ) -> None:
     """Log that a request was refused, with the inputs of that decision.
 
@@ -30,6 +31,8 @@
         Backend servers of its service that are not draining.
     waiting : int
         Requests queued at this host.
+    ahead : int
+        Tokens of the queued requests that were ahead of it.
     """
     now = trio.current_time()
     prefill_times = [engine.prefill_time(0, now) for engine in live]
@@ -40,7 +43,9 @@
             'reason': refusal.reason.value,
             'retry_after_s': round(refusal.retry_after, 3),
             'waited_s': round(now - waiter.job.arrived, 3),
+            'route': waiter.job.route.name,
             'waiting_here': waiting,
+            'tokens_ahead': ahead,
             'live': len(live),
             'usable': sum(engine.health.usable(now) for engine in live),
             'refusing': sum(e.statements.refuses_until > now for e in live),
--- a/src/corianderloft/_internal/placement/engines.py
+++ b/src/corianderloft/_internal/placement/engines.py
@@ -14,6 +14,7 @@
 from corianderloft._internal.placement import engine_model
 from corianderloft._internal.placement import health
 from corianderloft._internal.placement import rate_limits
+from corianderloft._internal.placement import shared_parts
 from corianderloft._internal.placement import statements
 
 SLOWDOWN_EWMA_WEIGHT = 0.2
@@ -27,6 +28,10 @@
 MAX_SLOWDOWN = 8.0
 """Bounds on the slowdown derived from a single answer."""
 
+SAMPLE_LIFE_S = 1.0
+"""Time in which requests that a server reported, and that no host did, fade
+from the estimate of its load."""
+
 Key = tuple[ids.EngineId, int]
 """Engine ID and start time of a backend server."""
 
@@ -68,6 +73,8 @@
         Uncached tokens of all hosts before it and its own when it was sent.
     started : bool
         Whether its answer has begun.
+    shared_parts : tuple of PromptPart
+        Parts that are not included in ``kv_tokens``.
     """
 
     prefill_tokens: int
@@ -77,6 +84,7 @@
     short_prompt: bool = False
     queued_tokens: int = 0
     started: bool = False
+    shared_parts: tuple[instances.PromptPart, ...] = ()
 
     @property
     def load(self) -> PeerLoad:
@@ -124,6 +132,8 @@
         Limit that it names, and the requests sent to it.
     statements : Statements
         What it has said of itself in its responses.
+    shared : SharedParts
+        Prompt parts that requests of this host share in its memory.
     listed : bool
         Whether the registration still exists.
     """
@@ -146,6 +156,8 @@
         self._slowdown_at = float('-inf')
         self._in_flight: dict[int, InFlightRequest] = {}
         self._own = NO_LOAD
+        self.shared = shared_parts.SharedParts()
+        self._unreported = 0
         self.health = health.Health()
         self.sample: instances.LoadSample | None = None
         self.sampled_at = float('-inf')
@@ -254,6 +266,8 @@
         )
         self._in_flight[number] = request
         self._own += request.load
+        shared = self.shared.add(request.shared_parts)
+        self._own += PeerLoad(0, 0, 0, shared)
 
     def remove(self, number: int) -> bool:
         """Remove a request of this host; return False if it is unknown."""
@@ -261,6 +275,8 @@
         if request is None:
             return False
         self._own -= request.load
+        freed = self.shared.remove(request.shared_parts)
+        self._own -= PeerLoad(0, 0, 0, freed)
         return True
 
     def record_started(self, number: int, now: float) -> bool:
@@ -292,6 +308,17 @@
         """Store the load that the server reported."""
         self.sample = sample
         self.sampled_at = now
+        reported = sample.running + sample.waiting
+        self._unreported = max(0, reported - self.requests())
+
+    def unreported_requests(self, now: float) -> float:
+        """Return the estimated number of requests of unknown hosts.
+
+        Hosts that were just started or are partitioned do not hear of the
+        requests of others, but the servers report them.
+        """
+        age = now - self.sampled_at
+        return self._unreported * max(0.0, 1.0 - age / SAMPLE_LIFE_S)
 
 
 class PrefixCache:
--- a/src/corianderloft/_internal/placement/grants.py
+++ b/src/corianderloft/_internal/placement/grants.py
@@ -19,16 +19,36 @@
     ) -> None:
         """Update what is known of an engine from the end of an attempt."""
 
+    def record_answer(
+        self, job: interface.Job, events: int, duration: float
+    ) -> None:
+        """Learn from a complete answer."""
+
 
 class Grant:
-    """Permission to send one request to one backend server."""
+    """Permission to send one request to one backend server.
+
+    Attributes
+    ----------
+    engine : Engine
+        The backend server.
+    events : int
+        Events of the answer so far, if it is a stream from its beginning.
+    """
 
     def __init__(
-        self, issuer: Issuer, engine: engines.Engine, number: int
+        self,
+        issuer: Issuer,
+        engine: engines.Engine,
+        number: int,
+        job: interface.Job,
     ) -> None:
         self._issuer = issuer
+        self._job = job
+        self._granted_at = trio.current_time()
         self._request_number = number
         self.engine = engine
+        self.events = 0
 
     def started(self) -> None:
         """Record that the answer has started."""
@@ -41,3 +61,6 @@
         """Record how the attempt ended; further calls have no effect."""
         if self.engine.remove(self._request_number):
             self._issuer.record_outcome(self.engine, outcome)
+            if outcome is interface.AttemptOutcome.COMPLETE:
+                duration = trio.current_time() - self._granted_at
+                self._issuer.record_answer(self._job, self.events, duration)
--- a/src/corianderloft/_internal/placement/interface.py
+++ b/src/corianderloft/_internal/placement/interface.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import functools
+import itertools
 import typing
 
 from corianderloft._internal.kernel import registry
@@ -139,6 +140,12 @@
         Prefill work that callers ask of the service at all hosts.
     hosts : int
         Number of entry hosts.
+    admission : Admitter or None
+        Limits the requests by the memory of the engines, if set.
+    most_urgent : bool
+        Whether no route of the service is known to be more urgent.
+    waiting : int
+        Requests with prompts of the same kind that are queued at this host.
     """
 
     job: Job
@@ -152,6 +159,9 @@
     last_chance: bool = False
     demand: lane_demand.Demand = lane_demand.Demand()
     hosts: int = 1
+    admission: 'Admitter | None' = None
+    most_urgent: bool = True
+    waiting: int = 0
 
     @functools.cached_property
     def candidates(self) -> list[engines.Engine]:
@@ -167,6 +177,35 @@
             and engine.key not in self.exclude
         )
 
+    def admitted(
+        self,
+        found: collections.abc.Iterable[engines.Engine],
+        count: int,
+    ) -> list[engines.Engine]:
+        """Return the first backend servers that can hold the request.
+
+        Parameters
+        ----------
+        found : iterable of Engine
+            Backend servers that may receive it, best first.
+        count : int
+            Number to return at most.
+        """
+        if self.admission is not None:
+            found = (e for e in found if self.admits(e))
+        return list(itertools.islice(found, count))
+
+    def admits(self, engine: engines.Engine) -> bool:
+        """Return whether a backend server can hold the request."""
+        return self.admission is None or self.admission.admits(self, engine)
+
+
+class Admitter(typing.Protocol):
+    """Limits the requests by the memory of the engines."""
+
+    def admits(self, context: Context, engine: engines.Engine) -> bool:
+        """Return whether an engine can hold a request until its end."""
+
 
 class Chooser(typing.Protocol):
     """Policy that selects the backend server for a request."""
--- a/src/corianderloft/_internal/placement/lanes.py
+++ b/src/corianderloft/_internal/placement/lanes.py
@@ -12,6 +12,7 @@
 from corianderloft._internal.models import instances
 from corianderloft._internal.placement import choosers
 from corianderloft._internal.placement import engines
+from corianderloft._internal.placement import hashing
 from corianderloft._internal.placement import interface
 from corianderloft._internal.placement import service_view
 
@@ -51,6 +52,9 @@
 """Engines that are compared for one prompt: the first of its lane in the hash
 order of its shared prefix, so that a prefix is cached on few engines."""
 
+SAMPLED_ENGINES = 32
+"""Further engines that are tried if none of the first ones has memory left."""
+
 LANE_TOLERANCE = 0.25
 """Number of engines that the short lane may lack before it grows."""
 
@@ -123,11 +127,11 @@
         self.context = context
         self.prompt = prompt
         self._short = short
+        self._home: engines.Engine | None = None
+        self._key = choosers.shared_prefix_id(prompt)
         self._preferred = [
             engine
-            for engine in context.view.preferred(
-                choosers.shared_prefix_id(prompt)
-            )
+            for engine in context.view.preferred(self._key)
             if context.usable(engine)
         ]
 
@@ -145,13 +149,65 @@
                 for engine in self.context.candidates
                 if (engine.key in self._short) is short
             ]
-        return lane[:MAX_COMPARED_ENGINES] or self.both()
+        if not lane:
+            return self.both()
+        found = self._on_time(lane)
+        if not found and self.context.admission is not None:
+            found = self._on_time(
+                engine
+                for engine in self._sample()
+                if (engine.key in self._short) is short
+            )
+        if self.context.admission is not None:
+            self._home = lane[0]
+        return found
 
     def both(self) -> list[engines.Engine]:
         """Return the first engines of both lanes."""
-        return (self._preferred or self.context.candidates)[
-            :MAX_COMPARED_ENGINES
+        return self._on_time(self._preferred or self.context.candidates)
+
+    def is_home(
+        self,
+        engine: engines.Engine,
+        lane: collections.abc.Sequence[engines.Engine],
+    ) -> bool:
+        """Return whether other hosts also send the shared prefix there."""
+        return engine is (self._home or lane[0])
+
+    def _on_time(
+        self, found: collections.abc.Iterable[engines.Engine]
+    ) -> list[engines.Engine]:
+        """Return the first engines that can hold the prompt.
+
+        With memory admission, engines whose backlog would make it late are
+        left out if there are others.
+        """
+        context = self.context
+        admitted = context.admitted(found, MAX_COMPARED_ENGINES)
+        if context.admission is None:
+            return admitted
+        time_left = context.job.arrived + context.job.route.target
+        time_left -= context.now
+        on_time = [
+            engine
+            for engine in admitted
+            if engine.prefill_time(
+                self.prompt.tokens - engine.cache.cached_tokens(self.prompt),
+                context.now,
+            )
+            <= time_left
         ]
+        return on_time or admitted
+
+    def _sample(self) -> collections.abc.Iterator[engines.Engine]:
+        """Return some engines besides the first ones, others per request."""
+        live = self.context.view.live
+        if len(live) <= len(self.context.view.preferred(self._key)):
+            return iter(())
+        begin = hashing.weight(self.context.job.request_id, 'sample')
+        count = min(SAMPLED_ENGINES, len(live))
+        sampled = (live[(begin + n) % len(live)] for n in range(count))
+        return (engine for engine in sampled if self.context.usable(engine))
 
 
 class LaneSplit:
@@ -280,13 +336,15 @@
 def _choose_for_short(order: _Order) -> engines.Engine | None:
     context = order.context
     lane = order.lane(short=True)
+    if not lane:
+        lane = order.both()
     if not lane:
         return None
     best = _lowest_cost(order, lane)
     wait = best.prefill_time(0, context.now)
     if wait <= MAX_SHORT_WAIT_RATIO * context.job.route.target:
         return best
-    return _lowest_cost(order, order.both())
+    return _lowest_cost(order, order.both() or lane)
 
 
 def _lowest_cost(
@@ -299,7 +357,7 @@
         # The first engine in hash order probably caches the shared prefix,
         # because other hosts send it there too.
         repeated = 0
-        if engine is not lane[0]:
+        if not order.is_home(engine, lane):
             cached = engine.cache.cached_tokens(prompt)
             repeated = max(0, shared_tokens - cached)
         occupancy = engine.requests() / max(1, engine.instance.slots)
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -15,6 +15,7 @@
 from corianderloft._internal.models import listener
 from corianderloft._internal.models import members
 from corianderloft._internal.models import routing
+from corianderloft._internal.placement import admission
 from corianderloft._internal.placement import budget
 from corianderloft._internal.placement import crash_evidence
 from corianderloft._internal.placement import decision_log
@@ -70,6 +71,8 @@
         Source of random numbers.
     model_chooser : str
         Name of the chooser for model engines.
+    memory_admission : bool
+        Whether requests are admitted by the memory that engines have left.
 
     Attributes
     ----------
@@ -85,13 +88,19 @@
         retries: budget.RetryBudget,
         rng: random.Random,
         model_chooser: str = MODEL_CHOOSER,
+        memory_admission: bool = False,
     ) -> None:
         self._local_domain = domain
         self._rng = rng
         self._host_count = 1
         self._request_numbers = itertools.count()
         self._wake_event = trio.Event()
-        self._queue = queue.Queue()
+        self._admission = (
+            admission.Admission(rng) if memory_admission else None
+        )
+        self._queue = (
+            self._admission.queue if self._admission else queue.Queue()
+        )
         self._table: routing.RoutingTable | None = None
         self._engines: dict[engines.Key, engines.Engine] = {}
         self._views: dict[ids.ServiceName, service_view.ServiceView] = {}
@@ -184,29 +193,64 @@
         exclude : set of Key
             Backend servers that must not be chosen.
         """
-        waiter = queue.Waiter(job, exclude, next(self._request_numbers))
         self._sizes.record(job, self._speed(job.service))
+        waiter = self._create_waiter(job, exclude)
         self._queue.add(waiter)
         self.dispatch()
+        ahead = 0
         try:
-            with trio.move_on_at(self._wait_deadline(waiter)):
-                await waiter.granted.wait()
+            await self._wait(waiter)
+            if waiter.engine is None and self._admission is not None:
+                ahead = self._admission.queue.tokens_ahead(waiter)
         except trio.Cancelled:
             if waiter.engine is not None:
-                grants.Grant(self, waiter.engine, waiter.number).close(
+                grants.Grant(self, waiter.engine, waiter.number, job).close(
                     interface.AttemptOutcome.CALLER_LEFT
                 )
             raise
         finally:
-            self._queue.discard(waiter)
+            self._discard(waiter)
         if waiter.engine is None:
             self._try_dispatch(waiter, trio.current_time(), last_chance=True)
         if waiter.engine is None:
-            refusal = self._refusal(job)
+            refusal = self._refusal(waiter, ahead)
             live = self._view(job.service).live
-            decision_log.refused(waiter, refusal, live, len(self._queue))
+            decision_log.refused(
+                waiter, refusal, live, len(self._queue), ahead
+            )
             return refusal
-        return grants.Grant(self, waiter.engine, waiter.number)
+        return grants.Grant(self, waiter.engine, waiter.number, job)
+
+    def _create_waiter(
+        self, job: interface.Job, exclude: queue.Keys
+    ) -> queue.Waiter:
+        number = next(self._request_numbers)
+        if self._admission is None:
+            return queue.Waiter(job, exclude, number)
+        return self._admission.create_waiter(
+            job, exclude, number, self._sizes.is_long(job)
+        )
+
+    async def _wait(self, waiter: queue.Waiter) -> None:
+        """Wait for an engine, as long as waiting makes sense."""
+        while True:
+            until = check_at = self._wait_deadline(waiter)
+            now = trio.current_time()
+            if self._admission is not None and not waiter.granted.is_set():
+                self._admission.note_queued(waiter, now)
+                if self._admission.is_hopeless(waiter, now):
+                    return
+                check_at = self._admission.next_check(waiter, now)
+            with trio.move_on_at(min(until, check_at)):
+                await waiter.granted.wait()
+            if waiter.granted.is_set() or trio.current_time() >= until:
+                return
+
+    def _discard(self, waiter: queue.Waiter) -> None:
+        """Remove a request from the queue."""
+        self._queue.discard(waiter)
+        if self._admission is not None:
+            self._admission.note_queued(waiter, trio.current_time())
 
     def _wait_deadline(self, waiter: queue.Waiter) -> float:
         """Return until when a request is queued, on trio's clock.
@@ -235,11 +279,11 @@
             Backend servers that must not be chosen.
         """
         self.dispatch()
-        waiter = queue.Waiter(job, exclude, next(self._request_numbers))
+        waiter = self._create_waiter(job, exclude)
         self._try_dispatch(waiter, trio.current_time())
         if waiter.engine is None:
             return None
-        return grants.Grant(self, waiter.engine, waiter.number)
+        return grants.Grant(self, waiter.engine, waiter.number, job)
 
     def wake(self) -> None:
         """Schedule another pass over the queue."""
@@ -266,8 +310,13 @@
     def dispatch(self) -> None:
         """Dispatch the queued requests that may run now, in queue order."""
         now = trio.current_time()
-        for waiter in self._queue.in_order():
-            self._try_dispatch(waiter, now)
+        for batch in self._queue.batches(now):
+            failures = 0
+            for waiter in batch:
+                self._try_dispatch(waiter, now)
+                failures += waiter.engine is None
+                if failures >= self._queue.max_failures:
+                    break
 
     def _try_dispatch(
         self, waiter: queue.Waiter, now: float, last_chance: bool = False
@@ -280,11 +329,15 @@
             else self._plain_chooser
         )
         engine = chooser.choose(context)
-        if engine is not None:
-            self._queue.discard(waiter)
-            self._assign(waiter, engine, context)
-
-    def _refusal(self, job: interface.Job) -> interface.Refused:
+        if engine is None or not context.admits(engine):
+            return
+        self._assign(waiter, engine, context)
+        self._queue.discard(waiter)
+        if self._admission is not None:
+            self._admission.note_dispatched(waiter, now)
+
+    def _refusal(self, waiter: queue.Waiter, ahead: int) -> interface.Refused:
+        job = waiter.job
         now = trio.current_time()
         if now >= job.deadline:
             return interface.Refused(
@@ -297,6 +350,9 @@
         after = job.route.target * self._rng.uniform(
             *RETRY_AFTER_TARGET_RATIOS
         )
+        if self._admission is not None:
+            estimate = self._admission.retry_after(waiter, ahead, now)
+            after = after if estimate is None else estimate
         after += max(0.0, self._view(job.service).refused_until() - now)
         return interface.Refused(interface.RefusalReason.OVERLOADED, after)
 
@@ -392,6 +448,13 @@
             decision_log.readmitted(engine, outcome)
         self.load_changed()
 
+    def record_answer(
+        self, job: interface.Job, events: int, duration: float
+    ) -> None:
+        """Learn from a complete answer."""
+        if self._admission is not None:
+            self._admission.lengths.record(job, events, duration)
+
     def record_silence(self, engine: engines.Engine) -> None:
         """Record that a server sends nothing to a request that stays there.
 
@@ -418,6 +481,13 @@
             last_chance=last_chance,
             demand=self._demand(job.service),
             hosts=self._host_count,
+            admission=self._admission,
+            most_urgent=self._sizes.is_most_urgent(job),
+            waiting=(
+                self._admission.queue.waiting_like(waiter)
+                if self._admission
+                else 0
+            ),
         )
 
     def _speed(self, service: ids.ServiceName) -> engine_model.EngineModel:
@@ -466,6 +536,7 @@
     ) -> None:
         prompt = waiter.job.prompt
         prefill_tokens, kv_tokens = 0, 0
+        parts: tuple[instances.PromptPart, ...] = ()
         if prompt is not None:
             # A request that is larger than the memory of the server is turned
             # away there; it occupies no more than that.
@@ -474,6 +545,11 @@
                 limit, prompt.tokens - engine.cache.cached_tokens(prompt)
             )
             kv_tokens = min(limit, prompt.tokens + prompt.max_output // 2)
+            if self._admission is not None:
+                need = self._admission.need(waiter.job)
+                kv_tokens = min(limit, need.tokens)
+                if need.tokens <= limit:
+                    kv_tokens, parts = need.own_tokens, need.shared_parts
             engine.cache.add(prompt)
             self._meter(waiter.job.service).record(
                 not context.long_prompts, prompt.unshared_tokens, context.now
@@ -484,6 +560,7 @@
             waiter.job.tier,
             context.now,
             not context.long_prompts,
+            shared_parts=parts,
         )
         engine.add(waiter.number, request)
         engine.health.record_sent()
--- a/src/corianderloft/_internal/placement/queue.py
+++ b/src/corianderloft/_internal/placement/queue.py
@@ -14,6 +14,8 @@
 MAX_SCANNED_REQUESTS = 64
 """Queued requests examined in one pass."""
 
+Keys = collections.abc.Set[engines.Key]
+
 
 class Waiter:
     """One queued request.
@@ -32,12 +34,16 @@
         Set once ``engine`` is assigned.
     engine : Engine or None
         Backend server that it is assigned to.
+    long_prompt : bool
+        Whether its route has long prompts; only with memory admission.
+    tokens : int
+        Work that it asks for; only with memory admission.
     """
 
     def __init__(
         self,
         job: interface.Job,
-        exclude: collections.abc.Set[engines.Key],
+        exclude: Keys,
         number: int,
     ) -> None:
         self.job = job
@@ -49,6 +55,8 @@
         )
         self.granted = trio.Event()
         self.engine: engines.Engine | None = None
+        self.long_prompt = False
+        self.tokens = 1
 
     def grant(self, engine: engines.Engine) -> None:
         """Assign the request to a backend server."""
@@ -59,6 +67,8 @@
 class Queue:
     """Queued requests by priority, then in order of arrival."""
 
+    max_failures = MAX_SCANNED_REQUESTS
+
     def __init__(self) -> None:
         self._waiters: dict[int, Waiter] = {}
 
@@ -79,3 +89,7 @@
             self._waiters.values(), key=lambda w: (w.job.urgency, w.number)
         )
         return ordered[:MAX_SCANNED_REQUESTS]
+
+    def batches(self, now: float) -> list[list[Waiter]]:
+        """Return the requests to examine in one pass."""
+        return [self.in_order()]
--- a/src/corianderloft/_internal/placement/sizes.py
+++ b/src/corianderloft/_internal/placement/sizes.py
@@ -29,6 +29,7 @@
         self._counts: collections.Counter[str] = collections.Counter()
         self._routes: dict[ids.ServiceName, dict[str, routing.Route]] = {}
         self._long: set[str] = set()
+        self._most_urgent: dict[ids.ServiceName, int] = {}
 
     def record(
         self, job: interface.Job, speed: engine_model.EngineModel
@@ -46,6 +47,8 @@
         if prompt is None:
             return
         name = job.route.name
+        urgent = self._most_urgent.get(job.service, job.urgency)
+        self._most_urgent[job.service] = min(urgent, job.urgency)
         self._counts[name] += 1
         weight = max(MIN_EWMA_WEIGHT, 1 / self._counts[name])
         mean = self._means.get(name, 0.0)
@@ -67,6 +70,10 @@
             default=job.route.target,
         )
 
+    def is_most_urgent(self, job: interface.Job) -> bool:
+        """Return whether no request of the service was more urgent."""
+        return job.urgency <= self._most_urgent.get(job.service, 0)
+
     def is_long(self, job: interface.Job) -> bool:
         """Return whether the route of a request has long prompts."""
         return job.route.name in self._long
