--- a/src/corianderloft/_internal/gateway/duties/host_duties.py
+++ b/src/corianderloft/_internal/gateway/duties/host_duties.py
@@ -10,6 +10,7 @@
 from corianderloft._internal.gateway.duties import duty
 from corianderloft._internal.gateway.duties import exchange
 from corianderloft._internal.gateway.duties import interface
+from corianderloft._internal.gateway.duties import scaling_orders
 from corianderloft._internal.gateway.duties import sections
 from corianderloft._internal.gateway.duties import true_time
 from corianderloft._internal.gateway.duties import usage
@@ -17,8 +18,12 @@
 from corianderloft._internal.gateway.duties import usage_tenure
 from corianderloft._internal.gateway import settings
 from corianderloft._internal.kv import interface as kv
+from corianderloft._internal.models import ids
 from corianderloft._internal.models import listener
 from corianderloft._internal.models import members
+from corianderloft._internal.models import routing
+from corianderloft._internal.placement import demand_reports
+from corianderloft._internal.placement import placer
 from corianderloft._internal.utils import supervision
 
 logger = logging.getLogger(__name__)
@@ -43,6 +48,8 @@
         The platform's API.
     own : Member
         Entry of this host.
+    request_placer : Placer
+        Knows the engines and the demand.
     send : callable
         Sends a datagram to hosts.
     rng : random.Random
@@ -65,6 +72,7 @@
         prefix: str,
         api: interface.PlatformApi,
         own: members.Member,
+        request_placer: placer.Placer,
         send: exchange.Send,
         rng: random.Random,
     ) -> None:
@@ -81,6 +89,8 @@
         self.usage: usage.UsageCounter | None = None
         if settings.DutyKind.USAGE in cfg.platform_api.duties:
             self._add_usage(bounds, store, prefix, api, rng)
+        if settings.DutyKind.SCALING in cfg.platform_api.duties:
+            self._add_scaling(cfg.host_id, request_placer, api)
 
     def _add_usage(
         self,
@@ -108,6 +118,26 @@
         self._listeners.append(reports)
         self.add('usage', self.usage, reports.run)
 
+    def _add_scaling(
+        self,
+        host_id: ids.HostId,
+        request_placer: placer.Placer,
+        api: interface.PlatformApi,
+    ) -> None:
+        section = demand_reports.DemandSection(
+            request_placer.arrivals, request_placer
+        )
+        orders = scaling_orders.ScalingOrders(
+            host_id, request_placer, section, self.duty, api
+        )
+        self._listeners.append(orders)
+        self.add('demand', section, orders.run)
+
+    def use_table(self, table: routing.RoutingTable) -> None:
+        """Use new declarations."""
+        for part in self._listeners:
+            part.use_table(table)
+
     def add(self, name: str, section: sections.Section, act: Act) -> None:
         """Add a part with a section of the datagrams.
 
--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -176,6 +176,7 @@
             dependencies.store_layout.duties_prefix,
             api,
             own,
+            self._placer,
             self._load_exchange.send,
             random.Random(),
         )
