Count no retry for a server that was not reached

Cause: a refused connection counted as the first send of a request, so the send to a sound server took a retry from the budget. Each host learns of a crashed server by a refused connection of its own; after 3 of 15 engines had crashed the budget was used up and requests were refused unsent. Change: only a send that may have arrived counts; up to MAX_SENDS servers are tried. Before: 2 of 3 new tests fail.

--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -33,6 +33,12 @@
 MAX_SENDS = 6
 """Maximum number of sends per request, including those that did not run."""
 
+NO_ARRIVAL = (
+    interface.AttemptOutcome.WITHDRAWN,
+    interface.AttemptOutcome.NOT_CONNECTED,
+)
+"""Ends of attempts in which no byte of the request was sent."""
+
 MIN_TIME_LEFT_S = 0.02
 """A request with less time left before its deadline is not sent again."""
 
@@ -113,7 +119,8 @@
         self._may_have_run_on: set[engines.Key] = set()
         self._silent: set[engines.Key] = set()
         self.complete = False
-        # Whether a server, reached or not, was sent the request before.
+        # Whether the request may have arrived at a server before. Only then
+        # does another send count as a retry.
         self._sent_before = False
         self._fallback_response: tuple[sending.ReceivedHead, bytes] | None = (
             None
@@ -291,9 +298,7 @@
                 return result
             result = await self._crash_guard.check(attempt, engine, result)
             outcome = result.outcome
-            self._sent_before |= (
-                outcome is not interface.AttemptOutcome.WITHDRAWN
-            )
+            self._sent_before |= outcome not in NO_ARRIVAL
             if not result.may_have_run:
                 self._may_have_run_on.discard(engine.key)
             request_log.send_failed(
