Test ordered engines over curves of demand; correct needs by refusals

Cause: nothing checked what callers get and what is paid when demand changes, engines are reclaimed or orders are lost; the learned speed of engines may be higher than the one under load. Change: tests by arithmetic over curves; refusals with all needed engines live raise the need; a service whose orders fail leaves the others their turn.

--- a/src/corianderloft/_internal/gateway/duties/scaling_orders.py
+++ b/src/corianderloft/_internal/gateway/duties/scaling_orders.py
@@ -74,6 +74,7 @@
         self._api = api
         self._host_count = 1
         self._services: dict[ids.ServiceName, routing.RoutedService] = {}
+        self._turns: collections.deque[ids.ServiceName] = collections.deque()
         self._token: ids.FencingNumber | None = None
         self._states: dict[ids.ServiceName, state.ServiceState] = {}
 
@@ -92,6 +93,7 @@
                     extra={'service': name, 'cause': problem},
                 )
         self._services = found
+        self._turns = collections.deque(found)
         self._forget(found)
 
     def use_members(
@@ -119,10 +121,17 @@
         now = clock.now()
         self._receive_own_demand(now)
         supply = self._supply()
-        for name, service in list(self._services.items()):
-            if not await self._order_service(
+        # A pass that fails or takes long ends, and the next one goes on with
+        # the other services from new observations.
+        for name in tuple(self._turns):
+            service = self._services.get(name)
+            if service is None:
+                continue
+            self._turns.rotate(-1)
+            reached = await self._order_service(
                 service, supply.get(name, {}), now
-            ):
+            )
+            if not reached or clock.now() > now + PASS_INTERVAL_S:
                 break
 
     def _forget(
@@ -226,6 +235,8 @@
             if not reached:
                 break
         for pool, count in decided.wanted.items():
+            if service.name not in self._services:
+                break
             labels = service.name, pool.domain, pool.kind
             metrics.engines_wanted[labels] = count
             metrics.engines_ordered[labels] = known.pool(pool).current
--- a/src/corianderloft/_internal/placement/demand_reports.py
+++ b/src/corianderloft/_internal/placement/demand_reports.py
@@ -25,6 +25,10 @@
 """Time constant of the averages of what changes slowly: the share of the most
 urgent requests, and the time for which requests run."""
 
+REFUSED_S = 3.0
+"""Time constant of the rates of arrivals and refusals: long enough for a
+share of a few in a hundred to show."""
+
 DEFAULT_STAY_S = 2.0
 MIN_STAY_S = 0.05
 MAX_STAY_S = 600.0
@@ -75,6 +79,8 @@
         Requests that run, or would run if there were engines for them.
     waiting_tokens : float
         Prompt tokens of the requests that wait at the host.
+    arrivals_per_s : float
+        Requests that arrived.
     refused_per_s : float
         Requests that were refused for lack of engines.
     urgency : int
@@ -91,6 +97,7 @@
     kv_tokens: float
     running: float
     waiting_tokens: float = 0.0
+    arrivals_per_s: float = 0.0
     refused_per_s: float = 0.0
     urgency: int = 0
     urgent_fraction: float = 1.0
@@ -102,6 +109,7 @@
     'kv_tokens',
     'running',
     'waiting_tokens',
+    'arrivals_per_s',
     'refused_per_s',
     'urgent_fraction',
     'engine_tokens_per_s',
@@ -177,6 +185,7 @@
 
     def __init__(self) -> None:
         self._prefill = _Average()
+        self._arrivals = _Average()
         self._refused = _Average()
         self._kv = _Average()
         self._running = _Average()
@@ -209,6 +218,7 @@
             )
         stay = self.stay(now)
         self._prefill.add(prefill / RECENT_S, now, RECENT_S)
+        self._arrivals.add(1 / REFUSED_S, now, REFUSED_S)
         self._kv.add(kv, now, stay)
         self._running.add(1.0, now, stay)
         urgency = job.urgency
@@ -223,7 +233,7 @@
 
     def record_refused(self, now: float) -> None:
         """Record a request that was refused for lack of engines."""
-        self._refused.add(1 / STEADY_S, now, STEADY_S)
+        self._refused.add(1 / REFUSED_S, now, REFUSED_S)
 
     def record_assigned(
         self, job: interface.Job, prefill_tokens: int, now: float
@@ -307,7 +317,8 @@
             kv_tokens=self._kv.at(now, stay),
             running=max(float(in_flight), self._running.at(now, stay)),
             waiting_tokens=float(self._waiting_tokens),
-            refused_per_s=self._refused.at(now, STEADY_S),
+            arrivals_per_s=self._arrivals.at(now, REFUSED_S),
+            refused_per_s=self._refused.at(now, REFUSED_S),
             urgency=urgency,
             urgent_fraction=(
                 shares[urgency] / sum(shares.values()) if shares else 0.0
@@ -422,7 +433,9 @@
 
     Attributes
     ----------
-    prefill_tokens_per_s, kv_tokens, running, waiting_tokens, refused_per_s
+    prefill_tokens_per_s, kv_tokens, running, waiting_tokens : float
+        Sums of the fields of `DemandReport`.
+    arrivals_per_s, refused_per_s : float
         Sums of the fields of `DemandReport`.
     urgent_fraction : float
         Fraction of the demand that belongs to the most urgent class.
@@ -439,6 +452,7 @@
     kv_tokens: float = 0.0
     running: float = 0.0
     waiting_tokens: float = 0.0
+    arrivals_per_s: float = 0.0
     refused_per_s: float = 0.0
     urgent_fraction: float = 1.0
     engine_tokens_per_s: float = 0.0
@@ -473,6 +487,7 @@
         kv_tokens=sum(r.kv_tokens for r in reports),
         running=sum(r.running for r in reports),
         waiting_tokens=sum(r.waiting_tokens for r in reports),
+        arrivals_per_s=sum(r.arrivals_per_s for r in reports),
         refused_per_s=sum(r.refused_per_s for r in reports),
         urgent_fraction=urgent / work if work else 1.0,
         engine_tokens_per_s=_weighted_median(
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -218,7 +218,8 @@
             refusal = self._refusal(job)
             live = self._view(job.service).live
             decision_log.refused(waiter, refusal, live, len(self._queue))
-            if meter is not None:
+            reasons = interface.RefusalReason
+            if meter is not None and refusal.reason is not reasons.TOO_LATE:
                 meter.record_refused(trio.current_time())
             return refusal
         return grants.Grant(self, waiter.engine, waiter.number)
--- a/src/corianderloft/_internal/placement/scaling/mix.py
+++ b/src/corianderloft/_internal/placement/scaling/mix.py
@@ -135,7 +135,7 @@
     best: tuple[float, int, int] | None = None
     for on_demand in range(1, max(total, math.ceil(urgent) + 1) + 1):
         reclaimable = max(0, total - on_demand)
-        missing = urgent + 1 - on_demand
+        missing = urgent - (on_demand - 1)
         if missing > 0:
             if largest >= 1:
                 continue
--- a/src/corianderloft/_internal/placement/scaling/state.py
+++ b/src/corianderloft/_internal/placement/scaling/state.py
@@ -9,6 +9,7 @@
 import math
 
 from corianderloft._internal.models import routing
+from corianderloft._internal.placement import demand_reports
 from corianderloft._internal.placement.scaling import interface
 from corianderloft._internal.placement.scaling import need
 
@@ -43,6 +44,15 @@
 """Time for which a new holder removes nothing, if engines boot faster: by then
 all hosts have reported their demand."""
 
+REFUSED_FRACTION = 0.01
+MAX_CORRECTION = 2.0
+CORRECTION_GROWTH_PER_S = 0.1
+CORRECTION_DECAY_S = 60.0
+"""If more than this fraction of the requests is refused although all needed
+engines are live, engines are slower than estimated or unevenly loaded. The
+need is then multiplied by a correction, which grows and decays at this pace
+up to this bound."""
+
 MIN_COVERAGE = 0.8
 """Fraction of the hosts that must have reported for engines to be removed."""
 
@@ -216,8 +226,11 @@
         When it was created, in seconds.
     present : float
         Engines that are needed at present, loaded as at a peak.
-    steady : float
-        Average of that over the hold time.
+    steady : float or None
+        Average of that over the hold time; None before the first report.
+    correction : float
+        Factor of the needs; more than 1 while requests are refused although
+        all needed engines are live.
     lowered_at : float
         When engines were last removed.
     """
@@ -226,6 +239,7 @@
         self.started_at = now
         self.present = 0.0
         self.steady: float | None = None
+        self.correction = 1.0
         self.lowered_at = -math.inf
         self._covered = False
         self._observed_at = now
@@ -280,11 +294,13 @@
         demand, capacity = observations.demand, observations.capacity
         # Hosts that are not heard from have as much demand as the others.
         scale = 1 / min(1.0, max(MIN_COVERAGE, observations.coverage))
+        elapsed = max(0.0, now - self._observed_at)
+        self._correct(demand, elapsed)
+        scale *= self.correction
         self.present = scale * need.at_peak(demand, capacity)
         if self.steady is None:
             self.steady = self.present
-        elapsed = now - self._observed_at
-        weight = 1 - math.exp(-max(0.0, elapsed) / hold_time(declared))
+        weight = 1 - math.exp(-elapsed / hold_time(declared))
         self.steady += weight * (self.present - self.steady)
         backlog = need.backlog(demand, capacity, declared.boot_time)
         firm = scale * (need.planned(demand, capacity) + backlog)
@@ -292,6 +308,21 @@
         urgent = self.steady * demand.urgent_fraction
         self._samples.append(_Sample(now, firm, max(firm, spare), urgent))
 
+    def _correct(
+        self, demand: demand_reports.ServiceDemand, elapsed: float
+    ) -> None:
+        """Update the correction."""
+        live = sum(pool.live for pool in self._pools.values())
+        refused = demand.refused_per_s > REFUSED_FRACTION * (
+            demand.arrivals_per_s
+        )
+        if refused and live >= self.firm:
+            growth = 1 + CORRECTION_GROWTH_PER_S * elapsed
+            self.correction = min(MAX_CORRECTION, self.correction * growth)
+        elif not refused:
+            decay = math.exp(-elapsed / CORRECTION_DECAY_S)
+            self.correction = 1 + (self.correction - 1) * decay
+
     @property
     def firm(self) -> float:
         """Highest need of the hold time, in engines."""
--- a/tests/lib/ordered_engines.py
+++ b/tests/lib/ordered_engines.py
@@ -55,6 +55,10 @@
         Whether an order or its reply is lost, by time: 'order' or 'reply'.
     duds : dict
         Ordered engines that never come, by pool.
+    urgent : float
+        Fraction of the demand of the most urgent class.
+    spared : list
+        Engines beyond the need that were left by each removal.
     """
 
     load: object
@@ -63,6 +67,7 @@
     lost: object = lambda now: None
     duds: dict = dataclasses.field(default_factory=dict)
     urgent: float = 0.3
+    spared: list = dataclasses.field(default_factory=list)
 
     def __post_init__(self):
         self.now = 0.0
@@ -75,7 +80,6 @@
         self.sent = []
         self.margins = []
         self.cost = 0.0
-        self.least_on_demand = []
         self.take_over()
 
     def take_over(self):
@@ -151,7 +155,11 @@
             added = order.count - len(ready)
             duds = min(added, self.duds.get(order.pool, 0))
             ready += [due] * (added - duds) + [float('inf')] * duds
-        del ready[order.count :]
+        if order.count < len(ready):
+            del ready[order.count :]
+            kept = self.state.wanted if order.pool.reclaimable else 0.0
+            kept = max(kept, self.state.firm)
+            self.spared.append(self.total() - kept)
         return results.UNKNOWN if fate == 'reply' else results.ACCEPTED
 
     def least_margin(self, start=0.0, end=float('inf')):
