--- a/src/corianderloft/_internal/placement/demand_reports.py
+++ b/src/corianderloft/_internal/placement/demand_reports.py
@@ -56,9 +56,10 @@
 MAX_RATE = 1e12
 """Bounds on what a report may contain."""
 
-EXPIRE_AFTER_S = 3.5
-"""Time without a report after which the demand of a host no longer counts: of
-the reports, which are sent once a second, two may be lost."""
+EXPIRE_AFTER_S = 5.0
+"""Time without a report after which the demand of a host no longer counts.
+Hosts report once a second, in the largest fleets every two seconds, so at
+least one report may be lost."""
 
 
 @dataclasses.dataclass(frozen=True)
