Order no fewer engines than were lately registered

Cause: a new holder knows only registered engines; when entries were missing for a time, as after a restore, its next count would have ended the others. Change: before its first order to a pool, the most live engines of the hold time count as ordered; if some are missing, that count is ordered. Result: the 52 tests of ordered engines pass; the new one fails without this.

--- a/src/corianderloft/_internal/placement/scaling/state.py
+++ b/src/corianderloft/_internal/placement/scaling/state.py
@@ -103,14 +103,22 @@
         self.uncertain = False
         self._ordered_at = -math.inf
         self._complete = True
+        self._settled = 0
         self._history: collections.deque[tuple[float, int]] = (
             collections.deque()
         )
 
     @property
     def current(self) -> int:
-        """Engines that are ordered, as far as that is known."""
-        return self.live if self.ordered is None else self.ordered
+        """Engines that are ordered, as far as that is known.
+
+        Before the first order these are the most that were live in the hold
+        time: entries of engines that run may be missing for a time, and an
+        order for those that are listed would end the others.
+        """
+        if self.ordered is not None:
+            return self.ordered
+        return max((live for _, live in self._history), default=0)
 
     def observe(
         self, supply: interface.Supply, declared: routing.Scaling, now: float
@@ -128,8 +136,11 @@
         """
         self.live = supply.live
         self._history.append((now, supply.live))
-        while self._history[0][0] < now - SETTLE_S and len(self._history) > 1:
+        while self._history[0][0] < now - hold_time(declared):
             self._history.popleft()
+        self._settled = min(
+            live for at, live in self._history if at >= now - SETTLE_S
+        )
         lost = self.ordered is None or self.live < self.ordered
         if supply.reclaimed and lost:
             self.unavailable_until = max(
@@ -158,16 +169,15 @@
 
     def settled(self) -> int:
         """Return the engines that stay and that all hosts use."""
-        lowest = min((live for _, live in self._history), default=0)
-        return min(lowest, self.current)
+        return min(self._settled, self.current)
 
     def repeat_due(self, declared: routing.Scaling, now: float) -> bool:
         """Return whether the last order should be sent again."""
-        if self.ordered is None or now < self.unavailable_until:
+        if now < self.unavailable_until:
             return False
         if self.uncertain:
             return now >= self.retry_at
-        return self.live != self.ordered and (
+        return self.live != self.current and (
             now >= self._ordered_at + missing_time(declared)
         )
 
--- a/tests/unit/placement/test_scaling.py
+++ b/tests/unit/placement/test_scaling.py
@@ -180,6 +180,18 @@
     assert day.least_margin(30, 80) > 0
 
 
+def test_engines_whose_entries_are_missing_are_not_ordered_away():
+    """A new holder would order the few that are listed: a restored store."""
+    day = lib.Day(lambda now: LOAD).start(AT_START)
+    key = lib.pool(lib.EAST, False)
+    day.run(2)
+    day.ready[key] = []
+    # No reclaimable engine that replaces them serves for long enough by then.
+    day.run(5)
+    counts = [order.count for _, order, _ in day.sent if order.pool == key]
+    assert counts and min(counts) >= AT_START
+
+
 def test_an_engine_that_never_comes_is_ordered_again_and_replaced():
     key = lib.pool(lib.NORTH, True)
     day = lib.Day(lambda now: LOAD, duds={key: 5}).start(AT_START).run(40)
