--- a/src/corianderloft/_internal/placement/scaling/state.py
+++ b/src/corianderloft/_internal/placement/scaling/state.py
@@ -9,6 +9,7 @@
 import math
 
 from corianderloft._internal.models import routing
+from corianderloft._internal.placement import demand_reports
 from corianderloft._internal.placement.scaling import interface
 from corianderloft._internal.placement.scaling import need
 
@@ -43,6 +44,15 @@
 """Time for which a new holder removes nothing, if engines boot faster: by then
 all hosts have reported their demand."""
 
+REFUSED_FRACTION = 0.01
+MAX_CORRECTION = 2.0
+CORRECTION_GROWTH_PER_S = 0.1
+CORRECTION_DECAY_S = 60.0
+"""If more than this fraction of the requests is refused although all needed
+engines are live, engines are slower than estimated or unevenly loaded. The
+need is then multiplied by a correction, which grows and decays at this pace
+up to this bound."""
+
 MIN_COVERAGE = 0.8
 """Fraction of the hosts that must have reported for engines to be removed."""
 
@@ -93,14 +103,22 @@
         self.uncertain = False
         self._ordered_at = -math.inf
         self._complete = True
+        self._settled = 0
         self._history: collections.deque[tuple[float, int]] = (
             collections.deque()
         )
 
     @property
     def current(self) -> int:
-        """Engines that are ordered, as far as that is known."""
-        return self.live if self.ordered is None else self.ordered
+        """Engines that are ordered, as far as that is known.
+
+        Before the first order these are the most that were live in the hold
+        time: entries of engines that run may be missing for a time, and an
+        order for those that are listed would end the others.
+        """
+        if self.ordered is not None:
+            return self.ordered
+        return max((live for _, live in self._history), default=0)
 
     def observe(
         self, supply: interface.Supply, declared: routing.Scaling, now: float
@@ -118,8 +136,11 @@
         """
         self.live = supply.live
         self._history.append((now, supply.live))
-        while self._history[0][0] < now - SETTLE_S and len(self._history) > 1:
+        while self._history[0][0] < now - hold_time(declared):
             self._history.popleft()
+        self._settled = min(
+            live for at, live in self._history if at >= now - SETTLE_S
+        )
         lost = self.ordered is None or self.live < self.ordered
         if supply.reclaimed and lost:
             self.unavailable_until = max(
@@ -148,16 +169,15 @@
 
     def settled(self) -> int:
         """Return the engines that stay and that all hosts use."""
-        lowest = min((live for _, live in self._history), default=0)
-        return min(lowest, self.current)
+        return min(self._settled, self.current)
 
     def repeat_due(self, declared: routing.Scaling, now: float) -> bool:
         """Return whether the last order should be sent again."""
-        if self.ordered is None or now < self.unavailable_until:
+        if now < self.unavailable_until:
             return False
         if self.uncertain:
             return now >= self.retry_at
-        return self.live != self.ordered and (
+        return self.live != self.current and (
             now >= self._ordered_at + missing_time(declared)
         )
 
@@ -216,8 +236,11 @@
         When it was created, in seconds.
     present : float
         Engines that are needed at present, loaded as at a peak.
-    steady : float
-        Average of that over the hold time.
+    steady : float or None
+        Average of that over the hold time; None before the first report.
+    correction : float
+        Factor of the needs; more than 1 while requests are refused although
+        all needed engines are live.
     lowered_at : float
         When engines were last removed.
     """
@@ -226,6 +249,7 @@
         self.started_at = now
         self.present = 0.0
         self.steady: float | None = None
+        self.correction = 1.0
         self.lowered_at = -math.inf
         self._covered = False
         self._observed_at = now
@@ -280,11 +304,13 @@
         demand, capacity = observations.demand, observations.capacity
         # Hosts that are not heard from have as much demand as the others.
         scale = 1 / min(1.0, max(MIN_COVERAGE, observations.coverage))
+        elapsed = max(0.0, now - self._observed_at)
+        self._correct(demand, elapsed)
+        scale *= self.correction
         self.present = scale * need.at_peak(demand, capacity)
         if self.steady is None:
             self.steady = self.present
-        elapsed = now - self._observed_at
-        weight = 1 - math.exp(-max(0.0, elapsed) / hold_time(declared))
+        weight = 1 - math.exp(-elapsed / hold_time(declared))
         self.steady += weight * (self.present - self.steady)
         backlog = need.backlog(demand, capacity, declared.boot_time)
         firm = scale * (need.planned(demand, capacity) + backlog)
@@ -292,6 +318,21 @@
         urgent = self.steady * demand.urgent_fraction
         self._samples.append(_Sample(now, firm, max(firm, spare), urgent))
 
+    def _correct(
+        self, demand: demand_reports.ServiceDemand, elapsed: float
+    ) -> None:
+        """Update the correction."""
+        live = sum(pool.live for pool in self._pools.values())
+        refused = demand.refused_per_s > REFUSED_FRACTION * (
+            demand.arrivals_per_s
+        )
+        if refused and live >= self.firm:
+            growth = 1 + CORRECTION_GROWTH_PER_S * elapsed
+            self.correction = min(MAX_CORRECTION, self.correction * growth)
+        elif not refused:
+            decay = math.exp(-elapsed / CORRECTION_DECAY_S)
+            self.correction = 1 + (self.correction - 1) * decay
+
     @property
     def firm(self) -> float:
         """Highest need of the hold time, in engines."""
