Simulate engines that run out of memory; share free memory between hosts

Each host uses an equal share of the free memory of an engine until it has heard of the others. Virtual time is kept per priority, so that an urgent request of a busy workspace does not let its backlog pass others.

--- a/bench/placement/decision.py
+++ b/bench/placement/decision.py
@@ -60,11 +60,7 @@
         budget.RetryBudget(0.2, 50.0, 10.0),
         random.Random(0),
     )
-    host.use_table(
-        simulate.routing_table(
-            workload.KINDS, batch_engines.SMALL.memory_tokens
-        )
-    )
+    host.use_table(simulate.routing_table(workload.KINDS, batch_engines.SMALL))
     listed = [_instance(number) for number in range(count)]
     host.use_instances(listed)
     loads = {
--- a/bench/placement/engine.py
+++ b/bench/placement/engine.py
@@ -33,6 +33,12 @@
         Capacity of the KV cache in tokens.
     tokens_per_event : int
         Tokens in one event of a stream.
+    slots : int
+        Requests that run together.
+    limited : bool
+        Whether running requests share the memory with the cached parts: if
+        it runs out, the newest of the least urgent ones are prefilled again,
+        and an engine crashes if the requests it holds exceed `CRASH_RATIO`.
     """
 
     step: float = 0.00309
@@ -41,12 +47,20 @@
     chunk_tokens: int = 1024
     memory_tokens: int = 317_282
     tokens_per_event: int = 6
+    slots: int = SLOTS
+    limited: bool = False
 
 
+CRASH_RATIO = 1.5  # requests held, relative to the memory
+RESTART_S = 2.0  # during which a crashed engine serves nothing
+
 SMALL = EngineType()
 LARGE = EngineType(0.00434, 0.000151, 36_700.0, 2048, 462_728, 4)
 """Engine types in the users' specifications."""
 
+SCARCE = EngineType(memory_tokens=220_000, slots=48, limited=True)
+"""Memory for 23 prompts of 9,200 tokens with their outputs."""
+
 
 @dataclasses.dataclass
 class Run:
@@ -54,6 +68,8 @@
 
     Attributes
     ----------
+    prompt : Prompt
+        The prompt.
     pending_prefill : int
         Uncached prompt tokens still to be prefilled.
     output_tokens : int
@@ -70,8 +86,11 @@
         Tokens generated so far.
     cancelled : bool
         Whether the caller has left.
+    lost : bool
+        Whether the engine crashed.
     """
 
+    prompt: instances.Prompt
     pending_prefill: int
     output_tokens: int
     urgency: int
@@ -81,6 +100,7 @@
     first_event: trio.Event = dataclasses.field(default_factory=trio.Event)
     generated: int = 0
     cancelled: bool = False
+    lost: bool = False
 
 
 class BatchEngine:
@@ -113,6 +133,10 @@
         self._noisy = False
         self._noise_until = 0.0
         self.prefilled_tokens = 0
+        self.preemptions = 0
+        self.crashes = 0
+        self.max_held_ratio = 0.0
+        self._running: list[Run] = []
 
     def start(
         self, prompt: instances.Prompt, output_tokens: int, urgency: int
@@ -129,6 +153,7 @@
             Priority; 0 goes first.
         """
         run = Run(
+            prompt,
             self._uncached_tokens(prompt),
             output_tokens,
             urgency,
@@ -146,14 +171,77 @@
                 self._work_added = trio.Event()
                 await self._work_added.wait()
                 continue
+            if self._type.limited and self._exceeds_memory():
+                await self._crash()
+                continue
             await self._step()
 
+    def running(self) -> int:
+        """Return the number of requests that occupy slots."""
+        return min(len(self._runs), self._type.slots)
+
+    def waiting(self) -> int:
+        """Return the number of queued requests."""
+        return len(self._runs) - self.running()
+
+    def _exceeds_memory(self) -> bool:
+        ratio = _held_tokens(self._runs) / self._type.memory_tokens
+        self.max_held_ratio = max(self.max_held_ratio, ratio)
+        return ratio > CRASH_RATIO
+
+    async def _crash(self) -> None:
+        self.crashes += 1
+        lost, self._runs, self._running = self._runs, [], []
+        self._cached.clear()
+        for run in lost:
+            run.lost = True
+            run.first_event.set()
+            run.done.set()
+        await trio.sleep(RESTART_S)
+
+    def _within_memory(self, batch: list[Run]) -> list[Run]:
+        """Return the requests that run, most urgent ones first.
+
+        Those that do not fit any more are prefilled again later.
+        """
+        fitting: list[Run] = []
+        parts: set[str] = set()
+        held = 0
+        for run in batch:
+            shared = [
+                p for p in run.prompt.shared_parts if p.part_id not in parts
+            ]
+            tokens = run.prompt.unshared_tokens + run.generated
+            tokens += sum(part.tokens for part in shared)
+            if fitting and held + tokens > self._type.memory_tokens:
+                break
+            held += tokens
+            parts.update(part.part_id for part in shared)
+            fitting.append(run)
+        kept = {id(run) for run in fitting}
+        for run in self._running:
+            if (
+                id(run) not in kept
+                and not run.done.is_set()
+                and not run.cancelled
+            ):
+                self.preemptions += 1
+                run.pending_prefill = run.prompt.tokens + run.generated
+        self._running = fitting
+        return fitting
+
     async def _step(self) -> None:
         batch = sorted(self._runs, key=lambda r: (r.urgency, r.sent_at))
-        batch = batch[:SLOTS]
-        # Admission is by priority; prefill is first come, first served.
+        batch = batch[: self._type.slots]
+        if self._type.limited:
+            batch = self._within_memory(batch)
+        # Admission is by priority; prefill is so with limited memory only.
         prefilling = [run for run in batch if run.pending_prefill]
-        next_prefill = min(prefilling, key=lambda r: r.sent_at, default=None)
+        next_prefill = min(
+            prefilling,
+            key=lambda r: (r.urgency * self._type.limited, r.sent_at),
+            default=None,
+        )
         decoding = [run for run in batch if not run.pending_prefill]
         duration = self._type.step + self._type.step_per_request * len(
             decoding
@@ -197,3 +285,12 @@
         while sum(self._cached.values()) > self._type.memory_tokens:
             self._cached.popitem(last=False)
         return max(1, uncached)
+
+
+def _held_tokens(runs: list[Run]) -> int:
+    """Return the memory of requests, with shared parts counted once."""
+    shared = {
+        p.part_id: p.tokens for run in runs for p in run.prompt.shared_parts
+    }
+    own = sum(run.prompt.unshared_tokens + run.generated for run in runs)
+    return own + sum(shared.values())
--- a/bench/placement/simulate.py
+++ b/bench/placement/simulate.py
@@ -12,6 +12,7 @@
 from bench.placement import workload
 from corianderloft._internal.models import ids
 from corianderloft._internal.models import instances
+from corianderloft._internal.models import members
 from corianderloft._internal.models import routing
 from corianderloft._internal.models import states
 from corianderloft._internal.placement import budget
@@ -36,12 +37,18 @@
         Slowdown factor by index of the engine.
     engine_type : EngineType
         Type of all engines.
+    memory_admission : bool
+        Whether hosts admit requests by the memory that engines have left.
+    deaf_hosts : int
+        Hosts that hear nothing from the others.
     """
 
     engines: int = 9
     hosts: int = 8
     slowed: dict[int, float] = dataclasses.field(default_factory=dict)
     engine_type: batch_engines.EngineType = batch_engines.SMALL
+    memory_admission: bool = False
+    deaf_hosts: int = 0
 
 
 @dataclasses.dataclass
@@ -53,14 +60,21 @@
     late: int = 0
     refused: int = 0
     aborted: int = 0
+    lost: int = 0
     earned: float = 0.0
     possible: float = 0.0
+    refused_after: list[float] = dataclasses.field(default_factory=list)
 
     @property
     def share(self) -> float:
         """Ratio of earned to possible credit."""
         return self.earned / self.possible if self.possible else 0.0
 
+    @property
+    def served_share(self) -> float:
+        """Ratio of complete answers to requests."""
+        return (self.in_time + self.late) / max(1, self.requests)
+
 
 Result = dict[str, Tally]
 
@@ -78,6 +92,13 @@
         Seed of all random numbers.
     kinds : sequence of Kind
         Kinds of the requests.
+
+    Attributes
+    ----------
+    engines : dict
+        The engines by ID.
+    by_workspace : dict
+        Tallies by workspace and route.
     """
 
     def __init__(
@@ -88,9 +109,13 @@
         kinds: collections.abc.Sequence[workload.Kind] = workload.KINDS,
     ) -> None:
         self._rng = random.Random(seed)
-        self._table = routing_table(kinds, fleet.engine_type.memory_tokens)
+        self._fleet = fleet
+        self._table = routing_table(kinds, fleet.engine_type)
+        self.by_workspace: dict[tuple[ids.WorkspaceId, str], Tally] = (
+            collections.defaultdict(Tally)
+        )
         self._tallies: Result = collections.defaultdict(Tally)
-        self._engines = {
+        self.engines = {
             ids.EngineId(f'e-{n}'): batch_engines.BatchEngine(
                 fleet.engine_type,
                 random.Random(seed * 1000 + n),
@@ -108,7 +133,7 @@
     ) -> Result:
         """Simulate the requests and return the tallies by kind."""
         async with trio.open_nursery() as nursery:
-            for engine in self._engines.values():
+            for engine in self.engines.values():
                 nursery.start_soon(engine.serve)
             for host in self._hosts:
                 nursery.start_soon(host.run)
@@ -123,7 +148,17 @@
 
     def _create_host(self, chooser: str, rng: random.Random) -> placer.Placer:
         retries = budget.RetryBudget(0.2, 56.0, 10.0)
-        host = placer.Placer(DOMAIN, retries, rng, chooser)
+        host = placer.Placer(
+            DOMAIN, retries, rng, chooser, self._fleet.memory_admission
+        )
+        host.use_members(
+            [
+                members.Member(
+                    ids.HostId(f'h-{n}'), '127.0.0.1', 1, 1, DOMAIN, ''
+                )
+                for n in range(self._fleet.hosts)
+            ]
+        )
         host.use_table(self._table)
         host.use_instances(
             [
@@ -134,10 +169,10 @@
                     '127.0.0.1',
                     1,
                     DOMAIN,
-                    batch_engines.SLOTS,
+                    self._fleet.engine_type.slots,
                     states.BackendState.LIVE,
                 )
-                for engine_id in self._engines
+                for engine_id in self.engines
             ]
         )
         return host
@@ -148,7 +183,7 @@
             await trio.sleep(LOAD_EXCHANGE_INTERVAL_S)
             loads = [host.own_loads() for host in self._hosts]
             demands = [host.own_demands() for host in self._hosts]
-            for host in self._hosts:
+            for host in self._hosts[self._fleet.deaf_hosts :]:
                 for number, other in enumerate(self._hosts):
                     if other is not host:
                         host.update_peer_loads(str(number), loads[number])
@@ -156,23 +191,40 @@
 
     async def _serve(self, arrival: workload.Arrival) -> None:
         kind = arrival.kind
-        tally = self._tallies[kind.route.name]
-        tally.requests += 1
-        tally.possible += kind.credit
+        tallies = [self._tallies[kind.route.name]]
+        if arrival.workspace is not None:
+            tallies.append(
+                self.by_workspace[arrival.workspace, kind.route.name]
+            )
+        for tally in tallies:
+            tally.requests += 1
+            tally.possible += kind.credit
         started_at = trio.current_time()
         grant = await self._send_with_retry(arrival, started_at)
         if grant is None:
-            tally.refused += 1
+            for tally in tallies:
+                tally.refused += 1
+                tally.refused_after.append(trio.current_time() - started_at)
             return
-        engine = self._engines[grant.engine.engine_id]
+        engine = self.engines[grant.engine.engine_id]
         run = engine.start(arrival.prompt, arrival.output, _urgency(kind))
         with trio.move_on_at(started_at + kind.timeout):
             await run.first_event.wait()
             grant.started()
+            grant.engine.record_sample(
+                instances.LoadSample(
+                    engine.running(),
+                    engine.waiting(),
+                    self._fleet.engine_type.slots,
+                ),
+                trio.current_time(),
+            )
             await run.done.wait()
         run.cancelled = True
-        grant.close(interface.AttemptOutcome.COMPLETE)
-        _record(tally, kind, run, started_at)
+        grant.events = len(run.event_times)
+        grant.close(_outcome(run))
+        for tally in tallies:
+            _record(tally, kind, run, started_at)
 
     async def _send_with_retry(
         self, arrival: workload.Arrival, started_at: float
@@ -199,7 +251,7 @@
             request_id=str(arrival.at),
             route=kind.route,
             service=workload.SERVICE,
-            workspace=None,
+            workspace=arrival.workspace,
             tier=kind.route.tier,
             arrived=now,
             deadline=deadline,
@@ -213,9 +265,20 @@
     return interface.ROUTE_TIERS * kind.route.tier + kind.route.tier
 
 
+def _outcome(run: batch_engines.Run) -> interface.AttemptOutcome:
+    if run.lost:
+        return interface.AttemptOutcome.BROKEN
+    if run.done.is_set():
+        return interface.AttemptOutcome.COMPLETE
+    return interface.AttemptOutcome.TIMED_OUT
+
+
 def _record(
     tally: Tally, kind: workload.Kind, run: batch_engines.Run, arrived: float
 ) -> None:
+    if run.lost:
+        tally.lost += 1
+        return
     if not run.done.is_set():
         tally.aborted += 1
         return
@@ -237,7 +300,8 @@
 
 
 def routing_table(
-    kinds: collections.abc.Sequence[workload.Kind], memory_tokens: int
+    kinds: collections.abc.Sequence[workload.Kind],
+    engine_type: batch_engines.EngineType,
 ) -> routing.RoutingTable:
     return routing.RoutingTable(
         version=1,
@@ -247,7 +311,9 @@
                 workload.SERVICE,
                 '/healthz',
                 370,
-                routing.ModelService(batch_engines.SLOTS, memory_tokens),
+                routing.ModelService(
+                    engine_type.slots, engine_type.memory_tokens
+                ),
             )
         },
         keys={},
@@ -283,5 +349,12 @@
     """
     day = Day(chooser, fleet or Fleet(), seed, site.kinds)
     requests = workload.arrivals(seed, length, load, site)
+    return play(day, requests)
+
+
+def play(
+    day: Day, requests: collections.abc.Sequence[workload.Arrival]
+) -> Result:
+    """Simulate requests in virtual time."""
     clock = trio.testing.MockClock(autojump_threshold=0)
     return trio.run(day.run, requests, clock=clock)
--- a/bench/placement/workload.py
+++ b/bench/placement/workload.py
@@ -33,6 +33,8 @@
         Fraction of the credit for a late answer.
     timeout : float
         Time until the caller leaves, in seconds.
+    max_output : int
+        Stated maximum length of the answer; 0 for its mean length.
     """
 
     route: routing.Route
@@ -43,6 +45,7 @@
     credit: float
     late_credit_ratio: float
     timeout: float
+    max_output: int = 0
 
 
 def _route(
@@ -133,10 +136,16 @@
         Kinds of the requests.
     bursts : tuple of Burst
         Bursts of its heavy day.
+    workspaces : int
+        Workspaces that send equally much; 0 for callers without one.
+    heavy_factor : float
+        Factor on the traffic of the first workspace.
     """
 
     kinds: tuple[Kind, ...]
     bursts: tuple[Burst, ...] = ()
+    workspaces: int = 0
+    heavy_factor: float = 1.0
 
 
 STABLES = Site(KINDS, HEAVY_DAY_BURSTS)
@@ -183,6 +192,47 @@
 between events."""
 
 
+REPORT = Kind(
+    _route('yard-report', 2, 1.5, 0.8, 12.0),
+    17.0,
+    ((2200, 40),),
+    6600,
+    330,
+    1.4,
+    0.41,
+    12.0,
+    800,
+)
+ESTIMATE = Kind(
+    _route('repair-estimate', 1, 0.6, 0.4, 5.0),
+    12.0,
+    ((341, 20), (227, 219)),
+    1500,
+    60,
+    1.1,
+    0.32,
+    5.0,
+    200,
+)
+COUNTER = Kind(
+    _route('counter-chat', 0, 0.25, 0.2, 8.0),
+    12.0,
+    ((103, 20), (69, 249)),
+    543,
+    180,
+    5.0,
+    0.45,
+    8.0,
+    600,
+)
+SCARCE_KINDS = (REPORT, ESTIMATE, COUNTER)
+SCARCE = Site(SCARCE_KINDS, (Burst(REPORT, 2.5, 2.0, 11.0),), 24)
+"""Long prompts that fill the memory of engines before their slots."""
+
+NEIGHBOURS = Site(SCARCE_KINDS, (), 24, 7.5)
+"""One workspace with several times its usual traffic."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Arrival:
     """One request that arrives ``at`` seconds after the start."""
@@ -191,6 +241,7 @@
     kind: Kind
     prompt: instances.Prompt
     output: int
+    workspace: ids.WorkspaceId | None = None
 
 
 def arrivals(
@@ -216,7 +267,7 @@
     generated = [
         arrival
         for kind in site.kinds
-        for arrival in _arrivals_of(rng, kind, length, load, site.bursts)
+        for arrival in _arrivals_of(rng, kind, length, load, site)
     ]
     return sorted(generated, key=lambda a: a.at)
 
@@ -226,14 +277,14 @@
     kind: Kind,
     length: float,
     load: float,
-    bursts: collections.abc.Sequence[Burst],
+    site: Site,
 ) -> collections.abc.Iterator[Arrival]:
     at = 0.0
     while True:
         factor = max(
             [
                 burst.factor
-                for burst in bursts
+                for burst in site.bursts
                 if burst.kind is kind and burst.begin <= at < burst.end
             ],
             default=1.0,
@@ -241,9 +292,9 @@
         at += rng.expovariate(kind.rate * load * factor)
         if at >= length:
             return
-        yield Arrival(
-            at, kind, _prompt(rng, kind), _random_length(rng, kind.output)
-        )
+        prompt, output = _prompt(rng, kind), _random_length(rng, kind.output)
+        output = min(output, kind.max_output or output)
+        yield Arrival(at, kind, prompt, output, _workspace(rng, site))
 
 
 def _prompt(rng: random.Random, kind: Kind) -> instances.Prompt:
@@ -261,8 +312,17 @@
         )
     )
     tokens = sum(part.tokens for part in parts)
-    return instances.Prompt(tokens, kind.output, tuple(parts))
+    max_output = kind.max_output or kind.output
+    return instances.Prompt(tokens, max_output, tuple(parts))
 
 
 def _random_length(rng: random.Random, mean: int) -> int:
     return max(1, min(int(mean * rng.lognormvariate(-0.25, 0.7)), 5 * mean))
+
+
+def _workspace(rng: random.Random, site: Site) -> ids.WorkspaceId | None:
+    if not site.workspaces:
+        return None
+    place = rng.uniform(0, site.workspaces - 1 + site.heavy_factor)
+    number = max(0, int(place - site.heavy_factor + 1))
+    return ids.WorkspaceId(f'w-{number}')
--- a/src/corianderloft/_internal/placement/admission.py
+++ b/src/corianderloft/_internal/placement/admission.py
@@ -4,6 +4,8 @@
 import math
 import random
 
+import trio
+
 from corianderloft._internal.models import instances
 from corianderloft._internal.placement import drain_rate
 from corianderloft._internal.placement import engines
@@ -16,6 +18,10 @@
 """Age of what is known of other hosts' loads: two intervals between their
 datagrams, as changes are also passed on by delegates."""
 
+HOSTS_AT_FULL_PACE = 64
+"""Number of hosts up to which delegates pass loads on at the pace of single
+hosts; in larger fleets the age grows with their number."""
+
 RESERVE_DEVIATIONS = 2.0
 """Standard deviations of the requests that other hosts send within
 `REPORT_AGE_S` that the reserve covers, beside their mean number."""
@@ -29,12 +35,8 @@
 CONTENDED_ENGINES = 8
 """Engines that a queued request may go to, as in `lanes`."""
 
-DRAW_INTERVAL_S = 0.03
-"""Interval between draws for a nearly full engine: the time in which hosts
-hear of each other's requests."""
-
-MAX_DRAWS = 4096
-"""Engines whose last draw is kept."""
+MAX_SHARES = 4096
+"""Engines for which the share of this host is kept."""
 
 WAIT_TOLERANCE = 1.5
 """Factor by which the estimated wait must exceed the time left before a
@@ -49,10 +51,6 @@
 """Time that a refusal leaves for another attempt of the caller, in multiples
 of its target."""
 
-MIN_WAIT_RATIO = queue.MAX_WAIT_TARGET_RATIO
-"""Time that a request is queued at least, in multiples of its target, also
-if answers take longer than its deadline allows."""
-
 RETRY_AFTER_JITTER = (0.75, 1.25)
 """Bounds of the random factor on the retry delay, so that callers that were
 refused together do not return together."""
@@ -83,8 +81,9 @@
 
 
 @dataclasses.dataclass
-class _Draw:
-    admitted: bool
+class _Share:
+    tokens: float
+    rounding: float
     until: float
 
 
@@ -113,7 +112,7 @@
         self.queue = fair_queue.FairQueue()
         self.lengths = lengths.OutputLengths()
         self._drains: dict[fair_queue.Lane, drain_rate.DrainRate] = {}
-        self._draws: dict[engines.Key, _Draw] = {}
+        self._shares: dict[engines.Key, _Share] = {}
 
     def need(self, job: interface.Job) -> Need:
         """Return the memory that a request will occupy."""
@@ -154,7 +153,7 @@
         free = capacity - held - reserve
         if added > free:
             return False
-        return self._draw(context, engine, free / max(1, added))
+        return self._within_share(context, engine, free, added)
 
     def _reserve(
         self, context: interface.Context, capacity: int, need: Need
@@ -166,7 +165,7 @@
         count = (
             others
             * rate
-            * REPORT_AGE_S
+            * _report_age(context.hosts)
             / max(1, need.own_tokens)
             / max(1, len(context.view.live))
         )
@@ -178,31 +177,35 @@
             reserve += URGENT_RESERVE_RATIO * capacity
         return reserve
 
-    def _draw(
-        self, context: interface.Context, engine: engines.Engine, fits: float
+    def _within_share(
+        self,
+        context: interface.Context,
+        engine: engines.Engine,
+        free: float,
+        added: int,
     ) -> bool:
-        """Return whether this host may use a nearly full engine now.
+        """Return whether this host's share of the free memory is enough.
 
-        Hosts do not know who else will send to it. If all have as many
-        requests waiting as this one, and each sends with the probability
-        that is drawn here, they send about as many as fit.
+        Until hosts hear of each other's requests, each of those that may
+        send to an engine uses an equal share of what is free there. What is
+        too small for a request is used with the probability that makes the
+        expected use equal to it.
         """
         live = max(1, len(context.view.live))
-        waiting = max(1, context.waiting)
-        contenders = (
-            (context.hosts - 1) * waiting * min(CONTENDED_ENGINES, live) / live
-        )
-        if contenders + 1 <= fits:
-            return True
-        draw = self._draws.get(engine.key)
-        if draw is None or context.now >= draw.until:
-            admitted = self._rng.random() < max(1.0, fits) / (contenders + 1)
-            interval = DRAW_INTERVAL_S * self._rng.uniform(0.5, 1.5)
-            draw = _Draw(admitted, context.now + interval)
-            if len(self._draws) >= MAX_DRAWS:
-                self._draws.clear()
-            self._draws[engine.key] = draw
-        return draw.admitted
+        fraction = max(1, context.waiting) * CONTENDED_ENGINES / live
+        others = (context.hosts - 1) * min(1.0, fraction)
+        share = self._shares.get(engine.key)
+        if share is None or context.now >= share.until:
+            interval = _report_age(context.hosts) * self._rng.uniform(
+                0.75, 1.25
+            )
+            share = _Share(
+                free / (1 + others), self._rng.random(), context.now + interval
+            )
+            if len(self._shares) >= MAX_SHARES:
+                self._shares.clear()
+            self._shares[engine.key] = share
+        return share.tokens >= max(1, added) * min(1.0, share.rounding)
 
     def create_waiter(
         self, job: interface.Job, exclude: queue.Keys, number: int, long: bool
@@ -222,9 +225,7 @@
             - self.lengths.expected_duration(job)
             - RETRY_MARGIN_RATIO * job.route.target
         )
-        waiter.wait_deadline = min(
-            job.deadline, max(waiter.wait_deadline, latest)
-        )
+        waiter.wait_deadline = max(trio.current_time(), latest)
         return waiter
 
     def next_check(self, waiter: queue.Waiter, now: float) -> float:
@@ -272,10 +273,20 @@
         waiting = self.queue.waiting_like(waiter)
         self._drain(waiter).note_backlog(waiting > 0, now)
 
-    def note_dispatched(self, waiter: queue.Waiter, now: float) -> None:
+    def note_dispatched(
+        self, waiter: queue.Waiter, engine: engines.Engine, now: float
+    ) -> None:
         """Record that a request was dispatched."""
+        share = self._shares.get(engine.key)
+        if share is not None:
+            share.tokens -= self.need(waiter.job).tokens
         self._drain(waiter).record(waiter.tokens, now)
 
     def _drain(self, waiter: queue.Waiter) -> drain_rate.DrainRate:
         lane = waiter.job.service, waiter.long_prompt
         return self._drains.setdefault(lane, drain_rate.DrainRate())
+
+
+def _report_age(hosts: int) -> float:
+    """Return the age of what is known of the loads of other hosts."""
+    return REPORT_AGE_S * max(1.0, hosts / HOSTS_AT_FULL_PACE)
--- a/src/corianderloft/_internal/placement/fair_queue.py
+++ b/src/corianderloft/_internal/placement/fair_queue.py
@@ -13,9 +13,10 @@
 from corianderloft._internal.models import ids
 from corianderloft._internal.placement import queue
 
-AGING_TARGET_RATIO = 2.0
-"""Waiting time, in multiples of its target, after which a request counts as
-one priority higher. Deadlines are 3 to 12 times the target."""
+AGING_TARGET_RATIO = 4.0
+AGING_WAIT_RATIO = 0.75
+"""Waiting time, in multiples of its target and of the longest wait, after the
+first of which a request counts as one priority higher."""
 
 MAX_FAILURES = 8
 """Requests of a lane without an engine after which a pass leaves the lane:
@@ -34,55 +35,82 @@
 
 class _Entry(typing.NamedTuple):
     rank: int
-    tag: float
+    key: float
     number: int
     tokens: int
+    tag: float
 
 
-class _Group:
-    """Start-time fair queueing of one lane.
+class _Class:
+    """Start-time fair queueing of the requests of one lane and priority.
 
-    Its virtual time is the greatest start tag of a dispatched request. A
-    request starts at the virtual time or at the end of the previous one of
-    its workspace, whichever is later.
+    Its virtual time is the greatest start tag of a dispatched request, but
+    not later than any request that waits: requests may be dispatched out of
+    order, as engines that one may not use are free for another. A request
+    starts at the virtual time or at the end of the previous one of its
+    workspace, whichever is later.
     """
 
     def __init__(self) -> None:
-        self.entries: list[_Entry] = []
-        self.urgencies: list[int] = []
-        self._virtual_time = 0.0
+        self.virtual_time = 0.0
+        self._tags: list[float] = []
         self._ends: dict[ids.WorkspaceId | None, float] = {}
 
     def start_tag(
         self, workspace: ids.WorkspaceId | None, tokens: int
     ) -> float:
         """Return the tag of a request, and advance its workspace."""
-        tag = max(self._virtual_time, self._ends.get(workspace, 0.0))
+        tag = max(self.virtual_time, self._ends.get(workspace, 0.0))
         if len(self._ends) > MAX_IDLE_WORKSPACES:
             self._ends = {
                 name: end
                 for name, end in self._ends.items()
-                if end > self._virtual_time
+                if end > self.virtual_time
             }
         self._ends[workspace] = tag + tokens
+        bisect.insort(self._tags, tag)
         return tag
 
     def dispatched(self, tag: float) -> None:
-        self._virtual_time = max(self._virtual_time, tag)
+        """Remove a request that was dispatched."""
+        self._remove(tag)
+        first = self._tags[0] if self._tags else tag
+        self.virtual_time = max(self.virtual_time, min(tag, first))
 
-    def refund(self, workspace: ids.WorkspaceId | None, tokens: int) -> None:
-        """Take back the tokens of a request that was not dispatched."""
-        end = self._ends.get(workspace, 0.0) - tokens
-        self._ends[workspace] = max(self._virtual_time, end)
+    def withdrawn(
+        self, workspace: ids.WorkspaceId | None, entry: _Entry
+    ) -> None:
+        """Remove a request that was not dispatched, and its tokens."""
+        self._remove(entry.tag)
+        end = self._ends.get(workspace, 0.0) - entry.tokens
+        self._ends[workspace] = max(self.virtual_time, end)
+
+    def _remove(self, tag: float) -> None:
+        del self._tags[bisect.bisect_left(self._tags, tag)]
+
+
+class _Group:
+    """The queued requests of one lane in order."""
+
+    def __init__(self) -> None:
+        self.entries: list[_Entry] = []
+        self._urgencies: list[int] = []
+        self._classes: dict[int, _Class] = {}
+
+    def class_of(self, urgency: int) -> _Class:
+        """Return the requests of a priority."""
+        if urgency not in self._classes:
+            bisect.insort(self._urgencies, urgency)
+            self._classes[urgency] = _Class()
+        return self._classes[urgency]
 
     def more_urgent(self, urgency: int) -> int:
         """Return the next priority above one, or the same if none is."""
-        index = bisect.bisect_left(self.urgencies, urgency)
-        return self.urgencies[max(0, index - 1)]
+        index = bisect.bisect_left(self._urgencies, urgency)
+        return self._urgencies[max(0, index - 1)]
 
-    def note_urgency(self, urgency: int) -> None:
-        if urgency not in self.urgencies:
-            bisect.insort(self.urgencies, urgency)
+    def remove(self, entry: _Entry) -> None:
+        del self.entries[bisect.bisect_left(self.entries, entry)]
 
 
 class FairQueue:
@@ -110,19 +138,20 @@
         job = waiter.job
         lane = job.service, waiter.long_prompt
         group = self._groups.setdefault(lane, _Group())
-        group.note_urgency(job.urgency)
-        entry = _Entry(
-            2 * job.urgency,
-            group.start_tag(job.workspace, waiter.tokens),
-            waiter.number,
-            waiter.tokens,
+        tag = group.class_of(job.urgency).start_tag(
+            job.workspace, waiter.tokens
         )
+        entry = _Entry(2 * job.urgency, tag, waiter.number, waiter.tokens, tag)
         self._waiters[waiter.number] = waiter
         self._entries[waiter.number] = lane, entry
         bisect.insort(group.entries, entry)
-        for change, ratio in enumerate((1.0, AGING_TARGET_RATIO)):
-            at = job.arrived + ratio * job.route.target
-            heapq.heappush(self._changes, (at, waiter.number, change))
+        late_at = job.arrived + job.route.target
+        aged_at = job.arrived + min(
+            AGING_TARGET_RATIO * job.route.target,
+            AGING_WAIT_RATIO * (waiter.wait_deadline - job.arrived),
+        )
+        for number, at in enumerate((late_at, max(late_at, aged_at))):
+            heapq.heappush(self._changes, (at, waiter.number, number))
 
     def discard(self, waiter: queue.Waiter) -> None:
         """Remove a request if it is still queued."""
@@ -130,11 +159,12 @@
             return
         lane, entry = self._entries.pop(waiter.number)
         group = self._groups[lane]
-        del group.entries[bisect.bisect_left(group.entries, entry)]
+        group.remove(entry)
+        served = group.class_of(waiter.job.urgency)
         if waiter.engine is None:
-            group.refund(waiter.job.workspace, waiter.tokens)
+            served.withdrawn(waiter.job.workspace, entry)
         else:
-            group.dispatched(entry.tag)
+            served.dispatched(entry.tag)
 
     def batches(
         self, now: float
@@ -182,9 +212,12 @@
             lane, entry = found
             group = self._groups[lane]
             urgency = self._waiters[number].job.urgency
+            # Virtual times of classes differ: what counts among requests of
+            # several classes is how far one is ahead of that of its class.
+            key = entry.tag - group.class_of(urgency).virtual_time
             if change:
                 urgency = group.more_urgent(urgency)
-            changed = entry._replace(rank=2 * urgency + 1)
-            del group.entries[bisect.bisect_left(group.entries, entry)]
+            changed = entry._replace(rank=2 * urgency + 1, key=key)
+            group.remove(entry)
             bisect.insort(group.entries, changed)
             self._entries[number] = lane, changed
--- a/src/corianderloft/_internal/placement/lengths.py
+++ b/src/corianderloft/_internal/placement/lengths.py
@@ -29,6 +29,7 @@
     ratio: float = 0.0
     deviation: float = 0.0
     duration: float = 0.0
+    duration_deviation: float = 0.0
 
 
 class OutputLengths:
@@ -60,14 +61,20 @@
         route = self._routes.setdefault(job.route.name, _Route())
         route.answers += 1
         weight = max(MIN_EWMA_WEIGHT, 1 / route.answers)
-        route.duration += weight * (duration - route.duration)
+        error = duration - route.duration
+        route.duration += weight * error
+        if route.answers > 1:
+            route.duration_deviation += weight * (
+                abs(error) - route.duration_deviation
+            )
         max_output = job.prompt.max_output if job.prompt else 0
         if events == 0 or max_output == 0:
             return
         ratio = events / max_output
-        route.deviation += weight * (abs(ratio - route.ratio))
-        route.deviation *= 1 - weight
-        route.ratio += weight * (ratio - route.ratio)
+        error = ratio - route.ratio
+        route.ratio += weight * error
+        if route.answers > 1:
+            route.deviation += weight * (abs(error) - route.deviation)
         if max_output >= MIN_MAX_OUTPUT:
             density = self._densities.get(job.service, 0.0) * DENSITY_DECAY
             self._densities[job.service] = max(density, ratio)
@@ -89,6 +96,11 @@
         return max(1, round(fraction * job.prompt.max_output))
 
     def expected_duration(self, job: interface.Job) -> float:
-        """Return the mean time from a send to the end, 0 if unknown."""
+        """Return the time from a send to the end, 0 if unknown.
+
+        One mean deviation above the mean.
+        """
         route = self._routes.get(job.route.name)
-        return route.duration if route is not None else 0.0
+        if route is None:
+            return 0.0
+        return route.duration + route.duration_deviation
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -334,7 +334,7 @@
         self._assign(waiter, engine, context)
         self._queue.discard(waiter)
         if self._admission is not None:
-            self._admission.note_dispatched(waiter, now)
+            self._admission.note_dispatched(waiter, engine, now)
 
     def _refusal(self, waiter: queue.Waiter, ahead: int) -> interface.Refused:
         job = waiter.job
