--- a/src/corianderloft/_internal/placement/scaling/state.py
+++ b/src/corianderloft/_internal/placement/scaling/state.py
@@ -53,6 +53,10 @@
 need is then multiplied by a correction, which grows and decays at this pace
 up to this bound."""
 
+MAX_START_SPARE = 1.0
+"""Bound on the spare engines before any demand is known, as a multiple of the
+registered ones."""
+
 MIN_COVERAGE = 0.8
 """Fraction of the hosts that must have reported for engines to be removed."""
 
@@ -283,10 +287,7 @@
                 supply = observations.supply.get(pool, interface.NO_SUPPLY)
                 self.pool(pool).observe(supply, declared, now)
         if not self._samples:
-            # The engines that are there are taken to be needed: the demand of
-            # the time before is unknown.
-            live = float(sum(pool.live for pool in self._pools.values()))
-            self._samples.append(_Sample(now, live, live, 0.0))
+            self._samples.append(self._first_sample(declared, now))
         self._covered = observations.coverage >= MIN_COVERAGE
         if observations.demand.hosts:
             self._observe_demand(observations, declared, now)
@@ -295,6 +296,21 @@
             self._samples.popleft()
         self._observed_at = now
 
+    def _first_sample(self, declared: routing.Scaling, now: float) -> _Sample:
+        """Return the need before any demand is known.
+
+        The engines that are there are taken to be needed. As long as nobody
+        has ordered reclaimable ones, they are taken for a steady load that
+        has no spare engines yet: a burst may come with the first requests.
+        """
+        live = float(sum(pool.live for pool in self._pools.values()))
+        wanted = live
+        if not any(
+            pool.live for key, pool in self._pools.items() if key.reclaimable
+        ):
+            wanted += live * min(MAX_START_SPARE, need.spare_ratio(declared))
+        return _Sample(now, live, wanted, 0.0)
+
     def _observe_demand(
         self,
         observations: interface.Observations,
