Test duties under faults of hosts, links, store and API

Candidates wait one TTL before they compete, so that a host that was elected when another died, and lacks its counts, does not take the lease at once.

--- a/src/corianderloft/_internal/gateway/duties/duty.py
+++ b/src/corianderloft/_internal/gateway/duties/duty.py
@@ -138,11 +138,20 @@
             while not self.is_candidate:
                 await self._changed.wait()
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._lease.run)
+                nursery.start_soon(self._compete)
                 while self.is_candidate:
                     await self._changed.wait()
                 nursery.cancel_scope.cancel()
 
+    async def _compete(self) -> None:
+        """Compete for the lease after a wait of one TTL.
+
+        Candidates that were elected earlier, and that know what hosts have
+        counted that are gone, take a free lease meanwhile.
+        """
+        await trio.sleep(self._ttl)
+        await self._lease.run()
+
 
 class _Observer:
     """Implements `lease.Observer`."""
--- a/src/corianderloft/_internal/gateway/duties/host_duties.py
+++ b/src/corianderloft/_internal/gateway/duties/host_duties.py
@@ -43,6 +43,8 @@
         The platform's API.
     own : Member
         Entry of this host.
+    time_of_day : TrueTime
+        Time of day of this host.
     send : callable
         Sends a datagram to hosts.
     rng : random.Random
@@ -65,13 +67,14 @@
         prefix: str,
         api: interface.PlatformApi,
         own: members.Member,
+        time_of_day: true_time.TrueTime,
         send: exchange.Send,
         rng: random.Random,
     ) -> None:
         assert cfg.platform_api is not None and cfg.duty_bounds is not None
         bounds = cfg.duty_bounds
         ttl = max(bounds.lease_time, cfg.store.min_lease_ttl)
-        self._time = true_time.TrueTime()
+        self._time = time_of_day
         self._acts: list[Act] = []
         self._listeners: list[listener.Listener] = []
         self.duty = duty.Duty(store, prefix, cfg.host_id, ttl, rng)
--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -17,6 +17,7 @@
 from corianderloft._internal.gateway.duties import host_duties
 from corianderloft._internal.gateway.duties import interface as duty_interface
 from corianderloft._internal.gateway.duties import runs
+from corianderloft._internal.gateway.duties import true_time
 from corianderloft._internal.gateway import following
 from corianderloft._internal.gateway import layout
 from corianderloft._internal.gateway import load_exchange
@@ -173,6 +174,7 @@
             dependencies.store_layout.duties_prefix,
             api,
             own,
+            true_time.TrueTime(),
             self._load_exchange.send,
             random.Random(),
         )
--- a/tests/lib/platform_api.py
+++ b/tests/lib/platform_api.py
@@ -6,6 +6,7 @@
 
 from corianderloft._internal.gateway.duties import interface
 from corianderloft._internal.standin import http
+from corianderloft._internal.utils import clock
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,23 +90,30 @@
 class ApiClient:
     """Calls the stand-in without a network, as one host.
 
-    Attributes
+    Parameters
     ----------
-    cut : bool
-        Whether no call reaches the API.
+    api : PlatformApi
+        The stand-in.
+    host_id : str
+        ID of the host.
+    thawed : callable
+        Waits until the host is not frozen.
     """
 
-    def __init__(self, api, host_id):
+    def __init__(self, api, host_id, thawed):
         self.api = api
         self.host_id = host_id
-        self.cut = False
+        self.thawed = thawed
 
     async def report_usage(self, window, counts, held):
         body = {'window': window, 'counts': dict(counts)}
+        call_until = clock.now() + interface.CALL_TIMEOUT_S
+        if call_until >= held.valid_until:
+            return interface.NotSent('the lease does not last for the call')
         await trio.sleep(0.01)
-        if self.cut:
-            await trio.sleep(interface.CALL_TIMEOUT_S - 0.01)
-            return interface.NotSent('no connection')
+        await self.thawed()
+        if clock.now() >= call_until:
+            return interface.NotSent('the request came too late')
         status = self.api.take(self.host_id, held.token, '/usage', body)
         if status is None:
             await trio.sleep(interface.CALL_TIMEOUT_S - 0.01)
