--- a/src/corianderloft/_internal/gateway/duties/duty.py
+++ b/src/corianderloft/_internal/gateway/duties/duty.py
@@ -70,6 +70,8 @@
         holder may not change to another host and back.
     rng : random.Random
         Source of jitter.
+    is_listed : callable
+        Returns whether this host's copy of the store has a key.
 
     Attributes
     ----------
@@ -84,6 +86,7 @@
         host_id: ids.HostId,
         ttl: float,
         rng: random.Random,
+        is_listed: collections.abc.Callable[[str], bool] = lambda key: False,
     ) -> None:
         self._host_id = host_id
         self._ttl = ttl
@@ -98,6 +101,7 @@
             prefix=prefix,
             expiry_margin=0.0,
             observer=_Observer(),
+            looks_held=lambda: is_listed(prefix + LEASE_NAME),
         )
         self.candidates: tuple[members.Member, ...] = ()
         self._changed = trio.Event()
@@ -138,11 +142,20 @@
             while not self.is_candidate:
                 await self._changed.wait()
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._lease.run)
+                nursery.start_soon(self._compete)
                 while self.is_candidate:
                     await self._changed.wait()
                 nursery.cancel_scope.cancel()
 
+    async def _compete(self) -> None:
+        """Compete for the lease after a wait of one TTL.
+
+        Candidates that were elected earlier, and that know what hosts have
+        counted that are gone, take a free lease meanwhile.
+        """
+        await trio.sleep(self._ttl)
+        await self._lease.run()
+
 
 class _Observer:
     """Implements `lease.Observer`."""
--- a/src/corianderloft/_internal/gateway/duties/host_duties.py
+++ b/src/corianderloft/_internal/gateway/duties/host_duties.py
@@ -50,10 +50,14 @@
         Entry of this host.
     request_placer : Placer
         Knows the engines and the demand.
+    time_of_day : TrueTime
+        Time of day of this host.
     send : callable
         Sends a datagram to hosts.
     rng : random.Random
         Source of jitter.
+    is_listed : callable
+        Returns whether this host's copy of the store has a key.
 
     Attributes
     ----------
@@ -73,16 +77,18 @@
         api: interface.PlatformApi,
         own: members.Member,
         request_placer: placer.Placer,
+        time_of_day: true_time.TrueTime,
         send: exchange.Send,
         rng: random.Random,
+        is_listed: collections.abc.Callable[[str], bool],
     ) -> None:
         assert cfg.platform_api is not None and cfg.duty_bounds is not None
         bounds = cfg.duty_bounds
         ttl = max(bounds.lease_time, cfg.store.min_lease_ttl)
-        self._time = true_time.TrueTime()
+        self._time = time_of_day
         self._acts: list[Act] = []
         self._listeners: list[listener.Listener] = []
-        self.duty = duty.Duty(store, prefix, cfg.host_id, ttl, rng)
+        self.duty = duty.Duty(store, prefix, cfg.host_id, ttl, rng, is_listed)
         self.exchange = exchange.DutyExchange(
             {}, own, self.duty, self._time, bounds.report_window, send, rng
         )
--- a/src/corianderloft/_internal/shared/leases/lease.py
+++ b/src/corianderloft/_internal/shared/leases/lease.py
@@ -7,6 +7,7 @@
 comes back from an older copy.
 """
 
+import collections.abc
 import dataclasses
 import random
 import typing
@@ -22,6 +23,9 @@
 EXPIRY_MARGIN_S = 1.0
 RETRY_DELAY_S = 0.5
 
+MAX_PASSED_READS = 4
+"""Reads of the key that are left out in a row while it looks held."""
+
 GIVEN_UP = 'given up'
 """Cause of the end of a lease that its holder released."""
 
@@ -99,6 +103,9 @@
         Time before the expiry from which the holder must not act, in seconds.
     observer : Observer or None
         Hears of changes of the lease.
+    looks_held : callable
+        Returns whether a copy of the service's keys has the key of the lease,
+        so that it need not be read. The copy may be old.
     """
 
     def __init__(
@@ -111,6 +118,7 @@
         prefix: str = LEASE_PREFIX,
         expiry_margin: float = EXPIRY_MARGIN_S,
         observer: Observer | None = None,
+        looks_held: collections.abc.Callable[[], bool] = lambda: False,
     ) -> None:
         self._kv = kv
         self._key = prefix + name
@@ -119,6 +127,8 @@
         self._rng = rng
         self._expiry_margin = expiry_margin
         self._observer = observer
+        self._looks_held = looks_held
+        self._passes_left = MAX_PASSED_READS
         self._held: HeldLease | None = None
         self._held_era = ids.Era(0)
 
@@ -153,6 +163,10 @@
 
     async def _grant(self) -> _Grant | None:
         """Request a lease from the service, unless the key is held."""
+        if self._passes_left and self._looks_held():
+            self._passes_left -= 1
+            return None
+        self._passes_left = MAX_PASSED_READS
         found = await self._kv.get(self._key)
         if not isinstance(found, kv_interface.Found) or found.items:
             return None
