--- a/src/corianderloft/_internal/gateway/duties/host_duties.py
+++ b/src/corianderloft/_internal/gateway/duties/host_duties.py
@@ -48,8 +48,6 @@
         The platform's API.
     own : Member
         Entry of this host.
-    request_placer : Placer
-        Knows the engines and the demand.
     time_of_day : TrueTime
         Time of day of this host.
     send : callable
@@ -76,11 +74,10 @@
         prefix: str,
         api: interface.PlatformApi,
         own: members.Member,
-        request_placer: placer.Placer,
         time_of_day: true_time.TrueTime,
         send: exchange.Send,
         rng: random.Random,
-        is_listed: collections.abc.Callable[[str], bool],
+        is_listed: collections.abc.Callable[[str], bool] = lambda key: False,
     ) -> None:
         assert cfg.platform_api is not None and cfg.duty_bounds is not None
         bounds = cfg.duty_bounds
@@ -95,8 +92,6 @@
         self.usage: usage.UsageCounter | None = None
         if settings.DutyKind.USAGE in cfg.platform_api.duties:
             self._add_usage(bounds, store, prefix, api, rng)
-        if settings.DutyKind.SCALING in cfg.platform_api.duties:
-            self._add_scaling(cfg.host_id, request_placer, api)
 
     def _add_usage(
         self,
@@ -124,12 +119,23 @@
         self._listeners.append(reports)
         self.add('usage', self.usage, reports.run)
 
-    def _add_scaling(
+    def add_scaling(
         self,
         host_id: ids.HostId,
         request_placer: placer.Placer,
         api: interface.PlatformApi,
     ) -> None:
+        """Report the demand, and order engines while the duties are held.
+
+        Parameters
+        ----------
+        host_id : HostId
+            This host.
+        request_placer : Placer
+            Knows the engines and the demand.
+        api : PlatformApi
+            The platform's API.
+        """
         section = demand_reports.DemandSection(
             request_placer.arrivals, request_placer
         )
--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -177,12 +177,13 @@
             dependencies.store_layout.duties_prefix,
             api,
             own,
-            self._placer,
             true_time.TrueTime(),
             self._load_exchange.send,
             random.Random(),
             self._view.has_entry,
         )
+        if settings.DutyKind.SCALING in self._cfg.platform_api.duties:
+            duties.add_scaling(self._cfg.host_id, self._placer, api)
         self._load_exchange.add_handler(duties.exchange)
         self._view.add_listener(duties)
         return duties
