--- a/src/corianderloft/_internal/placement/scaling/decision.py
+++ b/src/corianderloft/_internal/placement/scaling/decision.py
@@ -191,7 +191,7 @@
         cover. In between they stay as they are.
         """
         expected = self._by_domain(True, self._expected)
-        raise_to = self._on_demand_for(planned, expected)
+        raise_to = self._on_demand_for(planned, expected, self._lasting())
         missing = raise_to - sum(map(self._expected, self._of_kind(False)))
         for _ in range(missing):
             if not self._add_on_demand():
@@ -199,18 +199,31 @@
         if missing > 0:
             return
         settled = self._by_domain(True, self._settled)
-        lower_to = self._on_demand_for(planned, settled)
+        lower_to = self._on_demand_for(planned, settled, self._firm)
         while self._steps and self._sum(self._counts, False) > lower_to:
             if not self._remove_on_demand(settled):
                 break
 
+    def _lasting(self) -> float:
+        """Return what on-demand engines are ordered for, in engines."""
+        available = self._price is not None and any(
+            self._pool(pool).dependable(self._now)
+            for pool in self._of_kind(True)
+        )
+        if not available:
+            return self._firm
+        return self._state.lasting(self._declared, self._now)
+
     def _on_demand_for(
-        self, planned: int, reclaimable: dict[ids.FailureDomain, int]
+        self,
+        planned: int,
+        reclaimable: dict[ids.FailureDomain, int],
+        needed: float,
     ) -> int:
         """Return the on-demand engines that are needed beside others."""
         urgent = self._state.urgent + 1 - mix.survivors(reclaimable)
-        firm = self._firm - sum(reclaimable.values())
-        return max(planned, math.ceil(urgent), math.ceil(firm))
+        uncovered = needed - sum(reclaimable.values())
+        return max(planned, math.ceil(urgent), math.ceil(uncovered))
 
     def _add_on_demand(self) -> bool:
         """Order one more on-demand engine; return False without room."""
--- a/src/corianderloft/_internal/placement/scaling/state.py
+++ b/src/corianderloft/_internal/placement/scaling/state.py
@@ -226,6 +226,7 @@
     """Needed engines at one moment."""
 
     at: float
+    present: float
     firm: float
     wanted: float
     urgent: float
@@ -309,7 +310,7 @@
             pool.live for key, pool in self._pools.items() if key.reclaimable
         ):
             wanted += live * min(MAX_START_SPARE, need.spare_ratio(declared))
-        return _Sample(now, live, wanted, 0.0)
+        return _Sample(now, live, live, wanted, 0.0)
 
     def _observe_demand(
         self,
@@ -332,7 +333,9 @@
         firm = scale * (need.planned(demand, capacity) + backlog)
         spare = self.steady * (1 + need.spare_ratio(declared))
         urgent = self.steady * demand.urgent_fraction
-        self._samples.append(_Sample(now, firm, max(firm, spare), urgent))
+        self._samples.append(
+            _Sample(now, self.present, firm, max(firm, spare), urgent)
+        )
 
     def _correct(
         self, demand: demand_reports.ServiceDemand, elapsed: float
@@ -354,6 +357,21 @@
         """Highest need of the hold time, in engines."""
         return max((sample.firm for sample in self._samples), default=0.0)
 
+    def lasting(self, declared: routing.Scaling, now: float) -> float:
+        """Return what is worth on-demand engines, in engines.
+
+        That is the highest need of one boot time, with their spare. What only
+        an earlier peak needed is left to reclaimable engines: on-demand ones
+        ordered for it would serve when it is over, at several times the
+        price.
+        """
+        since = now - declared.boot_time
+        recent = max(
+            (s.present for s in self._samples if s.at >= since),
+            default=self.present,
+        )
+        return min(self.firm, (1 + need.SPARE_COST) * recent)
+
     @property
     def wanted(self) -> float:
         """The same with spare engines."""
