--- a/tests/lib/duty_fleet.py
+++ b/tests/lib/duty_fleet.py
@@ -7,6 +7,7 @@
 import trio
 
 from corianderloft._internal.gateway.duties import host_duties
+from corianderloft._internal.gateway.duties import interface
 from corianderloft._internal.gateway.duties import true_time
 from corianderloft._internal.gateway import settings
 from corianderloft._internal.kv import connections
@@ -112,18 +113,20 @@
             API,
             DUTY_BOUNDS,
         )
+        self.api = platform_api.ApiClient(
+            fleet.api, self.member.host_id, self.thawed
+        )
         self.duties = host_duties.HostDuties(
             cfg,
             self.store,
             'duties/',
-            platform_api.ApiClient(
-                fleet.api, self.member.host_id, self.thawed
-            ),
+            self.api,
             self.member,
             true_time.TrueTime(self.wall),
             self._send,
             random.Random(f'{number} {start}'),
         )
+        self.duties.add('orders', self, self.order)
 
     def wall(self):
         return self.fleet.true_time() + self.wall_error
@@ -154,6 +157,18 @@
             if host and not lost and host._frozen is None:
                 assert host.duties.exchange.receive(data)
 
+    def encode(self):
+        return None
+
+    async def order(self):
+        """Make a call whenever this host may, as for orders of engines."""
+        while True:
+            await self.thawed()
+            held = self.duties.duty.current(interface.CALL_TIMEOUT_S)
+            if held is not None:
+                await self.api.order_engines(held)
+            await trio.sleep(0.2)
+
     async def run(self):
         with self.scope:
             await self.duties.run(self.stopping.wait)
@@ -248,6 +263,7 @@
         return {
             call.body['window']
             for call in self.api.calls
-            if EPOCH_S + call.at
+            if call.path == '/usage'
+            and EPOCH_S + call.at
             <= (call.body['window'] + 1) * WINDOW_S + DELAY_S
         }
--- a/tests/lib/platform_api.py
+++ b/tests/lib/platform_api.py
@@ -107,6 +107,12 @@
 
     async def report_usage(self, window, counts, held):
         body = {'window': window, 'counts': dict(counts)}
+        return await self._call('/usage', body, held)
+
+    async def order_engines(self, held):
+        return await self._call('/scale', {}, held)
+
+    async def _call(self, path, body, held):
         call_until = clock.now() + interface.CALL_TIMEOUT_S
         if call_until >= held.valid_until:
             return interface.NotSent('the lease does not last for the call')
@@ -114,7 +120,7 @@
         await self.thawed()
         if clock.now() >= call_until:
             return interface.NotSent('the request came too late')
-        status = self.api.take(self.host_id, held.token, '/usage', body)
+        status = self.api.take(self.host_id, held.token, path, body)
         if status is None:
             await trio.sleep(interface.CALL_TIMEOUT_S - 0.01)
             return interface.NoReply('no reply')
--- a/tests/unit/gateway/test_duties.py
+++ b/tests/unit/gateway/test_duties.py
@@ -108,6 +108,7 @@
     await fleet.serve(4)
     calls = len(fleet.api.calls)
     await fleet.serve(5)
+    # No host can prove that it holds the lease.
     assert len(fleet.api.calls) == calls
     fleet.store.down = False
     await fleet.serve(10)
