Count what callers of each route got; keep the gaps of short streams

Shares of free memory that are too small for a request are used by chance in half of the cases only. A pass over the queue computes the memory that a request needs once, not for each engine.

--- a/bench/placement/decision.py
+++ b/bench/placement/decision.py
@@ -28,19 +28,27 @@
 
 BUSY = engines.PeerLoad(8, 0, 10_000, 100_000)
 
+FULL = BUSY._replace(kv_tokens=40_000)
+
 PASSES = 50
 
 
-def main(engine_counts: str = '9,99,900', waiters: str = '1,4,16') -> None:
+def main(
+    engine_counts: str = '9,99,900',
+    waiters: str = '1,4,16',
+    memory_admission: bool = False,
+) -> None:
     """Print the time of a pass by number of engines and of queued prompts.
 
     Parameters
     ----------
     engine_counts, waiters : str
         Numbers to measure, separated by commas.
+    memory_admission : bool
+        Whether the memory of the engines, of which little is left, counts.
     """
     rows = [
-        (count, waiting, *trio.run(_measure, count, waiting))
+        (count, waiting, *trio.run(_measure, count, waiting, memory_admission))
         for count in _numbers(engine_counts)
         for waiting in _numbers(waiters)
     ]
@@ -53,18 +61,22 @@
     return [int(part) for part in parts]
 
 
-async def _measure(count: int, waiting: int) -> tuple[float, float, float]:
+async def _measure(
+    count: int, waiting: int, memory_admission: bool
+) -> tuple[float, float, float]:
     """Return the times of the first pass, of later ones and of a report."""
     host = placer.Placer(
         simulate.DOMAIN,
         budget.RetryBudget(0.2, 50.0, 10.0),
         random.Random(0),
+        memory_admission=memory_admission,
     )
     host.use_table(simulate.routing_table(workload.KINDS, batch_engines.SMALL))
     listed = [_instance(number) for number in range(count)]
     host.use_instances(listed)
+    load = FULL if memory_admission else BUSY
     loads = {
-        (instance.engine_id, instance.started_at_ms): BUSY
+        (instance.engine_id, instance.started_at_ms): load
         for instance in listed
     }
     for source in range(SOURCES):
--- a/src/corianderloft/_internal/gateway/app.py
+++ b/src/corianderloft/_internal/gateway/app.py
@@ -9,6 +9,7 @@
 from corianderloft._internal.gateway import forwarding
 from corianderloft._internal.gateway import metrics
 from corianderloft._internal.gateway import refusals
+from corianderloft._internal.gateway import route_outcomes
 from corianderloft._internal.gateway import routed_request
 from corianderloft._internal.gateway import stopping
 from corianderloft._internal.gateway import view
@@ -111,9 +112,9 @@
         request: routed_request.RoutedRequest,
         forwarder: forwarding.RequestForwarder,
     ) -> None:
-        result = 'caller_left'
+        result = forwarding.Result.CALLER_LEFT
         try:
-            result = (await forwarder.run()).value
+            result = await forwarder.run()
         finally:
             self._record_end(request, forwarder, result)
 
@@ -245,7 +246,7 @@
         self,
         request: routed_request.RoutedRequest,
         forwarder: forwarding.RequestForwarder,
-        result: str,
+        result: forwarding.Result,
     ) -> None:
         job = request.job
         now = trio.current_time()
@@ -254,7 +255,19 @@
         response = forwarder.response
         if response.first_byte_at is not None:
             first_byte_s = round(response.first_byte_at - job.arrived, 4)
-        metrics.count_ended(job.route.name, result, reason)
+        metrics.count_ended(job.route.name, result.value, reason)
+        outcome = route_outcomes.classify(
+            job.route,
+            route_outcomes.Ended(
+                result,
+                forwarder.may_have_run,
+                response.status,
+                first_byte_s,
+                response.longest_gap,
+                now - job.arrived,
+            ),
+        )
+        metrics.count_outcome(job.route.name, outcome.value, now - job.arrived)
         metrics.observe(job.route.name, first_byte_s, now - job.arrived)
         logger.info(
             'request ended',
@@ -264,7 +277,8 @@
                 'workspace': job.workspace,
                 'service': job.service,
                 'tier': job.tier,
-                'result': result,
+                'result': result.value,
+                'outcome': outcome.value,
                 'reason': reason,
                 'run': 'maybe' if forwarder.may_have_run else 'not_run',
                 'engine': forwarder.engine,
--- a/src/corianderloft/_internal/gateway/metrics.py
+++ b/src/corianderloft/_internal/gateway/metrics.py
@@ -12,14 +12,21 @@
 """Latencies kept until the metrics are read; the oldest ones are dropped on a
 host whose metrics nobody reads."""
 
+REFUSED = 'refused'
+"""Outcome whose time is recorded."""
+
 requests_ended: collections.Counter[tuple[str, str, str]] = (
     collections.Counter()
 )
+route_outcomes: collections.Counter[tuple[str, str]] = collections.Counter()
 sends_failed: collections.Counter[str] = collections.Counter()
 retries_refused: collections.Counter[str] = collections.Counter()
 _latencies: collections.deque[tuple[str, float | None, float]] = (
     collections.deque(maxlen=MAX_PENDING_LATENCIES)
 )
+_refusal_times: collections.deque[tuple[str, float]] = collections.deque(
+    maxlen=MAX_PENDING_LATENCIES
+)
 _read_store_era: list[collections.abc.Callable[[], int]] = []
 _count_dropped_lines: list[collections.abc.Callable[[], int]] = []
 
@@ -29,6 +36,30 @@
     requests_ended[route, result, reason] += 1
 
 
+def count_outcome(route: str, outcome: str, total_s: float) -> None:
+    """Count what a caller of a route got.
+
+    Parameters
+    ----------
+    route : str
+        Name of the route.
+    outcome : str
+        What the caller got.
+    total_s : float
+        Time from arrival to the end, in seconds.
+    """
+    route_outcomes[route, outcome] += 1
+    if outcome == REFUSED:
+        _refusal_times.append((route, total_s))
+
+
+def take_refusal_times() -> list[tuple[str, float]]:
+    """Return the times to refusal recorded since the last call."""
+    taken = list(_refusal_times)
+    _refusal_times.clear()
+    return taken
+
+
 def count_send_failed(outcome: interface.AttemptOutcome) -> None:
     """Count a failed send to a backend server."""
     sends_failed[outcome.value] += 1
--- a/src/corianderloft/_internal/gateway/metrics_page.py
+++ b/src/corianderloft/_internal/gateway/metrics_page.py
@@ -27,6 +27,15 @@
 _REQUESTS_ENDED = registry.counter(
     'gateway_requests_total', 'Requests ended, by route, result and reason.'
 )
+_ROUTE_OUTCOMES = registry.counter(
+    'gateway_route_outcomes_total',
+    'What callers got by route: in target, late, refused, failed.',
+)
+_REFUSAL_SECONDS = registry.histogram(
+    'gateway_refusal_seconds',
+    'Time from arrival to a refusal, by route.',
+    LATENCY_BUCKETS_S,
+)
 _SENDS_FAILED = registry.counter(
     'gateway_sends_failed_total', 'Sends without an answer, by cause.'
 )
@@ -68,6 +77,10 @@
     for (route, result, reason), count in metrics.requests_ended.items():
         labels = {'route': route, 'result': result, 'reason': reason}
         _REQUESTS_ENDED.set(labels, count)
+    for (route, outcome), count in metrics.route_outcomes.items():
+        _ROUTE_OUTCOMES.set({'route': route, 'outcome': outcome}, count)
+    for route, refusal_s in metrics.take_refusal_times():
+        _REFUSAL_SECONDS.observe({'route': route}, refusal_s)
     for cause, count in metrics.sends_failed.items():
         _SENDS_FAILED.set({'cause': cause}, count)
     for service, count in metrics.retries_refused.items():
--- a/src/corianderloft/_internal/gateway/response_writer.py
+++ b/src/corianderloft/_internal/gateway/response_writer.py
@@ -25,6 +25,8 @@
     ----------
     first_byte_at : float or None
         When the response started, on trio's clock, in seconds.
+    status : int or None
+        Status of the response of a server that was passed on.
     longest_gap : float
         Longest time between two writes of stream events, in seconds.
     ended_by : ResponseEnd
@@ -38,6 +40,7 @@
         self._closes_connection = closes_connection
         self._last_event_at = 0.0
         self.first_byte_at: float | None = None
+        self.status: int | None = None
         self.longest_gap = 0.0
         self.ended_by = sending.ResponseEnd.NONE
 
@@ -50,6 +53,7 @@
     ) -> None:
         """Write a whole response of a server."""
         self.first_byte_at = trio.current_time()
+        self.status = received.status
         self.ended_by = received.end
         headers = self._headers(received)
         with trio.CancelScope(shield=True):
@@ -93,6 +97,7 @@
         if self._caller.started:
             return
         self.first_byte_at = trio.current_time()
+        self.status = received.status
         await self._caller.start(received.status, self._headers(received))
 
     def _headers(self, received: sending.ReceivedHead) -> exchange.Headers:
--- a/src/corianderloft/_internal/placement/admission.py
+++ b/src/corianderloft/_internal/placement/admission.py
@@ -6,7 +6,6 @@
 
 import trio
 
-from corianderloft._internal.models import instances
 from corianderloft._internal.placement import drain_rate
 from corianderloft._internal.placement import engines
 from corianderloft._internal.placement import fair_queue
@@ -35,6 +34,10 @@
 CONTENDED_ENGINES = 8
 """Engines that a queued request may go to, as in `lanes`."""
 
+ROUNDING_RATIO = 0.5
+"""Expected use of shares that are too small for a request. With the whole of
+it, two hosts would use the same last place in a quarter of the cases."""
+
 MAX_SHARES = 4096
 """Engines for which the share of this host is kept."""
 
@@ -59,27 +62,6 @@
 """Shortest retry delay in multiples of the target."""
 
 
-@dataclasses.dataclass(frozen=True)
-class Need:
-    """Memory that a request occupies until its end.
-
-    Attributes
-    ----------
-    own_tokens : int
-        Unshared prompt tokens and expected output.
-    shared_parts : tuple of PromptPart
-        Parts that occupy memory once for all requests that use them.
-    """
-
-    own_tokens: int
-    shared_parts: tuple[instances.PromptPart, ...] = ()
-
-    @property
-    def tokens(self) -> int:
-        """Tokens on an engine without any other request."""
-        return self.own_tokens + sum(p.tokens for p in self.shared_parts)
-
-
 @dataclasses.dataclass
 class _Share:
     tokens: float
@@ -114,14 +96,14 @@
         self._drains: dict[fair_queue.Lane, drain_rate.DrainRate] = {}
         self._shares: dict[engines.Key, _Share] = {}
 
-    def need(self, job: interface.Job) -> Need:
+    def need(self, job: interface.Job) -> interface.Need:
         """Return the memory that a request will occupy."""
         prompt = job.prompt
         if prompt is None:
-            return Need(0)
+            return interface.Need(0)
         shared = prompt.shared_parts
         own = max(0, prompt.tokens - sum(part.tokens for part in shared))
-        return Need(own + self.lengths.expected_output(job), shared)
+        return interface.Need(own + self.lengths.expected_output(job), shared)
 
     def admits(
         self, context: interface.Context, engine: engines.Engine
@@ -135,7 +117,7 @@
         capacity = engine.memory_tokens
         if context.job.prompt is None or not capacity:
             return True
-        need = self.need(context.job)
+        need = context.need
         if need.tokens > capacity:
             # The engine turns it away itself.
             return True
@@ -156,7 +138,7 @@
         return self._within_share(context, engine, free, added)
 
     def _reserve(
-        self, context: interface.Context, capacity: int, need: Need
+        self, context: interface.Context, capacity: int, need: interface.Need
     ) -> float:
         """Return the memory kept for what is on its way from other hosts."""
         demand = context.demand
@@ -187,9 +169,8 @@
         """Return whether this host's share of the free memory is enough.
 
         Until hosts hear of each other's requests, each of those that may
-        send to an engine uses an equal share of what is free there. What is
-        too small for a request is used with the probability that makes the
-        expected use equal to it.
+        send to an engine uses an equal share of what is free there. A share
+        that is too small for a request is used by chance.
         """
         live = max(1, len(context.view.live))
         fraction = max(1, context.waiting) * CONTENDED_ENGINES / live
@@ -205,7 +186,9 @@
             if len(self._shares) >= MAX_SHARES:
                 self._shares.clear()
             self._shares[engine.key] = share
-        return share.tokens >= max(1, added) * min(1.0, share.rounding)
+        if share.tokens >= added:
+            return True
+        return ROUNDING_RATIO * share.tokens > added * share.rounding
 
     def create_waiter(
         self, job: interface.Job, exclude: queue.Keys, number: int, long: bool
--- a/src/corianderloft/_internal/placement/interface.py
+++ b/src/corianderloft/_internal/placement/interface.py
@@ -5,6 +5,7 @@
 import enum
 import functools
 import itertools
+import math
 import typing
 
 from corianderloft._internal.kernel import registry
@@ -112,6 +113,27 @@
     retry_after: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Need:
+    """Memory that a request occupies until its end.
+
+    Attributes
+    ----------
+    own_tokens : int
+        Unshared prompt tokens and expected output.
+    shared_parts : tuple of PromptPart
+        Parts that occupy memory once for all requests that use them.
+    """
+
+    own_tokens: int
+    shared_parts: tuple[instances.PromptPart, ...] = ()
+
+    @functools.cached_property
+    def tokens(self) -> int:
+        """Tokens on an engine without any other request."""
+        return self.own_tokens + sum(p.tokens for p in self.shared_parts)
+
+
 @dataclasses.dataclass
 class Context:
     """Input of a chooser.
@@ -142,6 +164,11 @@
         Number of entry hosts.
     admission : Admitter or None
         Limits the requests by the memory of the engines, if set.
+    short_gap_target : float
+        Tightest gap target of the short-prompt routes of the service, in
+        seconds; infinite if there is none.
+    need : Need
+        Memory that the request occupies; zero without memory admission.
     most_urgent : bool
         Whether no route of the service is known to be more urgent.
     waiting : int
@@ -160,6 +187,8 @@
     demand: lane_demand.Demand = lane_demand.Demand()
     hosts: int = 1
     admission: 'Admitter | None' = None
+    short_gap_target: float = math.inf
+    need: Need = Need(0)
     most_urgent: bool = True
     waiting: int = 0
 
--- a/src/corianderloft/_internal/placement/lanes.py
+++ b/src/corianderloft/_internal/placement/lanes.py
@@ -52,7 +52,7 @@
 """Engines that are compared for one prompt: the first of its lane in the hash
 order of its shared prefix, so that a prefix is cached on few engines."""
 
-SAMPLED_ENGINES = 32
+SAMPLED_ENGINES = 16
 """Further engines that are tried if none of the first ones has memory left."""
 
 LANE_TOLERANCE = 0.25
@@ -180,7 +180,8 @@
         """Return the first engines that can hold the prompt.
 
         With memory admission, engines whose backlog would make it late are
-        left out if there are others.
+        left out if there are others, and so are those where prompts are
+        prefilled for longer than a short stream there may pause.
         """
         context = self.context
         admitted = context.admitted(found, MAX_COMPARED_ENGINES)
@@ -197,7 +198,24 @@
             )
             <= time_left
         ]
-        return on_time or admitted
+        steady = [engine for engine in on_time if self._keeps_gaps(engine)]
+        return steady or on_time or admitted
+
+    def _keeps_gaps(self, engine: engines.Engine) -> bool:
+        """Return whether the streams at an engine meet their gap targets.
+
+        Prefill between the tokens of a stream delays these by the time that
+        all of it takes, at most.
+        """
+        context = self.context
+        if not context.long_prompts:
+            gap_target = context.job.route.gap_target or math.inf
+            return engine.prefill_time(0, context.now) <= gap_target
+        if not engine.short_requests():
+            return True
+        uncached = self.prompt.tokens - engine.cache.cached_tokens(self.prompt)
+        prefill_time = engine.prefill_time(uncached, context.now)
+        return prefill_time <= context.short_gap_target
 
     def _sample(self) -> collections.abc.Iterator[engines.Engine]:
         """Return some engines besides the first ones, others per request."""
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -482,6 +482,12 @@
             demand=self._demand(job.service),
             hosts=self._host_count,
             admission=self._admission,
+            need=(
+                self._admission.need(job)
+                if self._admission
+                else interface.Need(0)
+            ),
+            short_gap_target=self._sizes.short_gap_target(job),
             most_urgent=self._sizes.is_most_urgent(job),
             waiting=(
                 self._admission.queue.waiting_like(waiter)
@@ -546,7 +552,7 @@
             )
             kv_tokens = min(limit, prompt.tokens + prompt.max_output // 2)
             if self._admission is not None:
-                need = self._admission.need(waiter.job)
+                need = context.need
                 kv_tokens = min(limit, need.tokens)
                 if need.tokens <= limit:
                     kv_tokens, parts = need.own_tokens, need.shared_parts
--- a/src/corianderloft/_internal/placement/sizes.py
+++ b/src/corianderloft/_internal/placement/sizes.py
@@ -70,6 +70,20 @@
             default=job.route.target,
         )
 
+    def short_gap_target(self, job: interface.Job) -> float:
+        """Return the tightest gap target of a service's short routes.
+
+        Infinite if there is none.
+        """
+        return min(
+            (
+                route.gap_target or math.inf
+                for name, route in self._routes.get(job.service, {}).items()
+                if name not in self._long
+            ),
+            default=math.inf,
+        )
+
     def is_most_urgent(self, job: interface.Job) -> bool:
         """Return whether no request of the service was more urgent."""
         return job.urgency <= self._most_urgent.get(job.service, 0)
