--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -32,6 +32,8 @@
     'ttl_max_s': 5,
 }
 
+LIMITS = {'max_fds': 1000}
+
 LARGE_FLEET = 14  # hosts; up to twelve would all watch the store
 LARGE_BOUNDS = BOUNDS | {
     'revoke_ms': 5000,
@@ -44,8 +46,17 @@
 class Host:
     """An entry host process, its settings and the relay to its store."""
 
-    def __init__(self, name, directory, store_port, bounds, min_ttl_ms):
+    def __init__(
+        self,
+        name,
+        directory,
+        store_port,
+        bounds,
+        min_ttl_ms,
+        limits=LIMITS,
+    ):
         self.name = name
+        self._limits = limits
         self._bounds = bounds
         self._min_ttl_ms = min_ttl_ms
         self.store_relay = relay.TcpRelay(store_port)
@@ -75,7 +86,7 @@
                         'directory': f'{address}:{self._ports[0]}',
                     },
                     'internal_ports': [self._ports[1], self._ports[1]],
-                    'limits': {'max_fds': 1000},
+                    'limits': self._limits,
                     'bounds': self._bounds,
                     'platform': {
                         'address': f'{address}:{self.store_relay.port}',
@@ -129,9 +140,16 @@
     """The store, backend servers and entry hosts of one run."""
 
     def __init__(
-        self, directory, hosts=3, engines=4, bounds=BOUNDS, min_ttl_ms=1000
+        self,
+        directory,
+        hosts=3,
+        engines=4,
+        bounds=BOUNDS,
+        min_ttl_ms=1000,
+        limits=LIMITS,
     ):
         self.bounds = bounds
+        self._limits = limits
         self.store = platform_store.PlatformStore()
         self.store.min_ttl_ms = min_ttl_ms
         self.store.era = 1
@@ -164,6 +182,7 @@
                 port,
                 self.bounds,
                 self.store.min_ttl_ms,
+                self._limits,
             )
             await nursery.start(host.store_relay.run)
             self.hosts.append(host)
