--- a/tests/functional/test_untrusted_clients.py
+++ b/tests/functional/test_untrusted_clients.py
@@ -234,6 +234,8 @@
         await started.register_backend(
             'counter-1', system.PLAIN_SERVICE, 'own-yard', 'draining'
         )
+        # It may still get requests for a moment, and would answer 404.
+        started.backends['counter-1'].kill()
         process = started.hosts['host-1']
         yield Target(
             process.pid,
