Hold bodies and responses within the byte budget on both paths

A body is reserved by its announced length before it is read, or as it arrives; a whole response likewise, and until then it stays at its server. What the kernel does not take at once is counted and its progress recorded. Bodies announced over the limit are refused unread.

Bodies and responses are kept in one buffer instead of a list of parts, the rest of a partial write is not copied, and neither is a large body to be joined with its head.

--- a/src/corianderloft/_internal/entry/attempts.py
+++ b/src/corianderloft/_internal/entry/attempts.py
@@ -14,7 +14,9 @@
 from corianderloft._internal.entry import stream_relay
 from corianderloft._internal.entry import timeouts
 from corianderloft._internal.models import requests
+from corianderloft._internal.network import memory
 from corianderloft._internal.network import outbound
+from corianderloft._internal.network import response_memory
 
 MAX_ERROR_BYTES = 65536
 """Limit on the body of an engine's error response, in bytes."""
@@ -65,7 +67,9 @@
         grant: interface.Grant,
         attempt_record: records.AttemptRecord,
         task: inflight.RequestTask | None,
+        request_memory: memory.RequestMemory | None = None,
     ) -> None:
+        self._memory = response_memory.ResponseMemory(request_memory)
         cfg = components.settings.backends
         request_class = call.origin.request_class
         self.backend = grant.backend
@@ -244,8 +248,10 @@
                 self._call.origin.request_class,
                 self._call.ticket.max_tokens,
             ),
+            self._memory.reserve_part,
         )
         if isinstance(body, outbound.Failure):
+            self._memory.discard()
             return self._record_failure(body)
         tokens = backend_responses.completion_tokens(body)
         if tokens is None:
--- a/src/corianderloft/_internal/entry/chat.py
+++ b/src/corianderloft/_internal/entry/chat.py
@@ -156,12 +156,14 @@
         if isinstance(grant, requests.Refused):
             return grant
         attempt_record = self._record.begin_attempt(grant.backend.engine_id)
+        receiver = self._response.receiver
         return attempts.Attempt(
             self._components,
             self._call,
             grant,
             attempt_record,
             self._response.task,
+            receiver.memory if receiver is not None else None,
         )
 
     async def _begin_hedge(
--- a/src/corianderloft/_internal/entry/chat_handlers.py
+++ b/src/corianderloft/_internal/entry/chat_handlers.py
@@ -50,7 +50,9 @@
         if isinstance(origin, requests.Refused):
             await refusals.send(http, origin)
             return
-        body = await checks.read_body(http, self._cfg)
+        body = await checks.read_body(
+            http, self._cfg, origin.request_class.tier
+        )
         if isinstance(body, exchange.CallerDisconnected):
             return
         call = (
--- a/src/corianderloft/_internal/entry/checks.py
+++ b/src/corianderloft/_internal/entry/checks.py
@@ -62,14 +62,32 @@
 
 
 async def read_body(
-    http: exchange.Exchange, cfg: callers.CallerSettings
+    http: exchange.Exchange, cfg: callers.CallerSettings, tier: ids.Tier
 ) -> bytes | requests.Refused | exchange.CallerDisconnected:
-    """Read the body within the configured size and time limits."""
+    """Read the body within the limits on size, time and memory.
+
+    Parameters
+    ----------
+    http : Exchange
+        The request.
+    cfg : CallerSettings
+        Limits on size and time.
+    tier : Tier
+        Priority of the request for memory.
+    """
+    if http.memory is not None:
+        http.memory.set_urgency(tier)
     body = await http.body(cfg.max_body_bytes, cfg.read_time)
     if isinstance(body, exchange.BodyTooLarge):
         return refusals.not_run(
             _Reason.TOO_LARGE, f'the body is longer than {body.limit} bytes'
         )
+    if isinstance(body, exchange.NoMemory):
+        return refusals.not_run(
+            _Reason.NO_MEMORY,
+            f'this host had no memory for the body within {body.seconds:g} s',
+            refusals.NO_MEMORY_RETRY_AFTER_S,
+        )
     if isinstance(body, exchange.BodyTooSlow):
         return refusals.not_run(
             _Reason.TOO_SLOW,
--- a/src/corianderloft/_internal/entry/components.py
+++ b/src/corianderloft/_internal/entry/components.py
@@ -9,7 +9,9 @@
 from corianderloft._internal.entry import records
 from corianderloft._internal.entry import responses
 from corianderloft._internal.models import backends
+from corianderloft._internal.network import byte_budget
 from corianderloft._internal.network import connections
+from corianderloft._internal.network import memory
 from corianderloft._internal.network import outbound
 from corianderloft._internal.network import silence
 from corianderloft._internal.placement import crash_evidence
@@ -45,6 +47,8 @@
         Requests in flight.
     crashes : CrashEvidence
         Requests that crash backend servers, as seen by this host.
+    memory : Memory
+        Byte budget of the process.
     """
 
     settings: root.Settings
@@ -57,6 +61,7 @@
     records: records.RecordStore
     inflight: inflight.InFlightRequests
     crashes: crash_evidence.CrashEvidence
+    memory: memory.Memory
 
 
 def build_components(
@@ -89,4 +94,9 @@
         records=records.RecordStore(settings.operators.explained_requests),
         inflight=inflight.InFlightRequests(),
         crashes=crash_evidence.CrashEvidence(),
+        memory=memory.Memory(
+            byte_budget.ByteBudget(
+                byte_budget.sizes(settings.host.memory_bytes)
+            )
+        ),
     )
--- a/src/corianderloft/_internal/entry/host.py
+++ b/src/corianderloft/_internal/entry/host.py
@@ -16,7 +16,9 @@
 from corianderloft._internal.entry import drain
 from corianderloft._internal.entry import feeds
 from corianderloft._internal.entry import operators_app
+from corianderloft._internal.metrics import budget
 from corianderloft._internal.metrics import queues
+from corianderloft._internal.network import byte_budget
 from corianderloft._internal.network import serving
 from corianderloft._internal.network import tls
 from corianderloft._internal.settings import callers
@@ -101,6 +103,7 @@
     drain_controller = drain.DrainController(components)
     stopped = trio.Event()
     async with contextlib.AsyncExitStack() as stack:
+        stack.enter_context(budget.registered_source(components.memory.budget))
         stack.enter_context(queues.registered_source(dispatcher.queue_states))
         nursery = await stack.enter_async_context(trio.open_nursery())
         for task in (*background, *_host_tasks(components)):
@@ -143,7 +146,12 @@
     cfg = components.settings.callers
     operator_cfg = components.settings.operators
     limits = serving.ServerLimits(
-        cfg.max_connections,
+        min(
+            cfg.max_connections,
+            byte_budget.sizes(
+                components.settings.host.memory_bytes
+            ).connections,
+        ),
         cfg.max_header_bytes,
         cfg.idle_time,
         cfg.stalled_time,
@@ -157,12 +165,14 @@
             sockets.callers,
             limits,
             _tls(cfg, nursery),
+            components.memory,
         ),
         serving.Server(
             operators_app.OperatorsApp(components, drain_controller),
             sockets.operators,
             operator_limits,
             _tls(operator_cfg, nursery),
+            components.memory,
         ),
     )
 
@@ -182,6 +192,7 @@
     while True:
         await trio.sleep(HOUSEKEEPING_INTERVAL_S)
         components.responses.evict_expired()
+        components.memory.relieve()
         await components.connections.close_expired()
 
 
--- a/src/corianderloft/_internal/entry/plain.py
+++ b/src/corianderloft/_internal/entry/plain.py
@@ -21,7 +21,9 @@
 from corianderloft._internal.models import requests
 from corianderloft._internal.models import states
 from corianderloft._internal.network import engine_connection
+from corianderloft._internal.network import memory
 from corianderloft._internal.network import outbound
+from corianderloft._internal.network import response_memory
 from corianderloft._internal.shared import interface as shared_state
 
 CLAIM_UPDATE_TIMEOUT_S = 5.0
@@ -67,6 +69,8 @@
         The call.
     record : Record
         Record of the call's progress.
+    request_memory : RequestMemory or None
+        Bytes held for the call.
     """
 
     def __init__(
@@ -74,7 +78,9 @@
         components: host_components.HostComponents,
         call: calls.PlainCall,
         record: records.RequestRecord,
+        request_memory: memory.RequestMemory | None = None,
     ) -> None:
+        self._memory = response_memory.ResponseMemory(request_memory)
         self._components = components
         self._call = call
         self._record = record
@@ -195,6 +201,7 @@
             if isinstance(result, outbound.Failure):
                 attempt_record.end = result.end
                 attempt_record.may_have_run = result.may_have_run
+                self._memory.discard()
                 self._failed_engines.add(grant.backend.engine_id)
             else:
                 grant.first_token()
@@ -243,13 +250,27 @@
         without a length looks complete then.
         """
         cfg = self._components.settings.backends
+        length = None
+        if self._call.method != 'HEAD':
+            length = engine_connection.announced_length(head.headers)
+        started = self._memory.start(length)
+        if not started and not await self._memory.wait(length, timeout_s):
+            return outbound.Failure(
+                interface.AttemptEnd.BACKEND_ERROR,
+                True,
+                f'no memory for the answer of {backend.engine_id!r}',
+            )
         if not head.ends_with_connection:
-            return await exchange.read_all(cfg.max_answer_bytes, timeout_s)
+            return await exchange.read_all(
+                cfg.max_answer_bytes, timeout_s, self._memory.reserve_part
+            )
         other = await engine_connection.connect(
             backend.address, backend.port, cfg.connect_time
         )
         try:
-            body = await exchange.read_all(cfg.max_answer_bytes, timeout_s)
+            body = await exchange.read_all(
+                cfg.max_answer_bytes, timeout_s, self._memory.reserve_part
+            )
             if isinstance(body, outbound.Failure):
                 return body
             if not await engine_connection.has_ended_since(
--- a/src/corianderloft/_internal/entry/plain_handlers.py
+++ b/src/corianderloft/_internal/entry/plain_handlers.py
@@ -40,7 +40,9 @@
         if isinstance(origin, requests.Refused):
             await refusals.send(http, origin)
             return
-        body = await checks.read_body(http, self._components.settings.callers)
+        body = await checks.read_body(
+            http, self._components.settings.callers, origin.request_class.tier
+        )
         if isinstance(body, exchange.CallerDisconnected):
             return
         call = (
@@ -101,7 +103,9 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch_caller)
             with task.scope:
-                relay = plain.PlainRelay(self._components, call, record)
+                relay = plain.PlainRelay(
+                    self._components, call, record, http.memory
+                )
                 result = await relay.run()
             nursery.cancel_scope.cancel()
         return result
--- a/src/corianderloft/_internal/entry/refusals.py
+++ b/src/corianderloft/_internal/entry/refusals.py
@@ -20,6 +20,7 @@
     _Reason.BAD_REQUEST: 400,
     _Reason.TOO_LARGE: 413,
     _Reason.TOO_SLOW: 408,
+    _Reason.NO_MEMORY: 503,
     _Reason.FORBIDDEN: 403,
     _Reason.NOT_FOUND: 404,
     _Reason.WORKSPACE_LIMIT: 429,
@@ -41,6 +42,9 @@
 }
 """HTTP status by refusal reason."""
 
+NO_MEMORY_RETRY_AFTER_S = 1.0
+"""``Retry-After`` when this host has no memory for a body."""
+
 
 def not_run(
     reason: reasons.RefusalReason,
@@ -99,6 +103,11 @@
 
 
 _CONNECTION_CLOSING_REASONS = frozenset(
-    {_Reason.DRAINING, _Reason.TOO_LARGE, _Reason.TOO_SLOW}
+    {
+        _Reason.DRAINING,
+        _Reason.NO_MEMORY,
+        _Reason.TOO_LARGE,
+        _Reason.TOO_SLOW,
+    }
 )
 """Refusal reasons after which the connection is closed."""
--- a/src/corianderloft/_internal/gateway/app.py
+++ b/src/corianderloft/_internal/gateway/app.py
@@ -33,6 +33,9 @@
 """``Retry-After`` in responses to requests that another host can serve at
 once."""
 
+NO_MEMORY_RETRY_AFTER_S = 1.0
+"""``Retry-After`` when this host has no memory for a body."""
+
 CheckResult = (
     routed_request.RoutedRequest
     | refusals.Refusal
@@ -135,6 +138,8 @@
         workspace = self._authenticate(table, route, head)
         if isinstance(workspace, refusals.Refusal):
             return workspace
+        if caller.memory is not None:
+            caller.memory.set_urgency(_tier(route, workspace))
         body = await caller.body(table.limits.body_bytes, BODY_TIMEOUT_S)
         if isinstance(body, exchange.CallerDisconnected):
             return body
@@ -146,6 +151,12 @@
             return refusals.Refusal(
                 refusals.Reason.TOO_SLOW, closes_connection=True
             )
+        if isinstance(body, exchange.NoMemory):
+            return refusals.Refusal(
+                refusals.Reason.NO_MEMORY,
+                NO_MEMORY_RETRY_AFTER_S,
+                closes_connection=True,
+            )
         if self._shutdown.refusing:
             return refusals.Refusal(refusals.Reason.STOPPING, 0.0, True)
         return self._build_request(
--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -21,6 +21,7 @@
 from corianderloft._internal.models import routing
 from corianderloft._internal.network import engine_pool
 from corianderloft._internal.network import exchange
+from corianderloft._internal.network import response_memory
 from corianderloft._internal.placement import engines
 from corianderloft._internal.placement import grants
 from corianderloft._internal.placement import interface
@@ -121,6 +122,7 @@
         self.sends = 0
         self.engine = ''
         self._successor: grants.Grant | None = None
+        self._response_memory = response_memory.ResponseMemory(caller.memory)
         self.refusal: refusals.Refusal | None = None
 
     @property
@@ -401,15 +403,31 @@
         if sending.is_stream(self._request.kind, received):
             return await self._relay(attempt, received, grant, watch, life)
         grant.started()
-        body = await attempt.read_all()
+        memory = self._response_memory
+        if not memory.start(received.length):
+            # The server waits for this host, which is not its silence.
+            if watch is not None:
+                watch.pause()
+            if not await memory.wait(received.length):
+                return response_ends.no_memory()
+            if watch is not None:
+                watch.restart()
+        body = await attempt.read_all(memory.reserve_part)
         if watch is not None:
             watch.pause()
         if isinstance(body, sending.SendFailure):
+            memory.discard()
             return body
         end = await response_ends.run_end(life)
         if end is assembly.RunEnd.WITH_SERVER:
+            memory.discard()
             return response_ends.ended_with_server()
-        return await self._check_response(received, body)
+        result = await self._check_response(received, body)
+        if self._fallback_response == (received, body):
+            memory.keep()
+        elif isinstance(result, sending.SendFailure):
+            memory.discard()
+        return result
 
     async def _check_response(
         self, received: sending.ReceivedHead, body: bytes
--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -18,6 +18,7 @@
 from corianderloft._internal.gateway import layout
 from corianderloft._internal.gateway import load_exchange
 from corianderloft._internal.gateway import membership
+from corianderloft._internal.gateway import metrics
 from corianderloft._internal.gateway import settings
 from corianderloft._internal.gateway import stopping
 from corianderloft._internal.gateway import view
@@ -26,7 +27,9 @@
 from corianderloft._internal.models import listener
 from corianderloft._internal.models import members
 from corianderloft._internal.models import routing
+from corianderloft._internal.network import byte_budget
 from corianderloft._internal.network import engine_pool
+from corianderloft._internal.network import memory
 from corianderloft._internal.network import serving
 from corianderloft._internal.placement import budget
 from corianderloft._internal.placement import placer
@@ -110,6 +113,9 @@
         )
         self._view.add_listener(self._placer)
         self._pool = engine_pool.EnginePool()
+        self._byte_sizes = byte_budget.sizes(cfg.memory_bytes)
+        self._memory = memory.Memory(byte_budget.ByteBudget(self._byte_sizes))
+        metrics.use_budget(self._memory.budget)
         self._shutdown = stopping.GracefulShutdown()
         own = _member(cfg)
         self._load_exchange = load_exchange.LoadExchange(
@@ -236,11 +242,15 @@
         while True:
             await trio.sleep(HOUSEKEEPING_INTERVAL_S)
             self._pool.close_expired()
+            self._memory.relieve()
 
     def _servers(self) -> list[serving.Server]:
         cfg = self._cfg
         limits = serving.ServerLimits(
-            max_connections=cfg.max_open_files - RESERVED_FILE_DESCRIPTORS,
+            max_connections=min(
+                cfg.max_open_files - RESERVED_FILE_DESCRIPTORS,
+                self._byte_sizes.connections,
+            ),
             max_header_bytes=app.MAX_HEADER_BYTES,
             idle_time=60.0,
             stalled_time=STALL_TIMEOUT_S,
@@ -286,7 +296,7 @@
         self, application: serving.App, port: int, limits: serving.ServerLimits
     ) -> serving.Server:
         sock = serving.bind(self._cfg.address, port)
-        return serving.Server(application, sock, limits)
+        return serving.Server(application, sock, limits, memory=self._memory)
 
 
 class _CallerLimitsUpdater(listener.Listener):
--- a/src/corianderloft/_internal/gateway/metrics.py
+++ b/src/corianderloft/_internal/gateway/metrics.py
@@ -6,6 +6,7 @@
 import collections
 import collections.abc
 
+from corianderloft._internal.network import byte_budget
 from corianderloft._internal.placement import interface
 
 MAX_PENDING_LATENCIES = 4096
@@ -21,6 +22,7 @@
     collections.deque(maxlen=MAX_PENDING_LATENCIES)
 )
 _read_store_era: list[collections.abc.Callable[[], int]] = []
+_budgets: list[byte_budget.ByteBudget] = []
 _count_dropped_lines: list[collections.abc.Callable[[], int]] = []
 
 
@@ -68,6 +70,16 @@
     return max((read() for read in _read_store_era), default=0)
 
 
+def use_budget(budget: byte_budget.ByteBudget) -> None:
+    """Set the byte budget of the process."""
+    _budgets[:] = [budget]
+
+
+def budgets() -> list[byte_budget.ByteBudget]:
+    """Return the byte budget of the process, if there is one."""
+    return _budgets
+
+
 def dropped_lines() -> int:
     """Return the number of log lines that were dropped."""
     return sum(count() for count in _count_dropped_lines)
--- a/src/corianderloft/_internal/gateway/metrics_page.py
+++ b/src/corianderloft/_internal/gateway/metrics_page.py
@@ -5,6 +5,7 @@
 """
 
 from corianderloft._internal.gateway import metrics
+from corianderloft._internal.metrics import budget as budget_metrics
 from corianderloft._internal.metrics import exposition
 from corianderloft._internal.metrics import registry
 from corianderloft._internal.placement import statements
@@ -78,5 +79,7 @@
         if first_byte_s is not None:
             _FIRST_BYTE_SECONDS.observe({'route': route}, first_byte_s)
         _RESPONSE_SECONDS.observe({'route': route}, total_s)
+    for byte_counts in metrics.budgets():
+        budget_metrics.collect(byte_counts)
     _STORE_ERA.set({}, metrics.store_era())
     _LOG_LINES_DROPPED.set({}, metrics.dropped_lines())
--- a/src/corianderloft/_internal/gateway/refusals.py
+++ b/src/corianderloft/_internal/gateway/refusals.py
@@ -16,6 +16,7 @@
     UNKNOWN_KEY = 'unknown_key'
     TOO_LARGE = 'too_large'
     TOO_SLOW = 'too_slow'
+    NO_MEMORY = 'no_memory'
     STOPPING = 'stopping'
     NO_BACKEND = 'no_backend'
     OVERLOADED = 'overloaded'
@@ -35,6 +36,7 @@
     Reason.UNKNOWN_KEY: 401,
     Reason.TOO_LARGE: 413,
     Reason.TOO_SLOW: 408,
+    Reason.NO_MEMORY: 503,
     Reason.STOPPING: 503,
     Reason.NO_BACKEND: 503,
     Reason.OVERLOADED: 503,
--- a/src/corianderloft/_internal/gateway/response_ends.py
+++ b/src/corianderloft/_internal/gateway/response_ends.py
@@ -80,3 +80,10 @@
     if await watch.server_has_ended():
         return assembly.RunEnd.WITH_SERVER
     return assembly.RunEnd.CONNECTION
+
+
+def no_memory() -> sending.SendFailure:
+    """Return the failure of a response that this host cannot hold."""
+    return sending.SendFailure(
+        interface.AttemptOutcome.BROKEN, True, 'no memory for its response'
+    )
--- a/src/corianderloft/_internal/gateway/sending.py
+++ b/src/corianderloft/_internal/gateway/sending.py
@@ -81,11 +81,14 @@
         Parsed response headers.
     ends_with_connection : bool
         Whether the body has no length and ends with the connection.
+    length : int or None
+        Announced length of the body; None if there is none.
     """
 
     status: int
     head: dialect.ResponseHead
     ends_with_connection: bool = False
+    length: int | None = None
 
     @property
     def end(self) -> ResponseEnd:
@@ -175,10 +178,19 @@
             self.progress = Progress.CONTENT
         return part
 
-    async def read_all(self) -> bytes | SendFailure:
-        """Return the complete body."""
+    async def read_all(
+        self, reserve: engine_connection.Reserve | None = None
+    ) -> bytes | SendFailure:
+        """Return the complete body.
+
+        Parameters
+        ----------
+        reserve : callable, optional
+            Awaited with the size of each part before it is kept; returns
+            whether there is memory for it.
+        """
         assert self._conn is not None
-        body = await self._conn.read_all(MAX_RESPONSE_BYTES)
+        body = await self._conn.read_all(MAX_RESPONSE_BYTES, reserve)
         if isinstance(body, engine_connection.ConnectionFailure):
             return _as_send_failure(body)
         self._fully_read = True
@@ -262,11 +274,22 @@
             self.progress = Progress.HEAD
             self._record_rate_limit(head.status, response_head)
             return ReceivedHead(
-                head.status, response_head, head.ends_with_connection
+                head.status,
+                response_head,
+                head.ends_with_connection,
+                self._length(head),
             )
         failure = await conn.skip_response(MAX_RESPONSE_BYTES)
         return None if failure is None else _as_send_failure(failure)
 
+    def _length(self, head: engine_connection.Head) -> int | None:
+        if (
+            self._request.method == 'HEAD'
+            or head.status in engine_connection.STATUSES_WITHOUT_BODY
+        ):
+            return 0
+        return head.length
+
     def _record_rate_limit(
         self, status: int, response_head: dialect.ResponseHead
     ) -> None:
--- a/src/corianderloft/_internal/models/reasons.py
+++ b/src/corianderloft/_internal/models/reasons.py
@@ -12,6 +12,7 @@
     BAD_REQUEST = 'bad_request'
     TOO_LARGE = 'too_large'
     TOO_SLOW = 'too_slow'
+    NO_MEMORY = 'no_memory'
     FORBIDDEN = 'forbidden'
     NOT_FOUND = 'not_found'
     WORKSPACE_LIMIT = 'workspace_limit'
--- a/src/corianderloft/_internal/network/engine_connection.py
+++ b/src/corianderloft/_internal/network/engine_connection.py
@@ -5,6 +5,7 @@
 responses apart by their request ID and skips one for an earlier request.
 """
 
+import collections.abc
 import dataclasses
 import enum
 import socket
@@ -16,9 +17,13 @@
 from corianderloft._internal.network import turns
 
 Headers = list[tuple[bytes, bytes]]
+Reserve = collections.abc.Callable[[int], collections.abc.Awaitable[bool]]
 
 MAX_RECEIVE_BYTES = 65536
 
+MAX_JOINED_BYTES = 65536
+"""Largest body that is copied to be sent together with the head."""
+
 MAX_HEAD_BYTES = 65536
 """Largest response head."""
 
@@ -89,6 +94,19 @@
     headers: Headers
     ends_with_connection: bool = False
 
+    @property
+    def length(self) -> int | None:
+        """Announced length of the body; None if there is none."""
+        return announced_length(self.headers)
+
+
+def announced_length(headers: Headers) -> int | None:
+    """Return the length in the headers of a response; None without one."""
+    for name, value in headers:
+        if name.lower() == b'content-length' and value.isdigit():
+            return int(value)
+    return None
+
 
 def ends_with_connection(method: str, status: int, headers: Headers) -> bool:
     """Return whether the end of a response is that of its connection.
@@ -157,12 +175,16 @@
         )
         data = self._http.send(req) or b''
         if body:
-            data += self._http.send(h11.Data(data=body)) or b''
-        data += self._http.send(h11.EndOfMessage()) or b''
+            self._http.send(h11.Data(data=body))
+        self._http.send(h11.EndOfMessage())
         self._method = method
         self._sent = True
         try:
-            await self._stream.send_all(data)
+            if len(body) <= MAX_JOINED_BYTES:
+                await self._stream.send_all(data + body)
+            else:
+                await self._stream.send_all(data)
+                await self._stream.send_all(body)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             # The response may have arrived before the request was read.
             return self._failure(FailureKind.RESET, exc)
@@ -204,20 +226,33 @@
             return None
         return self._failure(FailureKind.MALFORMED, repr(event))
 
-    async def read_all(self, limit: int) -> bytes | ConnectionFailure:
-        """Return the complete body, at most ``limit`` bytes."""
-        chunks: list[bytes] = []
-        size = 0
+    async def read_all(
+        self, limit: int, reserve: Reserve | None = None
+    ) -> bytes | ConnectionFailure:
+        """Return the complete body.
+
+        Parameters
+        ----------
+        limit : int
+            Maximum size of the body in bytes.
+        reserve : callable, optional
+            Awaited with the size of each part before it is kept; returns
+            whether there is memory for it.
+        """
+        body = bytearray()
         while (chunk := await self.read()) is not None:
             if isinstance(chunk, ConnectionFailure):
                 return chunk
-            size += len(chunk)
-            if size > limit:
+            if len(body) + len(chunk) > limit:
                 return self._failure(
                     FailureKind.MALFORMED, f'its body exceeds {limit} bytes'
                 )
-            chunks.append(chunk)
-        return b''.join(chunks)
+            if reserve is not None and not await reserve(len(chunk)):
+                return self._failure(
+                    FailureKind.MALFORMED, 'no memory for its body'
+                )
+            body += chunk
+        return bytes(body)
 
     async def skip_response(self, limit: int) -> ConnectionFailure | None:
         """Discard the rest of a response to an earlier request.
@@ -225,9 +260,15 @@
         The h11 parser accepts one response for each request, so a new parser
         receives the bytes that follow the discarded response.
         """
-        body = await self.read_all(limit)
-        if isinstance(body, ConnectionFailure):
-            return body
+        size = 0
+        while (chunk := await self.read()) is not None:
+            if isinstance(chunk, ConnectionFailure):
+                return chunk
+            size += len(chunk)
+            if size > limit:
+                return self._failure(
+                    FailureKind.MALFORMED, f'its body exceeds {limit} bytes'
+                )
         assert self._placeholder_request is not None
         if self._http.their_state is h11.MUST_CLOSE:
             return self._failure(
--- a/src/corianderloft/_internal/network/exchange.py
+++ b/src/corianderloft/_internal/network/exchange.py
@@ -9,14 +9,19 @@
 import orjson
 import trio
 
+from corianderloft._internal.network import byte_budget
 from corianderloft._internal.network import engine_connection
 from corianderloft._internal.network import inbound
+from corianderloft._internal.network import memory
 
 logger = logging.getLogger(__name__)
 
 JSON = b'application/json'
 EVENT_STREAM = b'text/event-stream'
 
+BODY_WAIT_S = 1.0
+"""Time that a request waits for memory for its body before it is refused."""
+
 Headers = list[tuple[bytes, bytes]]
 Message = dict[str, typing.Any]
 
@@ -35,12 +40,19 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True)
+class NoMemory:
+    """This process had no memory for the body within ``seconds``."""
+
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True)
 class CallerDisconnected:
     """The caller closed the connection before the body was complete."""
 
 
-Body = bytes | BodyTooLarge | BodyTooSlow | CallerDisconnected
+Body = bytes | BodyTooLarge | BodyTooSlow | NoMemory | CallerDisconnected
 
 
 class Exchange:
@@ -61,6 +73,8 @@
         Version of HTTP that the caller speaks.
     started : bool
         Whether the headers of the response were sent.
+    memory : RequestMemory or None
+        Bytes held for the request.
     """
 
     def __init__(
@@ -78,6 +92,9 @@
         self._connection: inbound.Connection | None = scope.get(
             'state', {}
         ).get(inbound.CONNECTION_STATE)
+        self.memory: memory.RequestMemory | None = None
+        if self._connection is not None:
+            self.memory = self._connection.memory
         self.method: str = scope['method']
         self.path: str = scope['path']
         self.raw_path: bytes = scope['raw_path']
@@ -104,6 +121,9 @@
     async def body(self, limit: int, timeout: float) -> Body:
         """Read the complete body.
 
+        Its memory is reserved by the announced length before it is read, or
+        as it arrives.
+
         Parameters
         ----------
         limit : int
@@ -111,21 +131,55 @@
         timeout : float
             Timeout in seconds.
         """
-        chunks: list[bytes] = []
-        size = 0
+        announced = self._announced_length()
+        if announced is not None and announced > limit:
+            return BodyTooLarge(limit)
+        if not await self._reserve_body(announced or 0):
+            return NoMemory(BODY_WAIT_S)
+        if self.memory is not None:
+            self.memory.start_receiving()
         with trio.move_on_after(timeout):
-            while True:
-                message = await self._receive()
-                if message['type'] == 'http.disconnect':
-                    return CallerDisconnected()
-                size += len(message.get('body', b''))
-                if size > limit:
-                    return BodyTooLarge(limit)
-                chunks.append(message.get('body', b''))
-                if not message.get('more_body', False):
-                    return b''.join(chunks)
+            body = await self._read_body(limit, announced is not None)
+            if self.memory is not None:
+                self.memory.stop_receiving()
+            return body
         return BodyTooSlow(timeout)
 
+    def _announced_length(self) -> int | None:
+        length = self.header(b'content-length')
+        # Chunks take precedence over a length.
+        if length is None or self.header(b'transfer-encoding') is not None:
+            return None
+        return int(length)
+
+    async def _read_body(self, limit: int, reserved: bool) -> Body:
+        # A list would need many times the memory of a body that arrives in
+        # tiny parts.
+        body = bytearray()
+        while True:
+            message = await self._receive()
+            if message['type'] == 'http.disconnect':
+                return CallerDisconnected()
+            part = message.get('body', b'')
+            if len(body) + len(part) > limit:
+                return BodyTooLarge(limit)
+            if not reserved and not await self._reserve_body(len(part)):
+                return NoMemory(BODY_WAIT_S)
+            body += part
+            if self.memory is not None:
+                self.memory.record_progress(len(part))
+            if not message.get('more_body', False):
+                return bytes(body)
+
+    async def _reserve_body(self, size: int) -> bool:
+        if self.memory is None or self._connection is None:
+            return True
+        bodies = byte_budget.Part.BODIES
+        if self.memory.try_reserve(bodies, size):
+            return True
+        with self._connection.reading_paused():
+            return await self.memory.reserve(bodies, size, BODY_WAIT_S)
+
     async def wait_for_disconnect(self) -> None:
         """Wait until the caller closes the connection."""
         while True:
--- a/src/corianderloft/_internal/network/inbound.py
+++ b/src/corianderloft/_internal/network/inbound.py
@@ -1,6 +1,8 @@
 """Connection from a caller or an operator, using hypercorn's protocol."""
 
 import collections
+import collections.abc
+import contextlib
 import logging
 import socket
 import struct
@@ -18,10 +20,14 @@
 
 from corianderloft._internal.models import reasons
 from corianderloft._internal.models import states
+from corianderloft._internal.network import memory
 from corianderloft._internal.network import streams
 
 MAX_RECEIVE_BYTES = 65536
 
+MAX_SEND_BYTES = 65536
+"""Bytes after which the progress of a slow reader is recorded."""
+
 CLOSE_TIMEOUT_S = 1.0
 
 LINGER_S = 1.0
@@ -88,6 +94,11 @@
         Signals when the server shuts down.
     stream : ByteStream
         Accepted connection.
+
+    Attributes
+    ----------
+    memory : RequestMemory or None
+        Bytes held for the present request.
     """
 
     def __init__(
@@ -111,6 +122,8 @@
         self._reading = trio.CancelScope()
         self._handling = trio.CancelScope()
         self._reader: trio.lowlevel.Task | None = None
+        self._resumed: trio.Event | None = None
+        self.memory: memory.RequestMemory | None = None
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -165,6 +178,16 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, linger
             )
 
+    @contextlib.contextmanager
+    def reading_paused(self) -> collections.abc.Iterator[None]:
+        """Leave received bytes in the socket, so that the peer waits."""
+        self._resumed = trio.Event()
+        try:
+            yield
+        finally:
+            resumed, self._resumed = self._resumed, None
+            resumed.set()
+
     def abort(self) -> None:
         """Close the socket immediately; pending sends and reads then fail."""
         self._closed = True
@@ -197,6 +220,8 @@
         await self._protocol.handle(events.Closed())
 
     async def _receive_some(self) -> bytes:
+        if self._resumed is not None:
+            await self._resumed.wait()
         try:
             return bytes(await self._stream.receive_some(MAX_RECEIVE_BYTES))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -217,9 +242,13 @@
     async def _send_bytes(self, data: bytes) -> None:
         try:
             if self._fileno is not None and not self._sending.locked():
-                data = data[streams.write_now(self._fileno, data) :]
-            if data:
-                await self._send_rest(data)
+                written = streams.write_now(self._fileno, data)
+                if written == len(data):
+                    return
+                # A copy of a large response would take as much memory.
+                await self._send_rest(memoryview(data)[written:])
+            elif data:
+                await self._send_rest(memoryview(data))
         except (
             OSError,
             trio.BrokenResourceError,
@@ -227,11 +256,18 @@
         ):
             await self._protocol.handle(events.Closed())
 
-    async def _send_rest(self, data: bytes) -> None:
+    async def _send_rest(self, data: memoryview) -> None:
         # A cancelled send would leave an incomplete chunk on the connection.
         with trio.CancelScope(shield=True):
             async with self._sending:
-                await self._stream.send_all(data)
+                if self.memory is None:
+                    await self._stream.send_all(data)
+                    return
+                with self.memory.writing(len(data)):
+                    for start in range(0, len(data), MAX_SEND_BYTES):
+                        piece = data[start : start + MAX_SEND_BYTES]
+                        await self._stream.send_all(piece)
+                        self.memory.record_progress(len(piece))
 
     async def _finish_last_response(self) -> None:
         """Close after the peer has had time to read the last response.
--- a/src/corianderloft/_internal/network/outbound.py
+++ b/src/corianderloft/_internal/network/outbound.py
@@ -192,7 +192,12 @@
                 interface.AttemptEnd.CONNECTION_LOST, exc, True
             )
 
-    async def read_all(self, limit: int, timeout: float) -> bytes | Failure:
+    async def read_all(
+        self,
+        limit: int,
+        timeout: float,
+        reserve: engine_connection.Reserve | None = None,
+    ) -> bytes | Failure:
         """Return the complete body.
 
         Parameters
@@ -201,25 +206,34 @@
             Maximum size of the body in bytes.
         timeout : float
             Timeout without data from the peer, in seconds.
+        reserve : callable, optional
+            Awaited with the size of each part before it is kept; returns
+            whether there is memory for it.
         """
-        chunks: list[bytes] = []
-        size = 0
+        body = bytearray()
         with self._monitor.guard(timeout) as guard:
             while True:
                 guard.start_wait()
                 chunk = await self.read()
                 if chunk is None:
-                    return b''.join(chunks)
+                    return bytes(body)
                 if isinstance(chunk, Failure):
                     return chunk
-                size += len(chunk)
-                if size > limit:
+                if len(body) + len(chunk) > limit:
                     return self._failure(
                         interface.AttemptEnd.BACKEND_ERROR,
                         f'its answer is longer than {limit} bytes',
                         True,
                     )
-                chunks.append(chunk)
+                # The peer waits for this host, which is not its silence.
+                guard.end_wait()
+                if reserve is not None and not await reserve(len(chunk)):
+                    return self._failure(
+                        interface.AttemptEnd.BACKEND_ERROR,
+                        'no memory for its answer',
+                        True,
+                    )
+                body += chunk
         return self.silence_failure(timeout)
 
     def set_read_hook(self, hook: streams.Hook | None) -> None:
@@ -236,12 +250,16 @@
     async def close(self) -> None:
         """Keep the connection after a complete response, or close it."""
         connection, self._connection = self._connection, None
+        # The response refers to the request, and that to this object, a cycle
+        # that would keep the body until the next garbage collection.
+        response, self._response = self._response, None
+        self._chunks = None
         if connection is None:
             return
         deadline = trio.current_time() + CLOSE_TIMEOUT_S
         with trio.CancelScope(deadline=deadline, shield=True):
-            if self._response is not None:
-                await self._response.aclose()
+            if response is not None:
+                await response.aclose()
             await self._pool.release(self._peer, connection)
 
     def _request(self, message: Message) -> httpcore.Request:
--- a/src/corianderloft/_internal/network/serving.py
+++ b/src/corianderloft/_internal/network/serving.py
@@ -14,7 +14,9 @@
 from hypercorn import typing as hypercorn_typing
 import trio
 
+from corianderloft._internal.network import byte_budget
 from corianderloft._internal.network import inbound
+from corianderloft._internal.network import memory as process_memory
 
 LISTEN_BACKLOG = 1024
 SHUTDOWN_TIMEOUT_S = 2.0
@@ -76,6 +78,8 @@
         Limits on connections.
     tls : SSLContext or None
         Enables TLS.
+    memory : Memory or None
+        Byte budget of the process; None counts the bytes of this port only.
     """
 
     def __init__(
@@ -84,8 +88,12 @@
         sock: socket.socket,
         limits: ServerLimits,
         tls: ssl.SSLContext | None = None,
+        memory: process_memory.Memory | None = None,
     ) -> None:
-        self._app = app
+        if memory is None:
+            budget = byte_budget.ByteBudget(byte_budget.sizes(0))
+            memory = process_memory.Memory(budget)
+        self._app = _wrap(app, memory)
         self._limits = limits
         self._tls = tls
         self._context = worker_context.WorkerContext(None)
@@ -168,7 +176,7 @@
 
     def _connection(self, stream: inbound.ByteStream) -> inbound.Connection:
         return inbound.Connection(
-            typing.cast(hypercorn_typing.AppWrapper, _wrap(self._app)),
+            typing.cast(hypercorn_typing.AppWrapper, self._app),
             self._config,
             self._context,
             stream,
@@ -197,19 +205,22 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
-def _wrap(app: App) -> App:
-    return functools.partial(_call, app)
+def _wrap(app: App, memory: process_memory.Memory) -> App:
+    return functools.partial(_call, app, memory)
 
 
 async def _call(
     app: App,
+    memory: process_memory.Memory,
     scope: typing.Any,
     receive: typing.Any,
     send: typing.Any,
     *_threads: typing.Any,
 ) -> None:
+    connection: inbound.Connection = scope['state'][inbound.CONNECTION_STATE]
     try:
-        await app(scope, receive, send)
+        with memory.account(connection.abort) as connection.memory:
+            await app(scope, receive, send)
     except Exception:
         logger.exception(
             'request to %s failed with an unexpected error', scope.get('path')
--- a/src/corianderloft/_internal/settings/host.py
+++ b/src/corianderloft/_internal/settings/host.py
@@ -23,6 +23,13 @@
         min_length=1,
         max_length=MAX_NAME_CHARACTERS,
     )
+    memory_bytes: int = base.setting(
+        0,
+        'Memory that the process may use; bounds the request bodies and '
+        'answers held at a time. 0: unknown, taken as 2 GB.',
+        'bytes',
+        ge=0,
+    )
 
     @pydantic.field_validator('address')
     @classmethod
