--- a/src/corianderloft/_internal/gateway/metrics_page.py
+++ b/src/corianderloft/_internal/gateway/metrics_page.py
@@ -9,6 +9,7 @@
 from aioprometheus import collectors
 
 from corianderloft._internal.gateway import metrics
+from corianderloft._internal.metrics import budget as budget_metrics
 from corianderloft._internal.metrics import exposition
 from corianderloft._internal.metrics import registry
 from corianderloft._internal.placement import statements
@@ -122,6 +123,8 @@
     _set_engines(_ENGINES_ORDERED, metrics.engines_ordered)
     for result, count in metrics.engine_orders.items():
         _ENGINE_ORDERS.set({'result': result}, count)
+    for byte_counts in metrics.budgets():
+        budget_metrics.collect(byte_counts)
     _STORE_ERA.set({}, metrics.store_era())
     _LOG_LINES_DROPPED.set({}, metrics.dropped_lines())
 
