Bound what is read before the head of a response

httpcore skips informational responses without a limit. A peer that sent them without end took all of the processor until the silence timeout.

Before the change test_informational_responses_are_not_read_for_ever failed for by_outbound and by_kv_connections: 9.8 and 10.6 MB were sent and read in the 5 s until the timeout; the test allows 8 MiB, the limit is now 256 KiB.

--- a/src/corianderloft/_internal/cli/http_client.py
+++ b/src/corianderloft/_internal/cli/http_client.py
@@ -84,11 +84,7 @@
     method: str, url: str, path: str, body: typing.Any
 ) -> Response | output.Failure:
     origin = httpcore.URL(url)
-    conn = httpcore.AsyncHTTPConnection(
-        origin=origin.origin,
-        ssl_context=_ssl_context(),
-        network_backend=streams.Network(),
-    )
+    conn = streams.HttpConnection(origin.origin, ssl_context=_ssl_context())
     headers: dict[bytes | str, bytes | str] = {
         'Host': url.split('://')[1],
         'Accept': 'application/json',
--- a/src/corianderloft/_internal/kv/connections.py
+++ b/src/corianderloft/_internal/kv/connections.py
@@ -146,11 +146,7 @@
 
     def open(self) -> httpcore.AsyncHTTPConnection:
         """Return a new connection, which is opened by its first request."""
-        return httpcore.AsyncHTTPConnection(
-            origin=self._url.origin,
-            keepalive_expiry=self._idle_expiry,
-            network_backend=streams.Network(),
-        )
+        return streams.HttpConnection(self._url.origin, self._idle_expiry)
 
     def request(
         self,
--- a/src/corianderloft/_internal/load/addresses.py
+++ b/src/corianderloft/_internal/load/addresses.py
@@ -91,9 +91,7 @@
             conn = idle.pop()
             if conn.is_available() and not conn.has_expired():
                 return conn
-        return httpcore.AsyncHTTPConnection(
-            origin=_url(endpoint).origin, network_backend=streams.Network()
-        )
+        return streams.HttpConnection(_url(endpoint).origin)
 
     def release(
         self, endpoint: workload.Endpoint, conn: httpcore.AsyncHTTPConnection
@@ -131,7 +129,7 @@
         The connection failed or the lookup timed out.
     """
     url = httpcore.URL(f'http://{endpoint.address}:{endpoint.port}{path}')
-    conn = httpcore.AsyncHTTPConnection(origin=url.origin)
+    conn = streams.HttpConnection(url.origin)
     try:
         with trio.fail_after(LOOKUP_TIMEOUT_S):
             response = await conn.request(
--- a/src/corianderloft/_internal/network/connections.py
+++ b/src/corianderloft/_internal/network/connections.py
@@ -48,16 +48,14 @@
     __slots__ = ('http', 'idle_since', 'network')
 
     def __init__(self, peer: Peer, tls: ssl.SSLContext | None) -> None:
-        self.network = streams.Network()
         self.idle_since = 0.0
         origin = httpcore.Origin(
             b'http' if tls is None else b'https',
             peer.address.encode('ascii'),
             peer.port,
         )
-        self.http = httpcore.AsyncHTTPConnection(
-            origin, ssl_context=tls, network_backend=self.network
-        )
+        self.http = streams.HttpConnection(origin, ssl_context=tls)
+        self.network = self.http.network
 
     def set_read_hook(self, hook: streams.Hook | None) -> None:
         """Set the hook that is awaited before each read of the socket."""
--- a/src/corianderloft/_internal/network/streams.py
+++ b/src/corianderloft/_internal/network/streams.py
@@ -12,6 +12,11 @@
 from corianderloft._internal.network import turns
 
 SocketOption = typing.Any
+
+MAX_BYTES_BEFORE_RESPONSE = 2**18
+"""Largest number of bytes read before the head of a response. httpcore
+limits each head to 100 KiB, but not the number of informational responses."""
+
 _CONNECTION_ERRORS = (
     OSError,
     trio.BrokenResourceError,
@@ -32,6 +37,8 @@
     before_read : Hook or None
         Awaited before each read, when all received data has been parsed and
         the read may block.
+    awaits_response : bool
+        Whether the head of the response to a request has not arrived.
     """
 
     def __init__(
@@ -42,7 +49,9 @@
         self._tls: trio.SSLStream[trio.SocketStream] | None = None
         self._fileno = stream.socket.fileno()
         self._write_failed = False
+        self._bytes_before_response = 0
         self.before_read: Hook | None = None
+        self.awaits_response = False
 
     async def read(
         self, max_bytes: int, timeout: float | None = None
@@ -54,7 +63,11 @@
         httpcore.ReadError
             If the connection failed.
         """
+        if self._bytes_before_response > MAX_BYTES_BEFORE_RESPONSE:
+            raise httpcore.ReadError('too many bytes before the response')
         data = await self._read(max_bytes)
+        if self.awaits_response:
+            self._bytes_before_response += len(data)
         if not data and self._write_failed:
             # httpcore reads the response although the request could not be
             # sent. That has consumed the error of the socket, so the
@@ -80,6 +93,11 @@
         except _CONNECTION_ERRORS as exc:
             raise httpcore.ReadError(str(exc)) from exc
 
+    def note_response(self) -> None:
+        """Record that the head of a response has arrived."""
+        self.awaits_response = False
+        self._bytes_before_response = 0
+
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Send all of ``buffer``.
 
@@ -88,6 +106,7 @@
         httpcore.WriteError
             If the connection failed.
         """
+        self.awaits_response = True
         try:
             await (self._tls or self._stream).send_all(buffer)
         except _CONNECTION_ERRORS as exc:
@@ -194,6 +213,48 @@
         await trio.sleep(seconds)
 
 
+class HttpConnection(httpcore.AsyncHTTPConnection):
+    """HTTP connection that bounds what precedes a response.
+
+    Parameters
+    ----------
+    origin : Origin
+        Scheme, IP address and port.
+    keepalive_expiry : float or None
+        Time after which an idle connection is not reused, in seconds.
+    ssl_context : SSLContext or None
+        Enables TLS.
+
+    Attributes
+    ----------
+    network : Network
+        Holds the socket of the connection.
+    """
+
+    def __init__(
+        self,
+        origin: httpcore.Origin,
+        keepalive_expiry: float | None = None,
+        ssl_context: ssl.SSLContext | None = None,
+    ) -> None:
+        self.network = Network()
+        super().__init__(
+            origin,
+            ssl_context,
+            keepalive_expiry,
+            network_backend=self.network,
+        )
+
+    async def handle_async_request(
+        self, request: httpcore.Request
+    ) -> httpcore.Response:
+        """Send a request and wait for the head of its response."""
+        response = await super().handle_async_request(request)
+        if self.network.stream is not None:
+            self.network.stream.note_response()
+        return response
+
+
 def write_now(fileno: int, data: bytes) -> int:
     """Write as much as a non-blocking socket accepts immediately.
 
--- a/src/corianderloft/_internal/shared/orders/engine_http.py
+++ b/src/corianderloft/_internal/shared/orders/engine_http.py
@@ -79,11 +79,8 @@
     timeout: float,
 ) -> _Reply | None:
     host = f'{backend.address}:{backend.port}'
-    conn = httpcore.AsyncHTTPConnection(
-        origin=httpcore.Origin(
-            b'http', backend.address.encode(), backend.port
-        ),
-        network_backend=streams.Network(),
+    conn = streams.HttpConnection(
+        httpcore.Origin(b'http', backend.address.encode(), backend.port)
     )
     req = httpcore.Request(
         method,
--- a/tests/unit/network/test_response_ends.py
+++ b/tests/unit/network/test_response_ends.py
@@ -150,3 +150,12 @@
     raw = line + b'\r\nContent-Length: 5\r\n\r\nwhole'
     server = raw_server.RawServer(raw, raw_server.END, reads_body=True)
     assert await fetch(nursery, client, server) == (None, True)
+
+
+@pytest.mark.parametrize('client', CLIENTS)
+async def test_informational_responses_are_not_read_for_ever(nursery, client):
+    # Their reading took all of the processor until the silence timeout.
+    server = raw_server.RawServer(b'HTTP/1.1 102 -\r\n\r\n' * 512)
+    server.repeat = True
+    assert await fetch(nursery, client, server) == (None, True)
+    assert server.sent_bytes < 8 * 2**20
