Check for a reset after the end of a response without a length

A server that shuts its side down and closes its socket before it has read the whole request sends an orderly end and then a reset. The end was taken for that of the response.

--- a/src/corianderloft/_internal/entry/plain.py
+++ b/src/corianderloft/_internal/entry/plain.py
@@ -252,9 +252,10 @@
             body = await exchange.read_all(cfg.max_answer_bytes, timeout_s)
             if isinstance(body, outbound.Failure):
                 return body
-            if not await engine_connection.has_ended_since(
+            ended = await engine_connection.has_ended_since(
                 other, backend.address, backend.port, cfg.connect_time
-            ):
+            )
+            if not ended and not exchange.was_reset():
                 return body
         finally:
             if isinstance(other, engine_connection.EngineConnection):
@@ -262,8 +263,8 @@
         return outbound.Failure(
             interface.AttemptEnd.CONNECTION_LOST,
             True,
-            f'backend server {backend.engine_id!r} ended together with '
-            'its response',
+            f'backend server {backend.engine_id!r} ended or reset the '
+            'connection with its response',
         )
 
     def _claim_expired(self) -> requests.Refused:
--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -406,7 +406,7 @@
             watch.pause()
         if isinstance(body, sending.SendFailure):
             return body
-        end = await response_ends.run_end(life)
+        end = await response_ends.run_end(attempt, life)
         if end is assembly.RunEnd.WITH_SERVER:
             return response_ends.ended_with_server()
         return await self._check_response(received, body)
--- a/src/corianderloft/_internal/gateway/response_ends.py
+++ b/src/corianderloft/_internal/gateway/response_ends.py
@@ -33,7 +33,7 @@
     return sending.SendFailure(
         interface.AttemptOutcome.BROKEN,
         True,
-        'the server ended together with its response',
+        'the server ended or reset the connection with its response',
         disconnected=True,
     )
 
@@ -67,16 +67,20 @@
     )
 
 
-async def run_end(watch: life_watch.LifeWatch | None) -> assembly.RunEnd:
+async def run_end(
+    attempt: sending.SendAttempt, watch: life_watch.LifeWatch | None
+) -> assembly.RunEnd:
     """Return what shows that a response which has ended is complete.
 
     Parameters
     ----------
+    attempt : SendAttempt
+        The attempt that it is a response to.
     watch : LifeWatch or None
         Watch of the server; None if the response has a length.
     """
     if watch is None:
         return assembly.RunEnd.FRAMING
-    if await watch.server_has_ended():
+    if await watch.server_has_ended() or attempt.was_reset():
         return assembly.RunEnd.WITH_SERVER
     return assembly.RunEnd.CONNECTION
--- a/src/corianderloft/_internal/gateway/sending.py
+++ b/src/corianderloft/_internal/gateway/sending.py
@@ -184,6 +184,10 @@
         self._fully_read = True
         return body
 
+    def was_reset(self) -> bool:
+        """Return whether the server has reset the connection by now."""
+        return self._conn is not None and self._conn.was_reset()
+
     async def server_is_gone(self) -> bool:
         """Return whether the server accepts no connections any more."""
         conn = await self._connect()
--- a/src/corianderloft/_internal/gateway/stream_relay.py
+++ b/src/corianderloft/_internal/gateway/stream_relay.py
@@ -81,7 +81,9 @@
                 watch.restart()
         if watch is not None:
             watch.pause()
-        return await self._end(received, event_buffer.incomplete(), life)
+        return await self._end(
+            attempt, received, event_buffer.incomplete(), life
+        )
 
     def _add(
         self, events: bytes, is_progress: bool
@@ -95,13 +97,14 @@
 
     async def _end(
         self,
+        attempt: sending.SendAttempt,
         received: sending.ReceivedHead,
         remainder: bytes,
         life: life_watch.LifeWatch | None,
     ) -> sending.SendFailure | None:
         end = assembly.RunEnd.WITH_SERVER
         if self._response.run_has_content and not remainder.strip():
-            end = await response_ends.run_end(life)
+            end = await response_ends.run_end(attempt, life)
         elif not received.ends_with_connection:
             end = assembly.RunEnd.FRAMING
         rejected = self._response.end_run(end, remainder)
--- a/src/corianderloft/_internal/network/engine_connection.py
+++ b/src/corianderloft/_internal/network/engine_connection.py
@@ -13,6 +13,7 @@
 import h11
 import trio
 
+from corianderloft._internal.network import streams
 from corianderloft._internal.network import turns
 
 Headers = list[tuple[bytes, bytes]]
@@ -276,6 +277,10 @@
         """Return whether nothing came on an idle connection, nor its end."""
         return not self._stream.socket.is_readable()
 
+    def was_reset(self) -> bool:
+        """Return whether the server has reset the connection by now."""
+        return streams.was_reset(self._stream.socket)
+
     async def closes_within(self, seconds: float) -> bool:
         """Return whether an idle connection has ended, or ends in time."""
         if not self.is_open():
--- a/src/corianderloft/_internal/network/outbound.py
+++ b/src/corianderloft/_internal/network/outbound.py
@@ -222,6 +222,13 @@
                 chunks.append(chunk)
         return self.silence_failure(timeout)
 
+    def was_reset(self) -> bool:
+        """Return whether the peer has reset the connection by now."""
+        connection = self._connection
+        if connection is None or connection.network.stream is None:
+            return False
+        return connection.network.stream.was_reset()
+
     def set_read_hook(self, hook: streams.Hook | None) -> None:
         """Set the hook that is awaited before each read of the socket."""
         if self._connection is not None:
--- a/src/corianderloft/_internal/network/streams.py
+++ b/src/corianderloft/_internal/network/streams.py
@@ -3,6 +3,7 @@
 import collections.abc
 import errno
 import os
+import socket
 import ssl
 import typing
 
@@ -98,6 +99,10 @@
         self.awaits_response = False
         self._bytes_before_response = 0
 
+    def was_reset(self) -> bool:
+        """Return whether the peer has reset the connection."""
+        return was_reset(self._stream.socket)
+
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Send all of ``buffer``.
 
@@ -255,6 +260,17 @@
         return response
 
 
+def was_reset(sock: trio.socket.SocketType) -> bool:
+    """Return whether the peer of a socket has reset the connection.
+
+    A reset may follow an orderly end, for instance when the peer closes its
+    socket before it has read all of a request.
+    """
+    if sock.fileno() < 0:
+        return False
+    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+
+
 def write_now(fileno: int, data: bytes) -> int:
     """Write as much as a non-blocking socket accepts immediately.
 
