Reject whole responses without a length in the callers' client

Entry hosts frame each whole response. One that ends with its connection may be cut, and the client passed what had arrived on as the answer.

Before the change test_a_response_without_a_length_is_no_answer failed: the client returned PlainAnswer with b'part'.

--- a/src/corianderloft/_internal/caller/exchanges.py
+++ b/src/corianderloft/_internal/caller/exchanges.py
@@ -6,6 +6,7 @@
 
 from corianderloft._internal.caller import addresses
 from corianderloft._internal.caller import settings as client_settings
+from corianderloft._internal.decisions import interface
 from corianderloft._internal.network import connections
 from corianderloft._internal.network import outbound
 from corianderloft._internal.network import silence
@@ -69,6 +70,14 @@
             head = await exchange.send(message, self._cfg.first_silence)
             if isinstance(head, outbound.Failure):
                 return head
+            if head.ends_with_connection:
+                # Hosts frame each whole response, so this one may be cut.
+                return outbound.Failure(
+                    interface.AttemptEnd.CONNECTION_LOST,
+                    True,
+                    f'entry host {address.address}:{address.port}: '
+                    'a response without a length',
+                )
             body = await exchange.read_all(
                 MAX_RESPONSE_BYTES, self._cfg.silence
             )
--- a/tests/unit/caller/test_client.py
+++ b/tests/unit/caller/test_client.py
@@ -13,6 +13,7 @@
 import corianderloft
 from tests.lib import engines
 from tests.lib import entry
+from tests.lib import raw_server
 from tests.lib import relay
 
 KEY = entry.KEYS['stables']
@@ -223,3 +224,23 @@
     assert isinstance(answer, corianderloft.Unreachable)
     assert answer.run == 'unknown'
     assert len(engine.seen) == 1
+
+
+@pytest.mark.parametrize(
+    ('framing', 'is_whole'), [(b'Content-Length: 4\r\n', True), (b'', False)]
+)
+async def test_a_response_without_a_length_is_no_answer(
+    nursery: trio.Nursery, framing: bytes, is_whole: bool
+) -> None:
+    # Hosts frame whole responses: one that ends with its connection is cut.
+    raw = b'HTTP/1.1 200 OK\r\n' + framing + b'\r\npart'
+    server = raw_server.RawServer(raw, reads_body=True)
+    await nursery.start(server.serve)
+    async with client(server.port) as caller:
+        # The server answers no address lookup.
+        caller._book._fresh_until = float('inf')
+        answer = await caller.call('till', 'booking', 'POST', '/', b'{}')
+    assert isinstance(answer, corianderloft.PlainAnswer) == is_whole
+    if not is_whole:
+        assert isinstance(answer, corianderloft.Unreachable)
+        assert answer.run == 'unknown'
