Treat more statuses of the store as an unknown outcome of a write

Only 4xx and 503 tell that a write was not executed. Other unexpected statuses, such as 500, 502 or 202, counted as refused, although the store or what is in front of it may fail after the write.

Before the change six cases of test_only_some_statuses_tell_that_nothing_was_written failed (202, 302, 500, 502, 504, 999): Unavailable instead of Unknown.

--- a/src/corianderloft/_internal/platform/store.py
+++ b/src/corianderloft/_internal/platform/store.py
@@ -344,11 +344,17 @@
 
 _HANDLED_STATUSES = (_OK, _NOT_FOUND, _CONFLICT, 410)
 
+_UNAVAILABLE = 503
+_CLIENT_ERRORS = range(400, 500)
+
 
 def _decoded(path: str, status: int, raw: bytes, era: ids.Era) -> _Outcome:
     if status not in _HANDLED_STATUSES:
-        # Any other status, such as 429 or 503, means that nothing was done.
-        return interface.Unavailable(f'{path}: status {status}')
+        detail = f'{path}: status {status}'
+        if status == _UNAVAILABLE or status in _CLIENT_ERRORS:
+            return interface.Unavailable(detail)
+        # The store, or what is in front of it, may fail after a write.
+        return interface.Unknown(detail)
     try:
         reply = orjson.loads(raw) if raw else {}
     except ValueError as exc:
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -2,12 +2,14 @@
 
 import contextlib
 
+import pytest
 import trio
 
 from corianderloft._internal.kv import interface as kv
 from corianderloft._internal.platform import store
 from corianderloft._internal.standin import http
 from tests.lib import platform_store
+from tests.lib import raw_server
 
 
 @contextlib.asynccontextmanager
@@ -152,3 +154,32 @@
     assert isinstance(written, kv.Unavailable)
     assert isinstance(revoked, kv.Unavailable)
     assert [item.value for item in found.items] == [b'2']
+
+
+@pytest.mark.parametrize(
+    ('status', 'expected'),
+    [
+        (429, kv.Unavailable),
+        (503, kv.Unavailable),
+        (202, kv.Unknown),
+        (302, kv.Unknown),
+        (500, kv.Unknown),
+        (502, kv.Unknown),
+        (504, kv.Unknown),
+        (999, kv.Unknown),
+    ],
+)
+async def test_only_some_statuses_tell_that_nothing_was_written(
+    nursery, status, expected
+):
+    # A write that took effect counted as refused.
+    raw = b'HTTP/1.1 %d -\r\nContent-Length: 2\r\n\r\n{}' % status
+    server = raw_server.RawServer(raw, reads_body=True)
+    client = store.PlatformStore(
+        '127.0.0.1', await nursery.start(server.serve)
+    )
+    written = await client.transact([], [kv.Put('a', b'1')])
+    read = await client.get('a')
+    await client.aclose()
+    assert type(written) is expected
+    assert isinstance(read, kv.Unavailable)
