--- a/tests/unit/gateway/test_response_ends.py
+++ b/tests/unit/gateway/test_response_ends.py
@@ -7,6 +7,9 @@
 import pytest
 import trio
 
+from corianderloft._internal.gateway import change_log
+from corianderloft._internal.gateway import change_messages
+from corianderloft._internal.kv import interface as kv
 from tests.lib import gateway
 from tests.lib import raw_server
 
@@ -115,3 +118,25 @@
             answer = await system.request('POST', '/book/1')
             nursery.cancel_scope.cancel()
     assert answer.status == 502
+
+
+@pytest.mark.parametrize('form', ['json', 'compressed', 'raw'])
+def test_a_part_of_the_changes_from_another_host_is_not_read(form):
+    # A host that follows another one would go on without the rest of them.
+    item = kv.KeyValue('servers/e-1', b'value' * 200, 7, 1, None)
+    changes = change_log.Changes(
+        7,
+        1.0,
+        (
+            kv.WatchEvent('servers/e-1', item, 7),
+            kv.WatchEvent('servers/e-0', None, 6),
+        ),
+        1.0,
+    )
+    if form == 'raw':
+        data = change_messages.encode_raw(changes, 1.0)
+    else:
+        data = change_messages.encode(changes, 1.0, form == 'compressed', True)
+    assert change_messages.decode(data, 1.0) is not None
+    for size in range(len(data)):
+        assert change_messages.decode(data[:size], 1.0) is None
