Hedge slow requests on the gateway within a share of extra work

Off unless hedging.extra_work is set in the settings file. Idempotent calls run beside each other, resumable streams move before their first event. The decision and its budget are in placement/hedging.py, without a network; the silence watch of an attempt asks for it after the delay.

--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -1,5 +1,6 @@
 """Forwards a request to backend servers, with retries."""
 
+import collections.abc
 import enum
 import logging
 
@@ -7,6 +8,7 @@
 
 from corianderloft._internal.gateway import crash_guard
 from corianderloft._internal.gateway import dialect
+from corianderloft._internal.gateway import hedging
 from corianderloft._internal.gateway import life_watch
 from corianderloft._internal.gateway import metrics
 from corianderloft._internal.gateway import refusals
@@ -37,6 +39,10 @@
 """A request with less time left before its deadline is not sent again."""
 
 
+StartBeside = collections.abc.Callable[[grants.Grant], None]
+"""Starts another attempt with its permission."""
+
+
 class Result(enum.Enum):
     """Outcome of a request for its caller.
 
@@ -78,7 +84,8 @@
     sends : int
         Number of sends so far.
     engine : str
-        ID of the last backend server that the request was sent to.
+        ID of the backend server that answered, or of the last one that the
+        request was sent to.
     refusal : Refusal or None
         Error response sent instead of a backend server's response.
     """
@@ -109,6 +116,11 @@
         self._crash_guard = crash_guard.CrashGuard(
             request_placer.crashes, request.job
         )
+        self._hedge = hedging.RequestHedge(
+            request_placer, request.job, request.kind.repeatable
+        )
+        # Attempts that run beside each other, if calls are hedged.
+        self._running = 0
         self._tried: set[engines.Key] = set()
         self._may_have_run_on: set[engines.Key] = set()
         self._silent: set[engines.Key] = set()
@@ -145,6 +157,7 @@
                 return await self._send_all()
             finally:
                 self._release_successor()
+                self._hedge.close()
         assert timeout.cancelled_caught
         if self.complete:
             return Result.REFUSED if self.refusal else Result.ANSWERED
@@ -179,8 +192,7 @@
             if self._writer.caller_has_left():
                 grant.close(interface.AttemptOutcome.CALLER_LEFT)
                 return Result.CALLER_LEFT
-            self.sends += 1
-            result = await self._send_once(grant)
+            result = await self._send_hedged(grant)
             if result is not None:
                 return result
         return await self._give_up(refusal)
@@ -271,8 +283,50 @@
         await self._writer.refuse(refusal)
         return Result.REFUSED
 
-    async def _send_once(self, grant: grants.Grant) -> Result | None:
-        """Send once; return None if another backend server may be tried."""
+    async def _send_hedged(self, grant: grants.Grant) -> Result | None:
+        """Send; a second attempt of a call may run beside this one.
+
+        The first good answer wins, and the other attempt is cancelled.
+        Returns None if another backend server may be tried.
+        """
+        if self._request.kind.streamed or not self._hedge.possible:
+            return await self._send_once(grant, None)
+        result: Result | None = None
+
+        def start(started: grants.Grant) -> None:
+            self._running += 1
+            nursery.start_soon(run, started)
+
+        async def run(started: grants.Grant) -> None:
+            nonlocal result
+            ended = await self._send_once(started, start)
+            self._running -= 1
+            if ended is not None or not self._running:
+                result = ended
+                nursery.cancel_scope.cancel()
+
+        try:
+            async with trio.open_nursery() as nursery:
+                start(grant)
+        finally:
+            self._running = 0
+        return result
+
+    async def _send_once(
+        self, grant: grants.Grant, start_beside: StartBeside | None
+    ) -> Result | None:
+        """Send once; return None if another backend server may be tried.
+
+        Parameters
+        ----------
+        grant : Grant
+            Permission to send.
+        start_beside : callable or None
+            Starts a second attempt beside this one; None if the request must
+            leave this server first.
+        """
+        self.sends += 1
+        self._hedge.record_send(self.sends)
         engine = grant.engine
         self._tried.add(engine.key)
         self.engine = engine.engine_id
@@ -285,9 +339,13 @@
         self._may_have_run_on.add(engine.key)
         request_log.sent(self._request.job, engine, self.sends)
         try:
-            result = await self._send_with_timeout(attempt, grant)
+            result = await self._send_with_timeout(
+                attempt, grant, start_beside
+            )
             if isinstance(result, Result):
                 outcome = interface.AttemptOutcome.COMPLETE
+                self._hedge.record_answer(engine)
+                self.engine = engine.engine_id
                 return result
             result = await self._crash_guard.check(attempt, engine, result)
             outcome = result.outcome
@@ -306,21 +364,32 @@
                 and trio.current_time() >= self._request.job.deadline
             ):
                 outcome = interface.AttemptOutcome.TIMED_OUT
+            elif (
+                outcome is interface.AttemptOutcome.CALLER_LEFT
+                and self.complete
+            ):
+                outcome = interface.AttemptOutcome.LOST
             attempt.close()
             grant.close(outcome)
 
     async def _send_with_timeout(
-        self, attempt: sending.SendAttempt, grant: grants.Grant
+        self,
+        attempt: sending.SendAttempt,
+        grant: grants.Grant,
+        start_beside: StartBeside | None,
     ) -> Result | sending.SendFailure:
         """Send once; leave a silent server if another one takes over."""
         job = self._request.job
         attempts_left = job.route.attempts > len(self._may_have_run_on)
         if not self._request.kind.repeatable or not attempts_left:
             return await self._receive(attempt, grant, None)
+        sent_at = trio.current_time()
         watch = silence.SilenceWatch(
             silence.timeout(job.route.target),
             silence.timeout(job.route.gap_target or job.route.target),
             lambda: self._leave_silent(grant.engine),
+            self._hedge.delay(grant),
+            lambda: self._leave_for_hedge(grant, sent_at, start_beside),
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch.run, nursery.cancel_scope)
@@ -334,11 +403,43 @@
             # The end was written when the watch had already expired.
             return Result.ANSWERED
         assert watch.expired
+        if watch.moved:
+            return sending.SendFailure(
+                interface.AttemptOutcome.MOVED, True, 'another may be faster'
+            )
         return sending.SendFailure(
             interface.AttemptOutcome.SILENT, True, 'nothing in time'
         )
 
+    def _leave_for_hedge(
+        self,
+        grant: grants.Grant,
+        sent_at: float,
+        start_beside: StartBeside | None,
+    ) -> bool:
+        """Start a second attempt; return whether this server is left for it.
+
+        A stream is left before the second run starts: no two servers may work
+        on one for long.
+        """
+        second = self._hedge.try_start(
+            grant,
+            trio.current_time() - sent_at,
+            self._assembly.begun,
+            self._may_resend() and not self._crash_guard.is_quarantined(),
+            self._tried,
+        )
+        if second is None:
+            return False
+        if start_beside is not None:
+            start_beside(second)
+            return False
+        self._successor = second
+        return True
+
     def _leave_silent(self, engine: engines.Engine) -> bool:
+        if self._running > 1:
+            return False
         if self._find_successor():
             return True
         self._release_successor()
@@ -401,6 +502,8 @@
         if sending.is_stream(self._request.kind, received):
             return await self._relay(attempt, received, grant, watch, life)
         grant.started()
+        if watch is not None:
+            watch.note_started()
         body = await attempt.read_all()
         if watch is not None:
             watch.pause()
@@ -415,6 +518,10 @@
         self, received: sending.ReceivedHead, body: bytes
     ) -> Result | sending.SendFailure:
         """Deliver a complete response unless the request should be retried."""
+        if self.complete:
+            return sending.SendFailure(
+                interface.AttemptOutcome.LOST, True, 'another was answered'
+            )
         disposition = response_rules.classify(
             received.status, received.head, self._request.kind.repeatable
         )
--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -108,6 +108,7 @@
         self._placer = placer.Placer(
             cfg.failure_domain, self._retry_budget, random.Random()
         )
+        self._placer.hedges.set_extra_work(cfg.hedge_extra_work)
         self._view.add_listener(self._placer)
         self._pool = engine_pool.EnginePool()
         self._shutdown = stopping.GracefulShutdown()
@@ -204,7 +205,7 @@
             self._reload(only_if_changed=True)
 
     def _reload(self, only_if_changed: bool = False) -> None:
-        """Apply changed bounds; all other settings need a restart.
+        """Apply changed bounds and hedging; the rest needs a restart.
 
         Parameters
         ----------
@@ -214,7 +215,11 @@
         cfg = self._read_settings()
         if cfg is None or (only_if_changed and cfg == self._cfg):
             return
-        with_old_bounds = dataclasses.replace(cfg, bounds=self._cfg.bounds)
+        with_old_bounds = dataclasses.replace(
+            cfg,
+            bounds=self._cfg.bounds,
+            hedge_extra_work=self._cfg.hedge_extra_work,
+        )
         logger.info(
             'settings reloaded',
             extra={
@@ -231,6 +236,7 @@
             cfg.bounds.retry_slack,
             cfg.bounds.retry_window,
         )
+        self._placer.hedges.set_extra_work(cfg.hedge_extra_work)
 
     async def _housekeeping(self) -> None:
         while True:
--- a/src/corianderloft/_internal/gateway/metrics.py
+++ b/src/corianderloft/_internal/gateway/metrics.py
@@ -17,6 +17,9 @@
 )
 sends_failed: collections.Counter[str] = collections.Counter()
 retries_refused: collections.Counter[str] = collections.Counter()
+hedges: collections.Counter[tuple[str, str]] = collections.Counter()
+hedges_refused: collections.Counter[tuple[str, str]] = collections.Counter()
+work: collections.Counter[tuple[str, str]] = collections.Counter()
 _latencies: collections.deque[tuple[str, float | None, float]] = (
     collections.deque(maxlen=MAX_PENDING_LATENCIES)
 )
@@ -39,6 +42,21 @@
     retries_refused[service] += 1
 
 
+def count_hedge(service: str, event: str) -> None:
+    """Count a second attempt that was started, has won or has lost."""
+    hedges[service, event] += 1
+
+
+def count_hedge_refused(service: str, reason: str) -> None:
+    """Count a second attempt that was not allowed."""
+    hedges_refused[service, reason] += 1
+
+
+def count_work(service: str, kind: str, cost: float) -> None:
+    """Count work that was started, or added by a second attempt."""
+    work[service, kind] += round(cost)
+
+
 def observe(route: str, first_byte_s: float | None, total_s: float) -> None:
     """Record the latencies of a response, in seconds."""
     _latencies.append((route, first_byte_s, total_s))
--- a/src/corianderloft/_internal/gateway/metrics_page.py
+++ b/src/corianderloft/_internal/gateway/metrics_page.py
@@ -34,6 +34,18 @@
     'gateway_repeats_refused_total',
     'Repeated sends refused by the budget, by service.',
 )
+_HEDGES = registry.counter(
+    'gateway_hedges_total',
+    'Second attempts, by service: started, and won or lost.',
+)
+_HEDGES_REFUSED = registry.counter(
+    'gateway_hedges_refused_total',
+    'Second attempts that were not allowed, by service and reason.',
+)
+_WORK = registry.counter(
+    'gateway_hedging_work_total',
+    'Work started, and added by second attempts, in tokens or calls.',
+)
 _STATEMENTS = registry.counter(
     'gateway_server_statements_total',
     'Servers that said that they leave, or want no requests for a time.',
@@ -72,6 +84,12 @@
         _SENDS_FAILED.set({'cause': cause}, count)
     for service, count in metrics.retries_refused.items():
         _RETRIES_REFUSED.set({'service': service}, count)
+    for (service, event), count in metrics.hedges.items():
+        _HEDGES.set({'service': service, 'event': event}, count)
+    for (service, reason), count in metrics.hedges_refused.items():
+        _HEDGES_REFUSED.set({'service': service, 'reason': reason}, count)
+    for (service, kind), count in metrics.work.items():
+        _WORK.set({'service': service, 'kind': kind}, count)
     for kind, count in statements.counts.items():
         _STATEMENTS.set({'kind': kind}, count)
     for route, first_byte_s, total_s in metrics.take_latencies():
--- a/src/corianderloft/_internal/gateway/request_log.py
+++ b/src/corianderloft/_internal/gateway/request_log.py
@@ -9,6 +9,7 @@
 from corianderloft._internal.models import crashes
 from corianderloft._internal.models import ids
 from corianderloft._internal.placement import engines
+from corianderloft._internal.placement import hedging
 from corianderloft._internal.placement import interface
 
 logger = logging.getLogger(__name__)
@@ -108,6 +109,52 @@
     )
 
 
+def hedge_started(
+    job: interface.Job,
+    first: engines.Engine,
+    second: engines.Engine,
+    waited_s: float,
+    cost: float,
+) -> None:
+    """Log a second attempt."""
+    logger.info(
+        'second attempt started',
+        extra={
+            'request_id': job.request_id,
+            'engine': second.engine_id,
+            'first_engine': first.engine_id,
+            'waited_s': round(waited_s, 4),
+            'cost': cost,
+        },
+    )
+
+
+def hedge_refused(
+    job: interface.Job,
+    first: engines.Engine,
+    reason: hedging.Refusal,
+    waited_s: float,
+) -> None:
+    """Log that a second attempt was not allowed."""
+    logger.info(
+        'second attempt not started',
+        extra={
+            'request_id': job.request_id,
+            'first_engine': first.engine_id,
+            'reason': reason.value,
+            'waited_s': round(waited_s, 4),
+        },
+    )
+
+
+def hedge_ended(job: interface.Job, result: str) -> None:
+    """Log whether a second attempt has won."""
+    logger.info(
+        'second attempt ended',
+        extra={'request_id': job.request_id, 'result': result},
+    )
+
+
 def silent_server_kept(job: interface.Job, engine: engines.Engine) -> None:
     """Log that a request stays with a server that sends nothing."""
     logger.info(
--- a/src/corianderloft/_internal/gateway/settings.py
+++ b/src/corianderloft/_internal/gateway/settings.py
@@ -158,6 +158,9 @@
         Memory that this process may use, in bytes; 0 if unknown.
     memory_admission : bool
         Whether requests are admitted by the memory that engines have left.
+    hedge_extra_work : float
+        Work of second attempts as a share of the work started, from 0 to 1; 0
+        means that there are none.
     """
 
     host_id: ids.HostId
@@ -176,3 +179,4 @@
     duty_bounds: DutyBounds | None = None
     memory_bytes: int = 0
     memory_admission: bool = False
+    hedge_extra_work: float = 0.0
--- a/src/corianderloft/_internal/gateway/silence.py
+++ b/src/corianderloft/_internal/gateway/silence.py
@@ -47,11 +47,18 @@
     take_over : callable
         Called when the server counts as silent; returns whether another one
         takes the request over.
+    hedge_delay_s : float
+        Time before the start of the response after which a second attempt is
+        considered; infinite if none is.
+    hedge : callable
+        Called once then; returns whether the request leaves the server.
 
     Attributes
     ----------
     expired : bool
         Whether the request leaves the server.
+    moved : bool
+        Whether it leaves for a second attempt.
     """
 
     def __init__(
@@ -59,11 +66,19 @@
         start_timeout_s: float,
         gap_timeout_s: float,
         take_over: collections.abc.Callable[[], bool],
+        hedge_delay_s: float = math.inf,
+        hedge: collections.abc.Callable[[], bool] = lambda: False,
     ) -> None:
         self._gap_timeout_s = gap_timeout_s
         self._take_over = take_over
-        self._deadline = trio.current_time() + start_timeout_s
+        now = trio.current_time()
+        self._deadline = now + start_timeout_s
+        self._hedge = hedge
+        self._hedge_at = math.inf
+        if hedge_delay_s < start_timeout_s:
+            self._hedge_at = now + hedge_delay_s
         self.expired = False
+        self.moved = False
 
     def restart(self) -> None:
         """Start the timeout anew, since the server has made progress."""
@@ -72,15 +87,26 @@
     def pause(self) -> None:
         """Stop the timeout: nobody waits for the server."""
         self._deadline = math.inf
+        self.note_started()
+
+    def note_started(self) -> None:
+        """Record that the response has begun: it is not hedged any more."""
+        self._hedge_at = math.inf
 
     async def run(self, attempt_scope: trio.CancelScope) -> None:
         """Cancel the attempt once the request leaves its server."""
         while not self.expired:
             now = trio.current_time()
-            if now < self._deadline:
+            if now >= self._hedge_at:
+                is_late = now - self._hedge_at > MAX_WAKE_DELAY_S
+                self.note_started()
+                if not is_late and self._hedge():
+                    self.expired = self.moved = True
+                    attempt_scope.cancel()
+            elif now < self._deadline:
                 # A restart may bring the deadline forward.
-                wait_s = min(self._deadline - now, self._gap_timeout_s)
-                await trio.sleep(wait_s)
+                wake_at = min(self._deadline, self._hedge_at)
+                await trio.sleep(min(wake_at - now, self._gap_timeout_s))
             elif now - self._deadline > MAX_WAKE_DELAY_S:
                 self._deadline = now + MIN_SILENCE_TIMEOUT_S
             elif self._take_over():
--- a/src/corianderloft/_internal/placement/engine_model.py
+++ b/src/corianderloft/_internal/placement/engine_model.py
@@ -1,5 +1,7 @@
 """Prefill speed of the engines of one service, estimated while serving."""
 
+from corianderloft._internal.placement import first_answers
+
 PRIOR_PREFILL_TOKENS_PER_S = 30_000.0
 PRIOR_BASE_TTFT_S = 0.04
 """Speed assumed before the first answers: the order of magnitude of current
@@ -28,9 +30,15 @@
     by weighted least squares of relative errors with exponential forgetting
     and Huber weights. It includes the mean share of the time that an engine
     spends on the tokens of running requests.
+
+    Attributes
+    ----------
+    first_answers : FirstAnswerTimes
+        Newest times to first token, relative to the expected ones.
     """
 
     def __init__(self) -> None:
+        self.first_answers = first_answers.FirstAnswerTimes()
         self.base_ttft = PRIOR_BASE_TTFT_S
         self.prefill_rate = PRIOR_PREFILL_TOKENS_PER_S
         self._sums = [0.0] * 5
--- a/src/corianderloft/_internal/placement/engines.py
+++ b/src/corianderloft/_internal/placement/engines.py
@@ -277,6 +277,7 @@
         self._own += request.load
         ttft = now - request.sent_at
         ratio = ttft / self.speed.expected_ttft(request.queued_tokens)
+        self.speed.first_answers.record(self.key, ratio)
         ratio = min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, ratio))
         slowdown = self.slowdown(now)
         self.speed.record(request.queued_tokens, ttft)
@@ -284,6 +285,24 @@
         self._slowdown_at = now
         return True
 
+    def expected_wait(self, number: int) -> float:
+        """Return the expected time to the first answer to a request.
+
+        From when it was sent, in seconds; infinite if it is unknown.
+        """
+        request = self._in_flight.get(number)
+        if request is None:
+            return math.inf
+        return self.speed.expected_ttft(request.queued_tokens)
+
+    def record_unanswered(self, number: int, now: float) -> None:
+        """Record that a request leaves the server before its answer."""
+        request = self._in_flight.get(number)
+        if request is None or request.started:
+            return
+        ratio = (now - request.sent_at) / self.expected_wait(number)
+        self.speed.first_answers.record(self.key, ratio)
+
     def own_load(self) -> PeerLoad:
         """Return the load from the requests of this host."""
         return self._own
--- a/src/corianderloft/_internal/placement/grants.py
+++ b/src/corianderloft/_internal/placement/grants.py
@@ -7,6 +7,12 @@
 from corianderloft._internal.placement import engines
 from corianderloft._internal.placement import interface
 
+_LEFT_UNANSWERED = (
+    interface.AttemptOutcome.SILENT,
+    interface.AttemptOutcome.MOVED,
+    interface.AttemptOutcome.LOST,
+)
+
 
 class Issuer(typing.Protocol):
     """Hears how the attempts that it permitted went on."""
@@ -37,7 +43,15 @@
         ):
             self._issuer.load_changed()
 
+    def expected_wait(self) -> float:
+        """Return the expected time to the first answer, in seconds."""
+        return self.engine.expected_wait(self._request_number)
+
     def close(self, outcome: interface.AttemptOutcome) -> None:
         """Record how the attempt ended; further calls have no effect."""
+        if outcome in _LEFT_UNANSWERED:
+            self.engine.record_unanswered(
+                self._request_number, trio.current_time()
+            )
         if self.engine.remove(self._request_number):
             self._issuer.record_outcome(self.engine, outcome)
--- a/src/corianderloft/_internal/placement/interface.py
+++ b/src/corianderloft/_internal/placement/interface.py
@@ -70,7 +70,8 @@
     """How an attempt at a backend server ended.
 
     WITHDRAWN means that nothing was sent, as the server left after it had been
-    chosen.
+    chosen; MOVED that the request was taken to a server that may be faster;
+    LOST that another attempt, which ran beside this one, was answered first.
     """
 
     COMPLETE = 'complete'
@@ -82,6 +83,8 @@
     BROKEN = 'broken'
     CRASHED = 'crashed'
     SILENT = 'silent'
+    MOVED = 'moved'
+    LOST = 'lost'
     CALLER_LEFT = 'caller_left'
     TIMED_OUT = 'timed_out'
 
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -21,6 +21,7 @@
 from corianderloft._internal.placement import engine_model
 from corianderloft._internal.placement import engines
 from corianderloft._internal.placement import grants
+from corianderloft._internal.placement import hedging
 from corianderloft._internal.placement import interface
 from corianderloft._internal.placement import lane_demand
 from corianderloft._internal.placement import outcomes
@@ -75,6 +76,8 @@
     ----------
     retries : RetryBudget
         Retry budget.
+    hedges : Hedges
+        Delay and budget of second attempts; off until it is set.
     crashes : CrashEvidence
         Prompt parts on which backend servers crash.
     """
@@ -106,6 +109,7 @@
         self._meters: dict[ids.ServiceName, lane_demand.DemandMeter] = {}
         self._peer_demands: dict[str, Demands] = {}
         self.retries = retries
+        self.hedges = hedging.Hedges()
         self.crashes = crash_evidence.CrashEvidence()
         self._on_load_change: collections.abc.Callable[[], None] = _do_nothing
 
@@ -241,6 +245,53 @@
             return None
         return grants.Grant(self, waiter.engine, waiter.number)
 
+    def try_acquire_hedge(
+        self,
+        job: interface.Job,
+        exclude: collections.abc.Set[engines.Key],
+        waited: float,
+    ) -> grants.Grant | hedging.Refusal:
+        """Return a permission for a second attempt, or why there is none.
+
+        Only servers that can run the request at once, and are expected to
+        answer soon, are considered.
+
+        Parameters
+        ----------
+        job : Job
+            The request.
+        exclude : set of Key
+            Backend servers that must not be chosen.
+        waited : float
+            Time that the first attempt has taken so far, in seconds.
+        """
+        now = trio.current_time()
+        live = self._view(job.service).live
+        free = [
+            engine
+            for engine in live
+            if engine.key not in exclude and hedging.has_room(engine, job, now)
+        ]
+        fast = {
+            engine.key
+            for engine in free
+            if hedging.expected_wait(engine, job, now) <= waited
+        }
+        if not fast:
+            return (
+                hedging.Refusal.NOT_FASTER
+                if free
+                else hedging.Refusal.NO_SERVER
+            )
+        others = {engine.key for engine in live} - fast
+        grant = self.try_acquire(job, exclude | others)
+        return grant or hedging.Refusal.NO_SERVER
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests in the queue."""
+        return len(self._queue)
+
     def wake(self) -> None:
         """Schedule another pass over the queue."""
         if self._queue:
--- a/src/corianderloft/_internal/platform/settings.py
+++ b/src/corianderloft/_internal/platform/settings.py
@@ -94,6 +94,7 @@
         duty_bounds=_duty_bounds(data),
         memory_bytes=_memory_bytes(data['limits']),
         memory_admission=PRESSURE in _contracts(data),
+        hedge_extra_work=_hedge_extra_work(data),
     )
 
 
@@ -149,6 +150,17 @@
     return int(_number(limits, 'memory_mb') * 10**6)
 
 
+def _hedge_extra_work(data: typing.Any) -> float:
+    """Return the share of extra work; 0 if it is not stated."""
+    hedging = data.get('hedging') or {}
+    if hedging.get('extra_work') is None:
+        return 0.0
+    share = _number(hedging, 'extra_work')
+    if not 0 <= share <= 1:
+        raise ValueError(f'extra_work: {share!r} is not between 0 and 1')
+    return share
+
+
 def _link_kbps(limits: typing.Any) -> int:
     """Return the bandwidth of the link; 0 if it is not stated."""
     if limits.get('link_mbps') is None:
--- a/tests/lib/gateway.py
+++ b/tests/lib/gateway.py
@@ -173,7 +173,12 @@
         return BOUNDS
 
     async def start_host(
-        self, host_id='edge-1', wait=True, store_port=None, **bounds
+        self,
+        host_id='edge-1',
+        wait=True,
+        store_port=None,
+        hedge_extra_work=0.0,
+        **bounds,
     ):
         """Start a host in this process and return its settings.
 
@@ -188,6 +193,8 @@
             Whether to wait until it is ready.
         store_port : int or None
             Port of the store, if it is not reached directly.
+        hedge_extra_work : float
+            Share of extra work for second attempts.
         bounds
             Bounds that differ from those of the system.
         """
@@ -204,6 +211,7 @@
             max_open_files=1000,
             bounds=dataclasses.replace(self.bounds(), **bounds),
             store=settings.Store('127.0.0.1', store_port),
+            hedge_extra_work=hedge_extra_work,
         )
         dependencies = host.Dependencies(
             cfg=self.cfg,
--- a/tests/unit/platform/test_decoding.py
+++ b/tests/unit/platform/test_decoding.py
@@ -249,3 +249,28 @@
     assert (cfg.duty_bounds is not None) is ('leader' in contracts)
     assert cfg.memory_admission is ('pressure' in contracts)
     assert cfg.memory_bytes == 128_000_000
+
+
+@pytest.mark.parametrize(
+    ('line', 'expected'),
+    [
+        ('', 0.0),
+        ('hedging: {}', 0.0),
+        ('hedging: {extra_work: 0}', 0.0),
+        ('hedging: {extra_work: 0.02}', 0.02),
+        ('hedging: {extra_work: 1}', 1.0),
+        ('hedging: {extra_work: 1.5}', None),
+        ('hedging: {extra_work: -0.1}', None),
+        ('hedging: {extra_work: .nan}', None),
+        ('hedging: {extra_work: true}', None),
+        ('hedging: [0.02]', None),
+    ],
+)
+def test_hedging_is_off_unless_a_valid_share_is_set(tmp_path, line, expected):
+    path = tmp_path / 'settings.yaml'
+    path.write_text(f'{DUTY_SETTINGS}{line}\n')
+    cfg = settings.read(str(path))
+    if expected is None:
+        assert isinstance(cfg, settings.InvalidSettings)
+    else:
+        assert cfg.hedge_extra_work == expected
