--- a/tests/unit/gateway/test_hedging.py
+++ b/tests/unit/gateway/test_hedging.py
@@ -11,6 +11,8 @@
 import trio
 
 from corianderloft._internal.gateway import metrics
+from corianderloft._internal.gateway import sending
+from corianderloft._internal.placement import engines
 from tests.lib import gateway
 from tests.lib import processes
 
@@ -143,3 +145,78 @@
         assert len(system.runs()) == SLOW_REQUESTS
     assert [r.status for r in responses] == [200] * SLOW_REQUESTS
     assert metrics.hedges_refused['desk', 'retry_budget'] > before
+
+
+async def test_the_first_run_of_a_stream_ends_before_the_second_starts(
+    monkeypatch,
+):
+    events = []
+
+    class Recorded(sending.SendAttempt):
+        """Records when attempts of one request begin and end."""
+
+        async def open(self, resume_after):
+            events.append(('open', self._engine.engine_id))
+            return await super().open(resume_after)
+
+        def close(self):
+            events.append(('close', self._engine.engine_id))
+            super().close()
+
+    async with running('stream', '/quote/') as system:
+        system.engines[0].cut_after = 0
+        monkeypatch.setattr(sending, 'SendAttempt', Recorded)
+        await _ask_slow(system, '/quote/')
+    kinds = [kind for kind, _ in events]
+    assert kinds == ['open', 'close'] * (len(kinds) // 2)
+    assert len(kinds) > 2 * SLOW_REQUESTS
+
+
+@pytest.mark.parametrize(
+    ('mode', 'target'), [('whole', '/look/'), ('stream', '/quote/')]
+)
+async def test_no_attempt_outlives_its_caller(mode, target):
+    # A grant that is not closed occupies a slot of its server for ever.
+    async with running(mode, target) as system:
+        opened, closed = [], []
+        for engine in system.engines:
+            engine.cut_after = 0
+        slow, other = system.engines
+        slow.stall, other.stall = STALL_S, 2 * STALL_S
+
+        async def leave(number):
+            with trio.move_on_after(0.15):
+                await system.request(*_request(target, number))
+
+        with _counted_grants(opened, closed):
+            for number in range(SLOW_REQUESTS):
+                await leave(number)
+            await processes.wait_for(
+                lambda: set(opened) <= set(closed), 'all attempts have ended'
+            )
+        assert len(opened) > SLOW_REQUESTS
+
+
+@contextlib.contextmanager
+def _counted_grants(opened, closed):
+    """Record the permissions that are given and those that end.
+
+    One that was given before may still end.
+    """
+    add, remove = engines.Engine.add, engines.Engine.remove
+
+    def counted_add(engine, number, request):
+        opened.append(number)
+        add(engine, number, request)
+
+    def counted_remove(engine, number):
+        removed = remove(engine, number)
+        if removed:
+            closed.append(number)
+        return removed
+
+    engines.Engine.add, engines.Engine.remove = counted_add, counted_remove
+    try:
+        yield
+    finally:
+        engines.Engine.add, engines.Engine.remove = add, remove
