--- a/src/corianderloft/_internal/cli/configuration.py
+++ b/src/corianderloft/_internal/cli/configuration.py
@@ -56,7 +56,9 @@
     )
 
 
-def diff_table(diff: declarations.CatalogDiff) -> output.Table:
+def diff_table(
+    lines: collections.abc.Iterable[declarations.DiffLine],
+) -> output.Table:
     """Return a difference as a human-readable table."""
     rows = [
         {
@@ -66,13 +68,13 @@
             'in force': line.before,
             'declared': line.after,
         }
-        for line in diff.lines
+        for line in lines
     ]
     return output.Table(rows, 'Changes')
 
 
 def diff_payload(
-    diff: declarations.CatalogDiff,
+    lines: collections.abc.Iterable[declarations.DiffLine],
 ) -> list[dict[str, str]]:
     """Return a difference as JSON-serializable rows."""
     return [
@@ -83,7 +85,7 @@
             'before': line.before,
             'after': line.after,
         }
-        for line in diff.lines
+        for line in lines
     ]
 
 
--- a/src/corianderloft/_internal/commands/apply.py
+++ b/src/corianderloft/_internal/commands/apply.py
@@ -115,13 +115,13 @@
     payload = {
         'revision': outcome.revision,
         'change_id': None if diff.empty else change_id,
-        'changes': configuration.diff_payload(diff),
+        'changes': configuration.diff_payload(diff.lines),
     }
     if diff.empty:
         message = f'Nothing to change at revision {outcome.revision}.'
         return output.Result(payload, (), message)
     return output.Result(
         payload,
-        (configuration.diff_table(diff),),
+        (configuration.diff_table(diff.lines),),
         f'Accepted as change {change_id}, revision {outcome.revision}.',
     )
--- a/src/corianderloft/_internal/commands/plan.py
+++ b/src/corianderloft/_internal/commands/plan.py
@@ -39,7 +39,7 @@
     diff = declarations.compare(stored.catalog, declared)
     payload = {
         'revision': stored.revision,
-        'changes': configuration.diff_payload(diff),
+        'changes': configuration.diff_payload(diff.lines),
     }
     if diff.empty:
         return output.Result(
@@ -47,7 +47,7 @@
         )
     return output.Result(
         payload,
-        (configuration.diff_table(diff),),
+        (configuration.diff_table(diff.lines),),
         f'Apply with --expect={stored.revision}.',
         (
             exit_codes.ExitCode.CHANGES_PENDING
--- a/src/corianderloft/_internal/declarations/__init__.py
+++ b/src/corianderloft/_internal/declarations/__init__.py
@@ -2,6 +2,7 @@
 
 from corianderloft._internal.declarations.diff import CatalogDiff
 from corianderloft._internal.declarations.diff import compare
+from corianderloft._internal.declarations.diff import DiffLine
 from corianderloft._internal.declarations.load import DeclarationErrors
 from corianderloft._internal.declarations.load import Declarations
 from corianderloft._internal.declarations.load import load_directory
@@ -11,6 +12,7 @@
     'CatalogDiff',
     'DeclarationErrors',
     'Declarations',
+    'DiffLine',
     'check_settings',
     'compare',
     'load_directory',
--- a/src/corianderloft/_internal/declarations/diff.py
+++ b/src/corianderloft/_internal/declarations/diff.py
@@ -65,8 +65,8 @@
     new_workspaces = {w.workspace_id: w for w in declared.workspaces}
     return CatalogDiff(
         lines=(
-            *_diff_items('service', old_services, new_services),
-            *_diff_items('workspace', old_workspaces, new_workspaces),
+            *compare_items('service', old_services, new_services),
+            *compare_items('workspace', old_workspaces, new_workspaces),
         ),
         change=changes.ConfigurationChange(
             services_put=_changed_items(old_services, new_services),
@@ -93,11 +93,20 @@
     return tuple(k for k in sorted(old) if k not in new)
 
 
-def _diff_items(
+def compare_items(
     kind: str,
     old: collections.abc.Mapping[K, V],
     new: collections.abc.Mapping[K, V],
 ) -> collections.abc.Iterator[DiffLine]:
+    """Yield the differences between two sets of items, in order.
+
+    Parameters
+    ----------
+    kind : str
+        Prefix of the names of the items.
+    old, new : mapping
+        Items by name.
+    """
     for key in sorted({*old, *new}):
         item = f'{kind}/{key}'
         if key not in new:
