--- a/tests/unit/entry/test_response_ends.py
+++ b/tests/unit/entry/test_response_ends.py
@@ -34,9 +34,7 @@
         )
 
 
-@pytest.mark.parametrize(
-    'end', [raw_server.RESET, raw_server.END_THEN_RESET]
-)
+@pytest.mark.parametrize('end', [raw_server.RESET, raw_server.END_THEN_RESET])
 @pytest.mark.parametrize('body', [b'body', LONG_BODY])
 async def test_a_response_without_a_length_does_not_end_with_a_reset(
     nursery: trio.Nursery, body: bytes, end: str
@@ -85,3 +83,26 @@
     answer = await answer_to(nursery, server, b'body')
     assert answer.refusal() == ('outcome_unknown', 'unknown')
     assert len(server.seen) == 1
+
+
+@pytest.mark.parametrize('framing', [b'', b'Transfer-Encoding: chunked\r\n'])
+@pytest.mark.parametrize('end', [raw_server.END, raw_server.RESET])
+@pytest.mark.parametrize('count', [1, 2])
+async def test_a_stream_whose_last_event_has_come_is_complete(
+    nursery: trio.Nursery, end: str, framing: bytes, count: int
+) -> None:
+    # The last event tells that it is whole, however the connection ends.
+    events = engines.whole_body()
+    body = b'%x\r\n%b\r\n' % (len(events), events) if framing else events
+    raw = b'HTTP/1.1 200 OK\r\n' + framing + b'\r\n' + body
+    server = raw_server.RawServer(raw, end, reads_body=True)
+    await nursery.start(server.serve)
+    _, other = await engines.start(nursery, 'e1', engines.serves)
+    backends = [
+        dataclasses.replace(other, engine_id=f'e{n}', port=server.port)
+        for n in range(count)
+    ]
+    async with entry.running_host(*backends) as fixture:
+        answer = await entry.chat(fixture)
+    assert (answer.status, answer.body) == (200, events)
+    assert len(server.seen) == 1
