--- a/src/corianderloft/_internal/gateway/forwarding.py
+++ b/src/corianderloft/_internal/gateway/forwarding.py
@@ -1,5 +1,6 @@
 """Forwards a request to backend servers, with retries."""
 
+import collections.abc
 import enum
 import logging
 
@@ -8,6 +9,7 @@
 from corianderloft._internal.gateway import crash_guard
 from corianderloft._internal.gateway import dialect
 from corianderloft._internal.gateway.duties import runs
+from corianderloft._internal.gateway import hedging
 from corianderloft._internal.gateway import life_watch
 from corianderloft._internal.gateway import metrics
 from corianderloft._internal.gateway import refusals
@@ -45,6 +47,10 @@
 """A request with less time left before its deadline is not sent again."""
 
 
+StartBeside = collections.abc.Callable[[grants.Grant], None]
+"""Starts another attempt with its permission."""
+
+
 class Result(enum.Enum):
     """Outcome of a request for its caller.
 
@@ -88,7 +94,8 @@
     sends : int
         Number of sends so far.
     engine : str
-        ID of the last backend server that the request was sent to.
+        ID of the backend server that answered, or of the last one that the
+        request was sent to.
     refusal : Refusal or None
         Error response sent instead of a backend server's response.
     """
@@ -110,7 +117,6 @@
         self._request = request
         self._steps = steps
         self._run_counter = run_counter
-        self._run = run_counter.run(None)
         self._writer = response_writer.ResponseWriter(
             caller, closes_connection
         )
@@ -122,6 +128,11 @@
         self._crash_guard = crash_guard.CrashGuard(
             request_placer.crashes, request.job
         )
+        self._hedge = hedging.RequestHedge(
+            request_placer, request.job, request.kind.repeatable
+        )
+        # Attempts that run beside each other, if calls are hedged.
+        self._running = 0
         self._tried: set[engines.Key] = set()
         self._may_have_run_on: set[engines.Key] = set()
         self._silent: set[engines.Key] = set()
@@ -135,7 +146,8 @@
         self.sends = 0
         self.engine = ''
         self._successor: grants.Grant | None = None
-        self._response_memory = response_memory.ResponseMemory(caller.memory)
+        self._memory = caller.memory
+        self._fallback_memory = response_memory.ResponseMemory(None)
         self.refusal: refusals.Refusal | None = None
 
     @property
@@ -160,6 +172,7 @@
                 return await self._send_all()
             finally:
                 self._release_successor()
+                self._hedge.close()
         assert timeout.cancelled_caught
         if self.complete:
             return Result.REFUSED if self.refusal else Result.ANSWERED
@@ -194,8 +207,7 @@
             if self._writer.caller_has_left():
                 grant.close(interface.AttemptOutcome.CALLER_LEFT)
                 return Result.CALLER_LEFT
-            self.sends += 1
-            result = await self._send_once(grant)
+            result = await self._send_hedged(grant)
             if result is not None:
                 return result
         return await self._give_up(refusal)
@@ -286,33 +298,82 @@
         await self._writer.refuse(refusal)
         return Result.REFUSED
 
-    async def _send_once(self, grant: grants.Grant) -> Result | None:
-        """Send once; return None if another backend server may be tried."""
+    async def _send_hedged(self, grant: grants.Grant) -> Result | None:
+        """Send; a second attempt of a call may run beside this one.
+
+        The first good answer wins, and the other attempt is cancelled.
+        Returns None if another backend server may be tried.
+        """
+        if self._request.kind.streamed or not self._hedge.possible:
+            return await self._send_once(grant, None)
+        result: Result | None = None
+
+        def start(started: grants.Grant) -> None:
+            self._running += 1
+            nursery.start_soon(run, started)
+
+        async def run(started: grants.Grant) -> None:
+            nonlocal result
+            ended = await self._send_once(started, start)
+            self._running -= 1
+            if ended is not None or not self._running:
+                result = ended
+                nursery.cancel_scope.cancel()
+
+        try:
+            async with trio.open_nursery() as nursery:
+                start(grant)
+        finally:
+            self._running = 0
+        return result
+
+    async def _send_once(
+        self, grant: grants.Grant, start_beside: StartBeside | None
+    ) -> Result | None:
+        """Send once; return None if another backend server may be tried.
+
+        Parameters
+        ----------
+        grant : Grant
+            Permission to send.
+        start_beside : callable or None
+            Starts a second attempt beside this one; None if the request must
+            leave this server first.
+        """
+        self.sends += 1
+        self._hedge.record_send(self.sends)
         engine = grant.engine
         self._tried.add(engine.key)
         self.engine = engine.engine_id
         attempt = sending.SendAttempt(
-            self._pool, self._dialect, engine, self._request
+            self._pool,
+            self._dialect,
+            engine,
+            self._request,
+            self._run_counter.run(self._request.job.workspace),
         )
         outcome = interface.AttemptOutcome.CALLER_LEFT
-        self._run = self._run_counter.run(self._request.job.workspace)
         if not engine.serves_model:
-            self._run.began()
+            attempt.run.began()
         # A request that was sent may have run unless the send or the
         # response shows that it did not.
         self._may_have_run_on.add(engine.key)
         request_log.sent(self._request.job, engine, self.sends)
         try:
-            result = await self._send_with_timeout(attempt, grant)
+            result = await self._send_with_timeout(
+                attempt, grant, start_beside
+            )
             if isinstance(result, Result):
                 outcome = interface.AttemptOutcome.COMPLETE
+                self._hedge.record_answer(engine)
+                self.engine = engine.engine_id
                 return result
             result = await self._crash_guard.check(attempt, engine, result)
             outcome = result.outcome
             self._sent_before |= outcome not in NO_ARRIVAL
             if not result.may_have_run:
                 self._may_have_run_on.discard(engine.key)
-                self._run.did_not_run()
+                attempt.run.did_not_run()
             request_log.send_failed(
                 self._request.job, engine, result, attempt.progress
             )
@@ -323,23 +384,34 @@
                 and trio.current_time() >= self._request.job.deadline
             ):
                 outcome = interface.AttemptOutcome.TIMED_OUT
+            elif (
+                outcome is interface.AttemptOutcome.CALLER_LEFT
+                and self.complete
+            ):
+                outcome = interface.AttemptOutcome.LOST
             if not attempt.may_have_sent:
-                self._run.did_not_run()
+                attempt.run.did_not_run()
             attempt.close()
             grant.close(outcome)
 
     async def _send_with_timeout(
-        self, attempt: sending.SendAttempt, grant: grants.Grant
+        self,
+        attempt: sending.SendAttempt,
+        grant: grants.Grant,
+        start_beside: StartBeside | None,
     ) -> Result | sending.SendFailure:
         """Send once; leave a silent server if another one takes over."""
         job = self._request.job
         attempts_left = job.route.attempts > len(self._may_have_run_on)
         if not self._request.kind.repeatable or not attempts_left:
             return await self._receive(attempt, grant, None)
+        sent_at = trio.current_time()
         watch = silence.SilenceWatch(
             silence.timeout(job.route.target),
             silence.timeout(job.route.gap_target or job.route.target),
             lambda: self._leave_silent(grant.engine),
+            self._hedge.delay(grant),
+            lambda: self._leave_for_hedge(grant, sent_at, start_beside),
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch.run, nursery.cancel_scope)
@@ -353,11 +425,43 @@
             # The end was written when the watch had already expired.
             return Result.ANSWERED
         assert watch.expired
+        if watch.moved:
+            return sending.SendFailure(
+                interface.AttemptOutcome.MOVED, True, 'another may be faster'
+            )
         return sending.SendFailure(
             interface.AttemptOutcome.SILENT, True, 'nothing in time'
         )
 
+    def _leave_for_hedge(
+        self,
+        grant: grants.Grant,
+        sent_at: float,
+        start_beside: StartBeside | None,
+    ) -> bool:
+        """Start a second attempt; return whether this server is left for it.
+
+        A stream is left before the second run starts: no two servers may work
+        on one for long.
+        """
+        second = self._hedge.try_start(
+            grant,
+            trio.current_time() - sent_at,
+            self._assembly.begun,
+            self._may_resend() and not self._crash_guard.is_quarantined(),
+            self._tried,
+        )
+        if second is None:
+            return False
+        if start_beside is not None:
+            start_beside(second)
+            return False
+        self._successor = second
+        return True
+
     def _leave_silent(self, engine: engines.Engine) -> bool:
+        if self._running > 1:
+            return False
         if self._find_successor():
             return True
         self._release_successor()
@@ -421,8 +525,8 @@
             return await self._relay(attempt, received, grant, watch, life)
         grant.started()
         if received.status < 300:
-            self._run.began()
-        memory = self._response_memory
+            attempt.run.began()
+        memory = response_memory.ResponseMemory(self._memory)
         if not memory.start(received.length):
             # The server waits for this host, which is not its silence.
             if watch is not None:
@@ -431,19 +535,22 @@
                 return response_ends.no_memory()
             if watch is not None:
                 watch.restart()
+        if watch is not None:
+            watch.note_started()
         body = await attempt.read_all(memory.reserve_part)
         if watch is not None:
             watch.pause()
         if isinstance(body, sending.SendFailure):
             memory.discard()
             return body
-        end = await response_ends.run_end(life)
+        end = await response_ends.run_end(attempt, life)
         if end is assembly.RunEnd.WITH_SERVER:
             memory.discard()
             return response_ends.ended_with_server()
         result = await self._check_response(received, body)
         if self._fallback_response == (received, body):
-            memory.keep()
+            self._fallback_memory.discard()
+            self._fallback_memory = memory
         elif isinstance(result, sending.SendFailure):
             memory.discard()
         return result
@@ -452,6 +559,10 @@
         self, received: sending.ReceivedHead, body: bytes
     ) -> Result | sending.SendFailure:
         """Deliver a complete response unless the request should be retried."""
+        if self.complete:
+            return sending.SendFailure(
+                interface.AttemptOutcome.LOST, True, 'another was answered'
+            )
         disposition = response_rules.classify(
             received.status, received.head, self._request.kind.repeatable
         )
@@ -498,7 +609,7 @@
         relay = stream_relay.StreamRelay(
             self._assembly, self._writer, self._record_step
         )
-        grant.on_started = self._run.began
+        grant.on_started = attempt.run.began
         failure = await relay.run(attempt, received, grant, watch, life)
         if failure is not None:
             return failure
--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -121,6 +121,7 @@
             random.Random(),
             memory_admission=cfg.memory_admission,
         )
+        self._placer.hedges.set_extra_work(cfg.hedge_extra_work)
         self._view.add_listener(self._placer)
         self._pool = engine_pool.EnginePool()
         self._byte_sizes = byte_budget.sizes(cfg.memory_bytes)
@@ -256,7 +257,7 @@
             self._reload(only_if_changed=True)
 
     def _reload(self, only_if_changed: bool = False) -> None:
-        """Apply changed bounds; all other settings need a restart.
+        """Apply changed bounds and hedging; the rest needs a restart.
 
         Parameters
         ----------
@@ -266,7 +267,11 @@
         cfg = self._read_settings()
         if cfg is None or (only_if_changed and cfg == self._cfg):
             return
-        with_old_bounds = dataclasses.replace(cfg, bounds=self._cfg.bounds)
+        with_old_bounds = dataclasses.replace(
+            cfg,
+            bounds=self._cfg.bounds,
+            hedge_extra_work=self._cfg.hedge_extra_work,
+        )
         logger.info(
             'settings reloaded',
             extra={
@@ -283,6 +288,7 @@
             cfg.bounds.retry_slack,
             cfg.bounds.retry_window,
         )
+        self._placer.hedges.set_extra_work(cfg.hedge_extra_work)
 
     async def _housekeeping(self) -> None:
         while True:
--- a/src/corianderloft/_internal/gateway/sending.py
+++ b/src/corianderloft/_internal/gateway/sending.py
@@ -6,6 +6,7 @@
 import trio
 
 from corianderloft._internal.gateway import dialect
+from corianderloft._internal.gateway.duties import runs
 from corianderloft._internal.gateway import routed_request
 from corianderloft._internal.models import routing
 from corianderloft._internal.network import engine_connection
@@ -111,9 +112,13 @@
         The backend server.
     request : RoutedRequest
         The request.
+    run : Run
+        Run of the request on the server, which is counted.
 
     Attributes
     ----------
+    run : Run
+        The same.
     progress : Progress
         How much of the response arrived.
     may_have_sent : bool
@@ -126,7 +131,9 @@
         header_dialect: dialect.Dialect,
         engine: engines.Engine,
         request: routed_request.RoutedRequest,
+        run: runs.Run,
     ) -> None:
+        self.run = run
         self._pool = pool
         self._dialect = header_dialect
         self._engine = engine
@@ -200,6 +207,10 @@
         self._fully_read = True
         return body
 
+    def was_reset(self) -> bool:
+        """Return whether the server has reset the connection by now."""
+        return self._conn is not None and self._conn.was_reset()
+
     async def server_is_gone(self) -> bool:
         """Return whether the server accepts no connections any more."""
         conn = await self._connect()
--- a/src/corianderloft/_internal/kv/connections.py
+++ b/src/corianderloft/_internal/kv/connections.py
@@ -9,6 +9,7 @@
 import trio
 
 from corianderloft._internal.metrics import control
+from corianderloft._internal.network import streams
 
 Headers = collections.abc.Sequence[tuple[bytes, bytes]]
 
@@ -174,9 +175,9 @@
 
     def open(self) -> httpcore.AsyncHTTPConnection:
         """Return a new connection, which is opened by its first request."""
-        return httpcore.AsyncHTTPConnection(
-            origin=self._url.origin,
-            keepalive_expiry=self._idle_expiry,
+        return streams.HttpConnection(
+            self._url.origin,
+            self._idle_expiry,
             socket_options=self._socket_options,
         )
 
--- a/src/corianderloft/_internal/network/engine_connection.py
+++ b/src/corianderloft/_internal/network/engine_connection.py
@@ -14,6 +14,7 @@
 import h11
 import trio
 
+from corianderloft._internal.network import streams
 from corianderloft._internal.network import turns
 
 Headers = list[tuple[bytes, bytes]]
@@ -154,6 +155,7 @@
         )
         self._method = ''
         self._sent = False
+        self._send_failed = False
         self._ended = False
         self._parsed_ahead: h11.Event | ConnectionFailure | None = None
         self._turns = turns.Turns()
@@ -187,6 +189,7 @@
                 await self._stream.send_all(body)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             # The response may have arrived before the request was read.
+            self._send_failed = True
             return self._failure(FailureKind.RESET, exc)
         return None
 
@@ -290,7 +293,7 @@
         """Prepare for the next request; return False if that is impossible."""
         if self._http.their_state is not h11.DONE:
             return False
-        if self._http.our_state is not h11.DONE:
+        if self._http.our_state is not h11.DONE or self._send_failed:
             return False
         if self._http.trailing_data[0]:
             return False
@@ -315,6 +318,10 @@
         """Return whether nothing came on an idle connection, nor its end."""
         return not self._stream.socket.is_readable()
 
+    def was_reset(self) -> bool:
+        """Return whether the server has reset the connection by now."""
+        return streams.was_reset(self._stream.socket)
+
     async def closes_within(self, seconds: float) -> bool:
         """Return whether an idle connection has ended, or ends in time."""
         if not self.is_open():
@@ -371,6 +378,10 @@
             return self._failure(FailureKind.RESET, exc)
         self._turns.received()
         self._ended = not data
+        if self._ended and self._send_failed:
+            # The failed send has consumed the error of the socket, so the
+            # connection seems to have ended in order.
+            return self._failure(FailureKind.RESET, 'the send has failed')
         try:
             self._http.receive_data(data)
         except h11.RemoteProtocolError as exc:
--- a/src/corianderloft/_internal/network/response_memory.py
+++ b/src/corianderloft/_internal/network/response_memory.py
@@ -24,7 +24,6 @@
         self._request = request
         self._announced = False
         self._held = 0
-        self._kept = 0
 
     def start(self, length: int | None) -> bool:
         """Reserve memory for a response by its announced length.
@@ -68,11 +67,6 @@
         self._held += size
         return True
 
-    def keep(self) -> None:
-        """Keep the response, in place of one that was kept before."""
-        self._release(self._kept)
-        self._kept, self._held = self._held, 0
-
     def discard(self) -> None:
         """Return the memory of the present response."""
         self._release(self._held)
