--- a/src/corianderloft/_internal/gateway/duties/exchange.py
+++ b/src/corianderloft/_internal/gateway/duties/exchange.py
@@ -35,6 +35,10 @@
 """Datagrams that a candidate should receive in a second. In larger fleets the
 interval grows, so that they do not fill the link of a small host."""
 
+SURVEY_INTERVALS = 2.5
+"""Intervals for which a new candidate hears the clocks of the others before it
+corrects any: the median of those that happened to come first may be wrong."""
+
 SETTLE_TIME_S = 1.0
 """Time after the end of a window in which hosts complete their counts; also
 the largest difference between the clocks of two hosts that does no harm."""
@@ -91,6 +95,7 @@
         self._send = send
         self._rng = rng
         self._survey = true_time.ClockSurvey()
+        self._corrects_from = math.inf
         self._members: dict[ids.HostId, members.Member] = {}
         self._corrections: dict[ids.HostId, bytes] = {}
         self._wake = trio.Event()
@@ -109,6 +114,11 @@
     ) -> None:
         """Use a new list of entry hosts."""
         self._members = {member.host_id: member for member in current}
+        if not self._duty.is_candidate:
+            self._corrects_from = math.inf
+        elif self._corrects_from == math.inf:
+            wait = SURVEY_INTERVALS * self._interval()
+            self._corrects_from = clock.now() + wait
 
     async def run(self) -> typing.NoReturn:
         """Send datagrams until cancelled."""
@@ -157,8 +167,7 @@
 
         It is shortened so that one is sent soon after a window has settled.
         """
-        fleet_size = len(self._members)
-        interval = max(SEND_INTERVAL_S, fleet_size / MAX_DATAGRAMS_PER_S)
+        interval = self._interval()
         delay = self._rng.uniform(0.8, 1.0) * interval
         into_window = (self._time.now() - SETTLE_TIME_S) % self._window
         until_settled = self._window - into_window
@@ -166,6 +175,15 @@
             return delay
         return until_settled + self._rng.uniform(0.02, 0.2) * interval
 
+    def _interval(self) -> float:
+        return max(SEND_INTERVAL_S, len(self._members) / MAX_DATAGRAMS_PER_S)
+
+    def _agreed_offset(self, now: float) -> float | None:
+        """Return the offset that all hosts agree on, if this is known."""
+        if now < self._corrects_from:
+            return None
+        return self._survey.agreed_offset(now, len(self._members))
+
     def _encode(self, values: dict[str, typing.Any]) -> bytes:
         sent_at = clock.now()
         clocks = (
@@ -184,7 +202,7 @@
         own, now = self._own, clock.now()
         wall = now + self._time.wall_offset()
         self._survey.record(own.host_id, own.start, now, wall, now)
-        agreed = self._survey.agreed_offset(now, len(self._members))
+        agreed = self._agreed_offset(now)
         if agreed is not None:
             self._time.propose(own.host_id, agreed, now)
         for name, value in values.items():
@@ -218,8 +236,8 @@
         self, host_id: ids.HostId, start: str, offset: float, now: float
     ) -> None:
         """Correct a host whose time of day deviates, if this is known."""
-        agreed = self._survey.agreed_offset(now, len(self._members))
-        if agreed is None or not self._duty.is_candidate:
+        agreed = self._agreed_offset(now)
+        if agreed is None:
             return
         proper = self._survey.offset_for(host_id, agreed)
         if proper is None or abs(proper - offset) <= true_time.TOLERANCE_S:
