--- a/src/corianderloft/_internal/gateway/duties/host_duties.py
+++ b/src/corianderloft/_internal/gateway/duties/host_duties.py
@@ -27,6 +27,10 @@
 
 LAST_DATAGRAM_TIMEOUT_S = 0.2
 
+MIN_TTL_S = 3.0 * interface.CALL_TIMEOUT_S
+"""Shortest TTL of the lease: it is renewed each third of it, and must then
+outlast a call until the next renewal, one of which may fail."""
+
 
 class HostDuties(listener.Listener):
     """The lease, the exchange and the parts that act under the lease.
@@ -73,7 +77,7 @@
     ) -> None:
         assert cfg.platform_api is not None and cfg.duty_bounds is not None
         bounds = cfg.duty_bounds
-        ttl = max(bounds.lease_time, cfg.store.min_lease_ttl)
+        ttl = max(bounds.lease_time, cfg.store.min_lease_ttl, MIN_TTL_S)
         self._time = time_of_day
         self._acts: list[Act] = []
         self._listeners: list[listener.Listener] = []
--- a/src/corianderloft/_internal/platform/daemon.py
+++ b/src/corianderloft/_internal/platform/daemon.py
@@ -78,12 +78,12 @@
         header_dialect=headers.PlatformDialect(),
         decode_domain=address_query.decode_domain,
         read_settings=functools.partial(_reload, reader),
-        platform_api=_platform_api(cfg),
+        platform_api=platform_api(cfg),
     )
     trio.run(_run, dependencies, handler)
 
 
-def _platform_api(
+def platform_api(
     cfg: gateway_settings.GatewaySettings,
 ) -> api.PlatformApi | None:
     """Return the client of the platform's API, if it asks for duties."""
--- a/tests/lib/gateway.py
+++ b/tests/lib/gateway.py
@@ -126,6 +126,10 @@
         Settings of the host.
     next_cfg : GatewaySettings, optional
         Settings that the host reads on a reload.
+    platform_api : PlatformApi or None
+        Settings of the platform's API for hosts that are started.
+    duty_bounds : DutyBounds or None
+        Set together with ``platform_api``.
     host_done : Event
         Set when the host has ended.
     """
@@ -137,6 +141,8 @@
         self.engines = []
         self.cfg = None
         self.next_cfg = None
+        self.platform_api = None
+        self.duty_bounds = None
         self.host_done = trio.Event()
         self._host_scope = trio.CancelScope()
 
@@ -204,6 +210,8 @@
             max_open_files=1000,
             bounds=dataclasses.replace(self.bounds(), **bounds),
             store=settings.Store('127.0.0.1', store_port),
+            platform_api=self.platform_api,
+            duty_bounds=self.duty_bounds,
         )
         dependencies = host.Dependencies(
             cfg=self.cfg,
@@ -212,6 +220,7 @@
             header_dialect=headers.PlatformDialect(),
             decode_domain=address_query.decode_domain,
             read_settings=lambda cfg=self.cfg: self.next_cfg or cfg,
+            platform_api=daemon.platform_api(self.cfg),
         )
         self._host_scope = trio.CancelScope()
         self._nursery.start_soon(
