--- a/bench/placement/simulate.py
+++ b/bench/placement/simulate.py
@@ -97,6 +97,8 @@
     ----------
     engines : dict
         The engines by ID.
+    hosts : list of Placer
+        The entry hosts.
     by_workspace : dict
         Tallies by workspace and route.
     """
@@ -123,7 +125,7 @@
             )
             for n in range(fleet.engines)
         }
-        self._hosts = [
+        self.hosts = [
             self._create_host(chooser, random.Random(seed * 100 + n))
             for n in range(fleet.hosts)
         ]
@@ -135,7 +137,7 @@
         async with trio.open_nursery() as nursery:
             for engine in self.engines.values():
                 nursery.start_soon(engine.serve)
-            for host in self._hosts:
+            for host in self.hosts:
                 nursery.start_soon(host.run)
             nursery.start_soon(self._exchange_loads)
             started_at = trio.current_time()
@@ -181,10 +183,10 @@
         """Send every host the loads of the others."""
         while True:
             await trio.sleep(LOAD_EXCHANGE_INTERVAL_S)
-            loads = [host.own_loads() for host in self._hosts]
-            demands = [host.own_demands() for host in self._hosts]
-            for host in self._hosts[self._fleet.deaf_hosts :]:
-                for number, other in enumerate(self._hosts):
+            loads = [host.own_loads() for host in self.hosts]
+            demands = [host.own_demands() for host in self.hosts]
+            for host in self.hosts[self._fleet.deaf_hosts :]:
+                for number, other in enumerate(self.hosts):
                     if other is not host:
                         host.update_peer_loads(str(number), loads[number])
                         host.update_peer_demands(str(number), demands[number])
@@ -257,7 +259,7 @@
             deadline=deadline,
             prompt=arrival.prompt,
         )
-        host = self._rng.choice(self._hosts)
+        host = self._rng.choice(self.hosts)
         return await host.acquire(job)
 
 
--- a/src/corianderloft/_internal/placement/admission.py
+++ b/src/corianderloft/_internal/placement/admission.py
@@ -29,7 +29,8 @@
 """Largest part of an engine's memory that is kept for other hosts."""
 
 URGENT_RESERVE_RATIO = 0.05
-"""Part of an engine's memory that only the most urgent requests use."""
+"""Part of an engine's memory and slots that only the most urgent requests
+use."""
 
 CONTENDED_ENGINES = 8
 """Engines that a queued request may go to, as in `lanes`."""
@@ -41,7 +42,7 @@
 MAX_SHARES = 4096
 """Engines for which the share of this host is kept."""
 
-WAIT_TOLERANCE = 1.5
+WAIT_TOLERANCE = 1.2
 """Factor by which the estimated wait must exceed the time left before a
 request is refused for it."""
 
@@ -125,7 +126,10 @@
         present = engine.requests() + unreported
         if present <= 0:
             return True
-        if present + 1 > engine.instance.slots:
+        slots = float(engine.instance.slots)
+        if not context.most_urgent:
+            slots *= 1 - URGENT_RESERVE_RATIO
+        if present + 1 > max(1.0, slots):
             return False
         held = engine.kv_tokens() * present / max(1, engine.requests())
         if not engine.requests():
@@ -199,18 +203,20 @@
         that its caller has the time for another attempt if it is refused.
         """
         waiter = queue.Waiter(job, exclude, number)
-        if job.prompt is None:
-            return waiter
-        waiter.long_prompt = long
-        waiter.tokens = max(1, self.need(job).own_tokens)
-        latest = (
-            job.deadline
-            - self.lengths.expected_duration(job)
-            - RETRY_MARGIN_RATIO * job.route.target
-        )
-        waiter.wait_deadline = max(trio.current_time(), latest)
+        if job.prompt is not None:
+            waiter.long_prompt = long
+            waiter.tokens = max(1, self.need(job).own_tokens)
+            self.update_deadline(waiter, trio.current_time())
         return waiter
 
+    def update_deadline(self, waiter: queue.Waiter, now: float) -> None:
+        """Set how long a request may wait from what is known by now."""
+        job = waiter.job
+        if job.prompt is not None:
+            duration = self.lengths.expected_duration(job)
+            margin = RETRY_MARGIN_RATIO * job.route.target
+            waiter.wait_deadline = max(now, job.deadline - duration - margin)
+
     def next_check(self, waiter: queue.Waiter, now: float) -> float:
         """Return when to estimate the wait of a queued request again."""
         target = waiter.job.route.target
@@ -240,15 +246,13 @@
         now : float
             Current time on trio's clock.
         """
-        wait = self._drain(waiter).wait(backlog, now)
+        wait = self._drain(waiter).wait(backlog + waiter.tokens, now)
         if wait is None:
             return None
+        # A later attempt could not be answered before the deadline.
         target = waiter.job.route.target
-        latest = max(
-            MIN_RETRY_AFTER_RATIO * target,
-            waiter.job.deadline - now - waiter.job.route.target,
-        )
-        wait = min(max(wait, MIN_RETRY_AFTER_RATIO * target), latest)
+        latest = waiter.wait_deadline + RETRY_MARGIN_RATIO * target - now
+        wait = max(min(wait, latest), MIN_RETRY_AFTER_RATIO * target)
         return wait * self._rng.uniform(*RETRY_AFTER_JITTER)
 
     def note_queued(self, waiter: queue.Waiter, now: float) -> None:
--- a/src/corianderloft/_internal/placement/drain_rate.py
+++ b/src/corianderloft/_internal/placement/drain_rate.py
@@ -15,7 +15,7 @@
 
     def __init__(self) -> None:
         self._rate = 0.0
-        self._updated_at = float('-inf')
+        self._updated_at: float | None = None
         self._backlog_since: float | None = None
         self._weight = 0.0
 
@@ -52,7 +52,8 @@
         return tokens / rate if rate > 0 else None
 
     def _decay(self, now: float) -> None:
-        elapsed = max(0.0, now - self._updated_at)
+        last = now if self._updated_at is None else self._updated_at
+        elapsed = max(0.0, now - last)
         self._updated_at = now
         factor = math.exp(-elapsed / AVERAGING_S)
         self._rate *= factor
--- a/src/corianderloft/_internal/placement/engines.py
+++ b/src/corianderloft/_internal/placement/engines.py
@@ -28,9 +28,10 @@
 MAX_SLOWDOWN = 8.0
 """Bounds on the slowdown derived from a single answer."""
 
-SAMPLE_LIFE_S = 1.0
+SAMPLE_LIFE_S = 3.0
 """Time in which requests that a server reported, and that no host did, fade
-from the estimate of its load."""
+from the estimate of its load: long prompts run for some seconds, and a host
+hears of a server only with the answers that it gets itself."""
 
 Key = tuple[ids.EngineId, int]
 """Engine ID and start time of a backend server."""
--- a/src/corianderloft/_internal/placement/lanes.py
+++ b/src/corianderloft/_internal/placement/lanes.py
@@ -151,9 +151,9 @@
             ]
         if not lane:
             return self.both()
-        found = self._on_time(lane)
+        found = self._admitted(lane)
         if not found and self.context.admission is not None:
-            found = self._on_time(
+            found = self._admitted(
                 engine
                 for engine in self._sample()
                 if (engine.key in self._short) is short
@@ -164,7 +164,7 @@
 
     def both(self) -> list[engines.Engine]:
         """Return the first engines of both lanes."""
-        return self._on_time(self._preferred or self.context.candidates)
+        return self._admitted(self._preferred or self.context.candidates)
 
     def is_home(
         self,
@@ -174,48 +174,11 @@
         """Return whether other hosts also send the shared prefix there."""
         return engine is (self._home or lane[0])
 
-    def _on_time(
+    def _admitted(
         self, found: collections.abc.Iterable[engines.Engine]
     ) -> list[engines.Engine]:
-        """Return the first engines that can hold the prompt.
-
-        With memory admission, engines whose backlog would make it late are
-        left out if there are others, and so are those where prompts are
-        prefilled for longer than a short stream there may pause.
-        """
-        context = self.context
-        admitted = context.admitted(found, MAX_COMPARED_ENGINES)
-        if context.admission is None:
-            return admitted
-        time_left = context.job.arrived + context.job.route.target
-        time_left -= context.now
-        on_time = [
-            engine
-            for engine in admitted
-            if engine.prefill_time(
-                self.prompt.tokens - engine.cache.cached_tokens(self.prompt),
-                context.now,
-            )
-            <= time_left
-        ]
-        steady = [engine for engine in on_time if self._keeps_gaps(engine)]
-        return steady or on_time or admitted
-
-    def _keeps_gaps(self, engine: engines.Engine) -> bool:
-        """Return whether the streams at an engine meet their gap targets.
-
-        Prefill between the tokens of a stream delays these by the time that
-        all of it takes, at most.
-        """
-        context = self.context
-        if not context.long_prompts:
-            gap_target = context.job.route.gap_target or math.inf
-            return engine.prefill_time(0, context.now) <= gap_target
-        if not engine.short_requests():
-            return True
-        uncached = self.prompt.tokens - engine.cache.cached_tokens(self.prompt)
-        prefill_time = engine.prefill_time(uncached, context.now)
-        return prefill_time <= context.short_gap_target
+        """Return the first engines that can hold the prompt."""
+        return self.context.admitted(found, MAX_COMPARED_ENGINES)
 
     def _sample(self) -> collections.abc.Iterator[engines.Engine]:
         """Return some engines besides the first ones, others per request."""
@@ -378,11 +341,40 @@
         if not order.is_home(engine, lane):
             cached = engine.cache.cached_tokens(prompt)
             repeated = max(0, shared_tokens - cached)
+        prefill_time = engine.prefill_time(prompt.unshared_tokens, context.now)
         occupancy = engine.requests() / max(1, engine.instance.slots)
         return (
-            engine.prefill_time(prompt.unshared_tokens, context.now)
+            prefill_time
+            + _excess_gap(context, engine, prefill_time)
             + REPEATED_PREFILL_WEIGHT * engine.speed.prefill_time(repeated)
             + OCCUPANCY_WEIGHT * occupancy * context.job.route.target
         )
 
     return min(lane, key=cost)
+
+
+def _excess_gap(
+    context: interface.Context, engine: engines.Engine, prefill_time: float
+) -> float:
+    """Return by how much short streams at an engine may miss their gap.
+
+    Prefill between the tokens of a stream delays these by the time that all
+    of it takes, at most. Only with memory admission.
+
+    Parameters
+    ----------
+    context : Context
+        Input of the chooser.
+    engine : Engine
+        The engine.
+    prefill_time : float
+        Time to prefill its backlog and the prompt, in seconds.
+    """
+    if context.admission is None:
+        return 0.0
+    if context.long_prompts:
+        if not engine.short_requests():
+            return 0.0
+        return max(0.0, prefill_time - context.short_gap_target)
+    gap_target = context.job.route.gap_target or math.inf
+    return max(0.0, engine.prefill_time(0, context.now) - gap_target)
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -210,7 +210,8 @@
             raise
         finally:
             self._discard(waiter)
-        if waiter.engine is None:
+        # Nothing goes before the requests that are ahead in a fair queue.
+        if waiter.engine is None and not ahead:
             self._try_dispatch(waiter, trio.current_time(), last_chance=True)
         if waiter.engine is None:
             refusal = self._refusal(waiter, ahead)
@@ -257,6 +258,8 @@
 
         It is refused at once if all servers want nothing for longer.
         """
+        if self._admission is not None:
+            self._admission.update_deadline(waiter, trio.current_time())
         view = self._view(waiter.job.service)
         if view.refused_until() > waiter.wait_deadline:
             return trio.current_time()
--- a/tests/unit/placement/test_memory_admission.py
+++ b/tests/unit/placement/test_memory_admission.py
@@ -8,11 +8,14 @@
 import dataclasses
 
 import pytest
+import trio
 
 from bench.placement import __main__ as bench
 from bench.placement import engine
 from bench.placement import simulate
 from bench.placement import workload
+from corianderloft._internal.models import instances
+from corianderloft._internal.placement import interface
 
 ROUTES = [kind.route.name for kind in workload.SCARCE_KINDS]
 
@@ -135,3 +138,68 @@
     )
     _, result = play(True, requests)
     assert sum(tally.refused for tally in result.values()) == 0
+
+
+class Backlog:
+    """30 requests at one host for one engine that holds two at a time."""
+
+    def __init__(self):
+        engine_type = dataclasses.replace(engine.SCARCE, memory_tokens=9000)
+        fleet = simulate.Fleet(1, 1, engine_type=engine_type)
+        fleet = dataclasses.replace(fleet, memory_admission=True)
+        day = simulate.Day('lanes', fleet, 0, workload.SCARCE_KINDS)
+        (self.host,) = day.hosts
+        self.refused = []
+        self.running = self.most_running = 0
+
+    async def send(self, number):
+        route = dataclasses.replace(workload.REPORT.route, target=1.0)
+        job = interface.Job(
+            f'r-{number}',
+            route,
+            workload.SERVICE,
+            None,
+            route.tier,
+            trio.current_time(),
+            trio.current_time() + 6.0,
+            instances.Prompt(3500, 200),
+        )
+        grant = await self.host.acquire(job)
+        if isinstance(grant, interface.Refused):
+            waited = trio.current_time() - job.arrived
+            self.refused.append((waited, grant.retry_after))
+            return
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        grant.started()
+        await trio.sleep(0.5)
+        self.running -= 1
+        grant.close(interface.AttemptOutcome.COMPLETE)
+
+    async def run(self):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.host.run)
+            async with trio.open_nursery() as callers:
+                for number in range(30):
+                    callers.start_soon(self.send, number)
+                    await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+
+
+async def test_hopeless_requests_are_refused_early(autojump_clock):
+    backlog = Backlog()
+    await backlog.run()
+    assert backlog.most_running == 2
+    early = [wait for wait, _ in backlog.refused if wait <= 2.0]
+    assert 3 <= len(early) <= 12
+    assert len(backlog.refused) <= 14
+
+
+async def test_refusals_leave_time_for_another_attempt(autojump_clock):
+    backlog = Backlog()
+    await backlog.run()
+    for waited, retry_after in backlog.refused:
+        assert waited + 0.5 <= 6.0
+        assert 0 < retry_after <= 1.25 * (6.0 - waited)
+    delays = {retry_after for _, retry_after in backlog.refused}
+    assert len(delays) == len(backlog.refused)
