--- a/tests/lib/machines.py
+++ b/tests/lib/machines.py
@@ -2,9 +2,12 @@
 
 import hypothesis
 from hypothesis import stateful
+import pytest
 import trio
 import trio.testing
 
+from corianderloft._internal.utils import clock
+
 
 def profile_settings(ci_examples, fuzz_examples):
     """Return Hypothesis settings for the active profile."""
@@ -38,7 +41,10 @@
             await function(*args)
 
     def teardown(self):
-        if self.steps:
+        if not self.steps:
+            return
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(clock, 'now', trio.current_time)
             trio.run(
                 self.execute,
                 clock=trio.testing.MockClock(autojump_threshold=0),
