--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -166,7 +166,11 @@
     ) -> host_duties.HostDuties | None:
         """Return the duties, if the platform asks for any."""
         api = dependencies.platform_api
-        if api is None or self._cfg.platform_api is None:
+        bounds = self._cfg.duty_bounds
+        if api is None or self._cfg.platform_api is None or bounds is None:
+            return None
+        if bounds.report_window <= 0:
+            logger.error('duties not performed: the report window is 0')
             return None
         duties = host_duties.HostDuties(
             self._cfg,
