--- a/tests/unit/gateway/test_duties.py
+++ b/tests/unit/gateway/test_duties.py
@@ -148,6 +148,17 @@
     await finish(fleet)
 
 
+async def test_lease_ends_with_the_first_reply_of_a_later_era(
+    fleet, autojump_clock
+):
+    """Guards against calls until the next renewal, for up to a second."""
+    holder = await fleet.holder()
+    fleet.restore(fleet.store.store.copy())
+    assert holder.holds
+    await holder.store.get('duties/usage')
+    assert not holder.holds
+
+
 async def test_reply_to_the_record_lost_and_write_executed_later(
     fleet, autojump_clock
 ):
--- a/tests/unit/gateway/test_usage.py
+++ b/tests/unit/gateway/test_usage.py
@@ -186,6 +186,43 @@
     assert table.total(80) == {'aswan': 2}
 
 
+class Table:
+    def covers(self, window):
+        return True
+
+    def total(self, window):
+        return {'aswan': window}
+
+
+def tenure(token, record=None, taken_at=1003.0):
+    timing = usage_tenure.Timing(5.0, 10.0)
+    return usage_tenure.Tenure(token, taken_at, record, 7, timing, 1007.0)
+
+
+def test_window_is_called_only_with_its_counts_in_the_store():
+    """Guards against another report by the next holder."""
+    reports = tenure(5)
+    reports.decide(1009.0, lambda window: window <= 200, Table())
+    assert reports.next_call(0.0) is None
+    record = reports.record_to_write()
+    reports.set_recorded(record, 8)
+    assert reports.next_call(0.0) == (198, {'aswan': 198})
+    assert record.through == max(record.reports) == 200
+    assert usage_tenure.decode(usage_tenure.encode(record)) == record
+    later = tenure(6, record)
+    assert later.next_call(0.0) == (198, {'aswan': 198})
+    assert not later.take_missed()
+
+
+def test_windows_that_a_lost_record_may_name_are_passed_over():
+    token = (1 << 40) + 2
+    record = usage_tenure.Record(5, 198, {198: {'aswan': 1}})
+    reports = tenure(token, record)
+    reports.decide(1011.0, lambda window: True, Table())
+    assert list(reports.record_to_write().reports) == [200, 201]
+    assert [(m.first, m.last) for m in reports.take_missed()] == [(199, 199)]
+
+
 JSON = st.recursive(
     st.one_of(st.none(), st.integers(-2, 2**70), st.floats(), st.text()),
     lambda inner: st.one_of(
