--- a/src/corianderloft/_internal/placement/scaling/state.py
+++ b/src/corianderloft/_internal/placement/scaling/state.py
@@ -90,6 +90,8 @@
         this holder has ordered none.
     unavailable_until : float
         Until when no engines are expected to be available.
+    reclaimed_at : float
+        When engines with a notice were last observed.
     retry_at : float
         When the next order may be sent.
     missed : bool
@@ -102,6 +104,7 @@
         self.live = 0
         self.ordered: int | None = None
         self.unavailable_until = -math.inf
+        self.reclaimed_at = -math.inf
         self.retry_at = -math.inf
         self.missed = False
         self.uncertain = False
@@ -146,6 +149,8 @@
             live for at, live in self._history if at >= now - SETTLE_S
         )
         lost = self.ordered is None or self.live < self.ordered
+        if supply.reclaimed:
+            self.reclaimed_at = now
         if supply.reclaimed and lost:
             self.unavailable_until = max(
                 self.unavailable_until, now + pause_time(declared)
@@ -390,10 +395,20 @@
         """Return whether engines may be removed.
 
         Not before all hosts have reported and engines ordered by an earlier
-        holder have come.
+        holder have come, and not for some time after engines were reclaimed:
+        those of another failure domain may follow.
         """
         settled_at = self.started_at + max(MIN_START_S, declared.boot_time)
-        return self._covered and self.knows_demand() and now >= settled_at
+        reclaimed_at = max(
+            (pool.reclaimed_at for pool in self._pools.values()),
+            default=-math.inf,
+        )
+        return (
+            self._covered
+            and self.knows_demand()
+            and now >= settled_at
+            and now >= reclaimed_at + hold_time(declared)
+        )
 
     def record(
         self,
--- a/tests/lib/machines.py
+++ b/tests/lib/machines.py
@@ -1,9 +1,8 @@
 """Hypothesis state machines whose steps run in virtual time."""
 
-from unittest import mock
-
 import hypothesis
 from hypothesis import stateful
+import pytest
 import trio
 import trio.testing
 
@@ -44,8 +43,8 @@
     def teardown(self):
         if not self.steps:
             return
-        # Leases use a clock of their own, which must be that of the steps.
-        with mock.patch.object(clock, 'now', trio.current_time):
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(clock, 'now', trio.current_time)
             trio.run(
                 self.execute,
                 clock=trio.testing.MockClock(autojump_threshold=0),
