--- a/src/corianderloft/_internal/placement/admission.py
+++ b/src/corianderloft/_internal/placement/admission.py
@@ -6,11 +6,13 @@
 
 import trio
 
+from corianderloft._internal.models import ids
 from corianderloft._internal.placement import drain_rate
 from corianderloft._internal.placement import engines
 from corianderloft._internal.placement import fair_queue
 from corianderloft._internal.placement import interface
 from corianderloft._internal.placement import lengths
+from corianderloft._internal.placement import popular_parts
 from corianderloft._internal.placement import queue
 
 REPORT_AGE_S = 0.06
@@ -95,6 +97,7 @@
         self.queue = fair_queue.FairQueue()
         self.lengths = lengths.OutputLengths()
         self._drains: dict[fair_queue.Lane, drain_rate.DrainRate] = {}
+        self._popular: dict[ids.ServiceName, popular_parts.PopularParts] = {}
         self._shares: dict[engines.Key, _Share] = {}
 
     def need(self, job: interface.Job) -> interface.Need:
@@ -104,7 +107,21 @@
             return interface.Need(0)
         shared = prompt.shared_parts
         own = max(0, prompt.tokens - sum(part.tokens for part in shared))
-        return interface.Need(own + self.lengths.expected_output(job), shared)
+        popular = self._popular_parts(job.service)
+        return interface.Need(
+            own + self.lengths.expected_output(job),
+            tuple(part for part in shared if part.part_id not in popular),
+        )
+
+    def record(self, job: interface.Job) -> None:
+        """Record a request that arrived."""
+        if job.prompt is not None:
+            self._popular_parts(job.service).record(job.prompt)
+
+    def _popular_parts(
+        self, service: ids.ServiceName
+    ) -> popular_parts.PopularParts:
+        return self._popular.setdefault(service, popular_parts.PopularParts())
 
     def admits(
         self, context: interface.Context, engine: engines.Engine
@@ -113,12 +130,13 @@
 
         The loads of other hosts are old, and each of these hosts counts a
         shared part that its own requests use, so a part that requests of
-        several hosts use counts several times.
+        several hosts use counts several times unless it is popular.
         """
-        capacity = engine.memory_tokens
-        if context.job.prompt is None or not capacity:
+        if context.job.prompt is None or not engine.memory_tokens:
             return True
         need = context.need
+        popular = self._popular_parts(context.job.service)
+        capacity = engine.memory_tokens - popular.total_tokens
         if need.tokens > capacity:
             # The engine turns it away itself.
             return True
--- a/src/corianderloft/_internal/placement/interface.py
+++ b/src/corianderloft/_internal/placement/interface.py
@@ -122,7 +122,8 @@
     own_tokens : int
         Unshared prompt tokens and expected output.
     shared_parts : tuple of PromptPart
-        Parts that occupy memory once for all requests that use them.
+        Parts that occupy memory once for all requests that use them, without
+        popular ones.
     """
 
     own_tokens: int
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -194,6 +194,8 @@
             Backend servers that must not be chosen.
         """
         self._sizes.record(job, self._speed(job.service))
+        if self._admission is not None:
+            self._admission.record(job)
         waiter = self._create_waiter(job, exclude)
         self._queue.add(waiter)
         self.dispatch()
--- a/tests/unit/placement/test_fair_queue.py
+++ b/tests/unit/placement/test_fair_queue.py
@@ -13,6 +13,7 @@
 from corianderloft._internal.placement import fair_queue
 from corianderloft._internal.placement import interface
 from corianderloft._internal.placement import lengths
+from corianderloft._internal.placement import popular_parts
 from corianderloft._internal.placement import queue
 from corianderloft._internal.placement import shared_parts
 
@@ -191,3 +192,20 @@
         job(0, 'w', now, now + 12.0), frozenset(), 1, True
     )
     assert now + 8.0 <= waiter.wait_deadline <= now + 9.0
+
+
+def test_parts_that_all_hosts_use_are_popular_for_a_time():
+    # Each host would count them again in what it tells the others.
+    parts = popular_parts.PopularParts()
+    common = instances.PromptPart(ids.PromptPartId('common'), 500)
+    for number in range(400):
+        rare = instances.PromptPart(ids.PromptPartId(f'{number % 90}'), 70)
+        own = instances.PromptPart(ids.PromptPartId(f'own-{number}'), 9)
+        parts.record(instances.Prompt(579, 1, (common, rare, own)))
+        assert ('common' in parts) is (
+            number + 1 >= popular_parts.MIN_REQUESTS
+        )
+    assert (parts.total_tokens, '3' in parts) == (500, False)
+    for _ in range(1500):
+        parts.record(instances.Prompt(10, 1))
+    assert parts.total_tokens == 0
