--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -207,6 +207,8 @@
         if not exclude:
             self.arrivals.record_arrival(job, trio.current_time())
         meter = self.arrivals.meter(job.service)
+        if self._admission is not None:
+            self._admission.record(job)
         waiter = self._create_waiter(job, exclude)
         self._queue.add(waiter)
         self.dispatch()
