Notice an end of the server while its second connection is tested

The connection that watches a server is tested for 50 ms, as a server at its limit closes it at once. If the server ended right at the end of that time, the connection was dropped as one over the limit; the next one reached the process that had taken the server's place, and the response counted as complete.

--- a/src/corianderloft/_internal/gateway/life_watch.py
+++ b/src/corianderloft/_internal/gateway/life_watch.py
@@ -103,8 +103,14 @@
             self._replaced = conn.kind is engine_connection.FailureKind.REFUSED
             return None
         try:
-            self._replaced = await engine_connection.has_ended_since(
-                conn, *peer
+            stayed = not await conn.closes_within(
+                engine_connection.END_SETTLING_S
+            )
+            # A connection over a limit of the server is closed before.
+            self._replaced = (
+                not conn.is_open()
+                if stayed
+                else await engine_connection.has_ended_since(conn, *peer)
             )
         except trio.Cancelled:
             # The response has ended before the connection was needed.
--- a/tests/unit/gateway/test_life_watch.py
+++ b/tests/unit/gateway/test_life_watch.py
@@ -5,7 +5,9 @@
 import trio
 
 from corianderloft._internal.gateway import life_watch
+from corianderloft._internal.network import engine_connection
 from corianderloft._internal.network import engine_pool
+from tests.lib import processes
 
 
 @dataclasses.dataclass
@@ -97,3 +99,30 @@
             await trio.sleep(0.001)
     assert pool.acquire(server.key, True) is not None
     assert len(server.accepted) == 1
+
+
+async def test_an_end_while_the_connection_is_tested_is_noticed(
+    nursery, monkeypatch
+):
+    # The end came just when the time had passed in which a server closes
+    # connections over its limit. The next connection reached the process that
+    # had taken its place, and the response counted as complete.
+    server, pool = Server(), engine_pool.EnginePool()
+    await nursery.start(server.serve)
+    closes_within = engine_connection.EngineConnection.closes_within
+    ended = []
+
+    async def closes_afterwards(conn, seconds):
+        result = await closes_within(conn, seconds)
+        if not ended:
+            ended.append(conn)
+            server.close_all()
+            await processes.wait_for(lambda: not conn.is_open(), 'it ends')
+        return result
+
+    monkeypatch.setattr(
+        engine_connection.EngineConnection, 'closes_within', closes_afterwards
+    )
+    async with life_watch.watching(pool, server) as watch:
+        await processes.wait_for(lambda: ended, 'it was tested')
+        assert await watch.server_has_ended()
