Keep on-demand engines for the loss of a failure domain at the present load

Change: what is left after the loss of the largest failure domain carries the highest load of the last boot time, not only the most urgent class.

--- a/src/corianderloft/_internal/placement/scaling/decision.py
+++ b/src/corianderloft/_internal/placement/scaling/decision.py
@@ -220,10 +220,21 @@
         reclaimable: dict[ids.FailureDomain, int],
         needed: float,
     ) -> int:
-        """Return the on-demand engines that are needed beside others."""
-        urgent = self._state.urgent + 1 - mix.survivors(reclaimable)
-        uncovered = needed - sum(reclaimable.values())
-        return max(planned, math.ceil(urgent), math.ceil(uncovered))
+        """Return the on-demand engines that are needed beside others.
+
+        After the loss of all reclaimable engines of a failure domain, the
+        rest carries the present load, and with one engine less the most
+        urgent class.
+        """
+        kept = max(
+            self._state.urgent + 1,
+            self._state.recent(self._declared, self._now),
+        )
+        uncovered = max(
+            kept - mix.survivors(reclaimable),
+            needed - sum(reclaimable.values()),
+        )
+        return max(planned, math.ceil(uncovered))
 
     def _add_on_demand(self) -> bool:
         """Order one more on-demand engine; return False without room."""
--- a/src/corianderloft/_internal/placement/scaling/state.py
+++ b/src/corianderloft/_internal/placement/scaling/state.py
@@ -370,12 +370,16 @@
         ordered for it would serve when it is over, at several times the
         price.
         """
+        recent = self.recent(declared, now)
+        return min(self.firm, (1 + need.SPARE_COST) * recent)
+
+    def recent(self, declared: routing.Scaling, now: float) -> float:
+        """Return the highest present need of one boot time, in engines."""
         since = now - declared.boot_time
-        recent = max(
+        return max(
             (s.present for s in self._samples if s.at >= since),
             default=self.present,
         )
-        return min(self.firm, (1 + need.SPARE_COST) * recent)
 
     @property
     def wanted(self) -> float:
