--- a/tests/unit/placement/test_scaling.py
+++ b/tests/unit/placement/test_scaling.py
@@ -313,3 +313,47 @@
     more = mix.allocate(total + 1, limits, by_domain)
     assert sum(fewer.values()) == total
     assert all(more[domain] >= fewer[domain] for domain in fewer)
+
+
+def test_a_burst_with_the_first_requests_finds_spare_engines():
+    """Nothing is known of the demand yet, and new engines come too late."""
+    day = lib.Day(
+        lambda now: LOAD * 2.5 if 12 <= now < 20 else LOAD * (now >= 11)
+    ).start(6)
+    assert day.run(11).total() >= 2 * 18
+    day.run(20)
+    assert day.least_margin(12, 20) >= 0
+
+
+def test_no_engine_is_removed_after_some_were_reclaimed():
+    """The engines of another failure domain may be reclaimed next."""
+    day = lib.Day(lambda now: LOAD * (0.3 if now >= 60 else 1)).start(AT_START)
+    # The need has been less for the hold time: engines are being removed.
+    removing = day.run(76).total()
+    assert day.run(78).total() < removing
+    day.reclaim(lib.NORTH)
+    day.refused = lambda pool, now: pool == lib.pool(lib.NORTH, True)
+    totals = [day.run(now).total() for now in range(79, 92)]
+    assert totals == sorted(totals)
+
+
+def test_two_domains_are_reclaimed_one_after_the_other():
+    """What is left after the first one must bear the loss of the second."""
+    day = lib.Day(lambda now: LOAD, lib.scaling(most=8)).start(8).run(60)
+    day.reclaim(lib.NORTH)
+    day.refused = lambda pool, now: pool == lib.pool(lib.NORTH, True)
+    day.run(66).reclaim(lib.WEST)
+    day.refused = lambda pool, now: pool.reclaimable
+    day.run(80)
+    assert day.least_margin(60) >= 0
+
+
+def test_on_demand_engines_are_not_ordered_for_a_peak_that_is_over():
+    """They would serve when nobody needs them, at several times the price."""
+    day = lib.Day(burst(60, 4)).start(AT_START).run(62)
+    during = day.state.lasting(day.declared, day.now)
+    day.run(70)
+    after = day.state.lasting(day.declared, day.now)
+    assert during >= 2.5 * LOAD
+    assert LOAD <= after <= 2 * LOAD
+    assert day.state.firm >= 2.5 * LOAD
--- a/tests/unit/shared/test_leases.py
+++ b/tests/unit/shared/test_leases.py
@@ -181,3 +181,26 @@
     )
     desired = services.desired_state(template, BACKEND)
     assert desired == interface.DesiredState(models=('m3',))
+
+
+async def test_a_lease_that_looks_held_is_seldom_read(nursery, autojump_clock):
+    # Guards against a read by each candidate each second, and against one
+    # that never notices that its copy of the keys is wrong.
+    store = fake_kv.FakeStore()
+    holder = Candidate(nursery, store, 'h1', FakeEngine(True), 'role')
+    await until(holder.lease.current)
+    reads = store.calls['get']
+    waiting = lease.Lease(
+        fake_kv.FakeKv(store),
+        'x',
+        'h2',
+        TTL_S,
+        random.Random(1),
+        looks_held=lambda: True,
+    )
+    nursery.start_soon(waiting.run)
+    await trio.sleep(20 * TTL_S)
+    passes = 20 * TTL_S / (TTL_S / 4)
+    assert store.calls['get'] - reads <= passes / lease.MAX_PASSED_READS
+    holder.scope.cancel()
+    await until(waiting.current)
