Bound what stated lengths of prompts and outputs do to the estimates

Callers may state different lengths for a part, popular parts larger than the memory, or small maximum outputs. Streams without events of their own are not learned from, so the stand-in of the tests on refusals now counts events.

--- a/src/corianderloft/_internal/gateway/stream_relay.py
+++ b/src/corianderloft/_internal/gateway/stream_relay.py
@@ -75,7 +75,7 @@
             rejected = self._add(events, is_progress)
             if rejected is not None:
                 return response_ends.rejected_run(rejected)
-            if from_beginning:
+            if from_beginning and is_progress:
                 grant.events += events.count(sse.EVENT_END)
             if is_progress:
                 grant.started()
--- a/src/corianderloft/_internal/placement/admission.py
+++ b/src/corianderloft/_internal/placement/admission.py
@@ -30,6 +30,10 @@
 MAX_RESERVE_RATIO = 0.25
 """Largest part of an engine's memory that is kept for other hosts."""
 
+MAX_POPULAR_RATIO = 0.5
+"""Largest part of an engine's memory that is kept for popular prompt parts,
+whose lengths are what callers state."""
+
 URGENT_RESERVE_RATIO = 0.05
 """Part of an engine's memory and slots that only the most urgent requests
 use."""
@@ -135,11 +139,13 @@
         if context.job.prompt is None or not engine.memory_tokens:
             return True
         need = context.need
-        popular = self._popular_parts(context.job.service)
-        capacity = engine.memory_tokens - popular.total_tokens
-        if need.tokens > capacity:
+        if need.tokens > engine.memory_tokens:
             # The engine turns it away itself.
             return True
+        popular = self._popular_parts(context.job.service).total_tokens
+        capacity = engine.memory_tokens - min(
+            popular, round(MAX_POPULAR_RATIO * engine.memory_tokens)
+        )
         unreported = engine.unreported_requests(context.now)
         present = engine.requests() + unreported
         if present <= 0:
@@ -213,17 +219,35 @@
         return ROUNDING_RATIO * share.tokens > added * share.rounding
 
     def create_waiter(
-        self, job: interface.Job, exclude: queue.Keys, number: int, long: bool
+        self,
+        job: interface.Job,
+        exclude: queue.Keys,
+        number: int,
+        long: bool,
+        limit: int,
     ) -> queue.Waiter:
         """Return a request to be queued, with the latest time to wait.
 
         A request waits as long as its answer may end before its deadline, so
         that its caller has the time for another attempt if it is refused.
+
+        Parameters
+        ----------
+        job : Job
+            The request.
+        exclude : set of Key
+            Backend servers that must not be chosen.
+        number : int
+            Position in the order of arrival.
+        long : bool
+            Whether its route has long prompts.
+        limit : int
+            Largest number of tokens that its workspace is charged for it.
         """
         waiter = queue.Waiter(job, exclude, number)
         if job.prompt is not None:
             waiter.long_prompt = long
-            waiter.tokens = max(1, self.need(job).own_tokens)
+            waiter.tokens = max(1, min(limit, self.need(job).own_tokens))
             self.update_deadline(waiter, trio.current_time())
         return waiter
 
--- a/src/corianderloft/_internal/placement/lengths.py
+++ b/src/corianderloft/_internal/placement/lengths.py
@@ -14,7 +14,11 @@
 MIN_EWMA_WEIGHT = 0.03
 """Lower bound on the weight of the newest answer in the means."""
 
-MIN_MAX_OUTPUT = 16
+EXTRA_EVENTS = 2
+"""Events of a stream besides full ones: the first often holds one token, and
+the end of the stream is an event without any."""
+
+MIN_MAX_OUTPUT = 64
 """Shortest maximum output from which the density of events is learned: the
 first and the last event of shorter answers hold fewer tokens than others."""
 
@@ -58,6 +62,9 @@
         duration : float
             Time from the send to the end of the answer, in seconds.
         """
+        if job.route.kind.streamed and not events:
+            # An error, or the rest of a stream that began elsewhere.
+            return
         route = self._routes.setdefault(job.route.name, _Route())
         route.answers += 1
         weight = max(MIN_EWMA_WEIGHT, 1 / route.answers)
@@ -70,7 +77,8 @@
         max_output = job.prompt.max_output if job.prompt else 0
         if events == 0 or max_output == 0:
             return
-        ratio = events / max_output
+        # An event holds a token at least; comments may be counted as events.
+        ratio = min(1.0, max(1, events - EXTRA_EVENTS) / max_output)
         error = ratio - route.ratio
         route.ratio += weight * error
         if route.answers > 1:
--- a/src/corianderloft/_internal/placement/placer.py
+++ b/src/corianderloft/_internal/placement/placer.py
@@ -230,8 +230,10 @@
         number = next(self._request_numbers)
         if self._admission is None:
             return queue.Waiter(job, exclude, number)
+        service = self._table and self._table.services.get(job.service)
+        limit = service.model.memory_tokens if service and service.model else 1
         return self._admission.create_waiter(
-            job, exclude, number, self._sizes.is_long(job)
+            job, exclude, number, self._sizes.is_long(job), limit
         )
 
     async def _wait(self, waiter: queue.Waiter) -> None:
--- a/tests/unit/placement/test_memory_admission.py
+++ b/tests/unit/placement/test_memory_admission.py
@@ -174,6 +174,7 @@
         grant.started()
         await trio.sleep(0.5)
         self.running -= 1
+        grant.events = 20
         grant.close(interface.AttemptOutcome.COMPLETE)
 
     async def run(self):
