Bound buffers and free slots of connections that clients do not use

A connection that its client had closed kept its slot until the idle time was over; silent connections kept all others out for as long. All three tests of test_serving fail before. The slot is now free at once, and while all are taken and a client waits, the oldest connection that has sent no request for 1 s is closed.

The parts of the budget now leave room for the connections.

The relay was not measured again after the change to 16 KiB.

--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -28,6 +28,7 @@
 from corianderloft._internal.models import members
 from corianderloft._internal.models import routing
 from corianderloft._internal.network import byte_budget
+from corianderloft._internal.network import engine_connection
 from corianderloft._internal.network import engine_pool
 from corianderloft._internal.network import memory
 from corianderloft._internal.network import serving
@@ -113,6 +114,10 @@
         )
         self._view.add_listener(self._placer)
         self._pool = engine_pool.EnginePool()
+        if cfg.memory_bytes:
+            self._pool.receive_buffer = (
+                engine_connection.SMALL_HOST_RECEIVE_BUFFER
+            )
         self._byte_sizes = byte_budget.sizes(cfg.memory_bytes)
         self._memory = memory.Memory(byte_budget.ByteBudget(self._byte_sizes))
         metrics.use_budget(self._memory.budget)
@@ -254,6 +259,9 @@
             max_header_bytes=app.MAX_HEADER_BYTES,
             idle_time=60.0,
             stalled_time=STALL_TIMEOUT_S,
+            receive_buffer=(
+                serving.SMALL_HOST_RECEIVE_BUFFER if cfg.memory_bytes else 0
+            ),
         )
         auxiliary_limits = dataclasses.replace(
             limits, max_connections=AUXILIARY_CONNECTIONS
--- a/src/corianderloft/_internal/metrics/exposition.py
+++ b/src/corianderloft/_internal/metrics/exposition.py
@@ -8,9 +8,14 @@
 from corianderloft._internal.metrics import control_page
 from corianderloft._internal.metrics import registry
 from corianderloft._internal.network import inbound
+from corianderloft._internal.network import serving
 
 __all__ = ['app', 'control_page', 'expose']
 
+_UNUSED_CLOSED = registry.counter(
+    'connections_closed_total',
+    'Connections closed because other clients waited, by reason.',
+)
 _PROTOCOL_ERRORS = registry.counter(
     'protocol_errors_total', 'Requests that were not valid HTTP, by status.'
 )
@@ -33,6 +38,8 @@
         Values of the ``Accept`` header of the request.
     """
     registry.collect_all()
+    for reason, closed in serving.UNUSED_CLOSED.items():
+        _UNUSED_CLOSED.set({'reason': reason}, closed)
     for status, count in inbound.PROTOCOL_ERRORS.items():
         _PROTOCOL_ERRORS.set({'status': str(status)}, count)
     body, headers = renderer.render(registry.REGISTRY, list(accept))
--- a/src/corianderloft/_internal/network/byte_budget.py
+++ b/src/corianderloft/_internal/network/byte_budget.py
@@ -29,9 +29,9 @@
 43 MB and a serve process with 71 MB, each with 300 idle connections; the
 latter is to state more memory."""
 
-CONNECTION_BYTES = 48 * 1024
-"""Memory of one connection from a caller without a request: its parser, its
-tasks, and what the kernel receives for it."""
+CONNECTION_BYTES = 100 * 1024
+"""Memory of one connection from a caller with a stream that it does not read:
+buffers of both directions, and what the kernel receives for them."""
 
 MIN_CONNECTIONS = 64
 """Smallest number of connections from callers."""
@@ -39,9 +39,9 @@
 UNLIMITED_CONNECTIONS = sys.maxsize
 """Number of connections if the memory is not stated: descriptors limit it."""
 
-CONNECTIONS_FRACTION = 0.25
-BODIES_FRACTION = 0.25
-RESPONSES_FRACTION = 0.375
+CONNECTIONS_FRACTION = 0.5
+BODIES_FRACTION = 0.125
+RESPONSES_FRACTION = 0.25
 """Fractions of the memory that is left to callers. The rest is for the copy
 that joins the parts of one body or response, and for fragmentation."""
 
--- a/src/corianderloft/_internal/network/engine_connection.py
+++ b/src/corianderloft/_internal/network/engine_connection.py
@@ -19,7 +19,14 @@
 Headers = list[tuple[bytes, bytes]]
 Reserve = collections.abc.Callable[[int], collections.abc.Awaitable[bool]]
 
-MAX_RECEIVE_BYTES = 65536
+MAX_RECEIVE_BYTES = 16384
+"""Bytes read at once. A stream whose caller does not read holds several copies
+of them; with 64 KiB, 300 such streams took 77 MB."""
+
+SMALL_HOST_RECEIVE_BUFFER = 32768
+"""Receive buffer of connections on a host that states its memory. The kernel
+doubles it. Its default held 37 MB of 300 streams that nobody read, and that
+counts as memory of the process."""
 
 MAX_JOINED_BYTES = 65536
 """Largest body that is copied to be sent together with the head."""
@@ -324,6 +331,12 @@
             return True
         return False
 
+    def set_receive_buffer(self, size: int) -> None:
+        """Set the size of the kernel's receive buffer in bytes."""
+        self._stream.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, size
+        )
+
     def close(self) -> None:
         """Close immediately; the backend server then cancels the request."""
         self._stream.socket.close()
--- a/src/corianderloft/_internal/network/engine_pool.py
+++ b/src/corianderloft/_internal/network/engine_pool.py
@@ -45,9 +45,17 @@
 
 
 class EnginePool:
-    """Idle connections by backend server; the newest is used first."""
+    """Idle connections by backend server; the newest is used first.
+
+    Attributes
+    ----------
+    receive_buffer : int
+        Size of the kernel's receive buffer of new connections in bytes; 0
+        leaves it as it is.
+    """
 
     def __init__(self) -> None:
+        self.receive_buffer = 0
         self._witnesses: dict[Key, Witness] = {}
         self._without_length: dict[Key, float] = {}
         self._idle: dict[
--- a/src/corianderloft/_internal/network/inbound.py
+++ b/src/corianderloft/_internal/network/inbound.py
@@ -23,7 +23,9 @@
 from corianderloft._internal.network import memory
 from corianderloft._internal.network import streams
 
-MAX_RECEIVE_BYTES = 65536
+MAX_RECEIVE_BYTES = 16384
+"""Bytes read at once. hypercorn queues ten such parts for a request that does
+not read its body yet."""
 
 MAX_SEND_BYTES = 65536
 """Bytes after which the progress of a slow reader is recorded."""
@@ -99,6 +101,10 @@
     ----------
     memory : RequestMemory or None
         Bytes held for the present request.
+    opened_at : float
+        When the connection was accepted, on trio's clock, in seconds.
+    has_carried_request : bool
+        Whether the head of a request has arrived.
     """
 
     def __init__(
@@ -123,6 +129,9 @@
         self._handling = trio.CancelScope()
         self._reader: trio.lowlevel.Task | None = None
         self._resumed: trio.Event | None = None
+        self._read_all = False
+        self.opened_at = trio.current_time()
+        self.has_carried_request = False
         self.memory: memory.RequestMemory | None = None
 
     async def run(self) -> None:
@@ -217,7 +226,10 @@
                         await self._protocol.handle(events.RawData(data))
                 if not data:
                     break
+        self._read_all = True
         await self._protocol.handle(events.Closed())
+        # Nothing can follow, so the connection takes no slot any longer.
+        await self._idle.stop()
 
     async def _receive_some(self) -> bytes:
         if self._resumed is not None:
@@ -234,7 +246,8 @@
             await self._finish_last_response()
             await self._protocol.handle(events.Closed())
         elif isinstance(event, events.Updated):
-            if event.idle:
+            self.has_carried_request = True
+            if event.idle and not self._read_all:
                 await self._idle.restart(self._group, self._close_when_idle)
             else:
                 await self._idle.stop()
--- a/src/corianderloft/_internal/network/serving.py
+++ b/src/corianderloft/_internal/network/serving.py
@@ -1,10 +1,12 @@
 """Serves an ASGI application with hypercorn's HTTP/1.1 protocol."""
 
+import collections
 import collections.abc
 import contextlib
 import dataclasses
 import functools
 import logging
+import math
 import socket
 import ssl
 import typing
@@ -19,6 +21,26 @@
 from corianderloft._internal.network import memory as process_memory
 
 LISTEN_BACKLOG = 1024
+SMALL_HOST_RECEIVE_BUFFER = 65536
+"""Receive buffer of connections on a host that states its memory. The kernel
+doubles it. As it grows by default, 300 bodies that waited for memory held
+80 MB in the sockets, which counts as memory of the process. A smaller one
+would not let the largest body arrive in time over a line with a delay of
+0.1 s."""
+
+UNUSED_TIME_S = 1.0
+"""Time that a connection without a request is kept while all slots are taken
+and another client waits. Clients that open one send a request at once."""
+
+SLOT_CHECK_INTERVAL_S = 0.1
+"""Interval between checks for such connections."""
+
+LOG_INTERVAL_S = 5.0
+"""Shortest time between two log lines about closed connections."""
+
+UNUSED_CLOSED: collections.Counter[str] = collections.Counter()
+"""Connections that were closed for others, by reason."""
+
 SHUTDOWN_TIMEOUT_S = 2.0
 """Time for open connections to close at shutdown."""
 
@@ -42,12 +64,16 @@
     stalled_time : float
         Time after which a connection whose peer acknowledges no data is
         closed, in seconds.
+    receive_buffer : int
+        Size of the kernel's receive buffer of a connection in bytes; 0 leaves
+        it as it is.
     """
 
     max_connections: int
     max_header_bytes: int
     idle_time: float
     stalled_time: float
+    receive_buffer: int = 0
 
 
 def bind(address: str, port: int) -> socket.socket:
@@ -98,8 +124,15 @@
         self._tls = tls
         self._context = worker_context.WorkerContext(None)
         self._config = _config(limits)
+        self._connections: set[inbound.Connection] = set()
+        self._logged_at = -math.inf
         self._slots = trio.CapacityLimiter(limits.max_connections)
         _set_stall_timeout(sock, limits.stalled_time)
+        if limits.receive_buffer:
+            # Connections inherit it.
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, limits.receive_buffer
+            )
         self._listener = trio.SocketListener(
             trio.socket.from_stdlib_socket(sock)
         )
@@ -133,7 +166,7 @@
 
     async def _accept(self, connections: trio.Nursery) -> typing.NoReturn:
         while True:
-            await self._slots.acquire_on_behalf_of(slot := object())
+            await self._take_slot(slot := object())
             try:
                 stream = await self._listener.accept()
             except OSError:
@@ -146,11 +179,46 @@
                 raise
             connections.start_soon(self._handle, stream, slot)
 
+    async def _take_slot(self, slot: object) -> None:
+        """Wait for a slot; close unused connections if others wait."""
+        with contextlib.suppress(trio.WouldBlock):
+            self._slots.acquire_on_behalf_of_nowait(slot)
+            return
+        while True:
+            await trio.lowlevel.wait_readable(self._listener.socket)
+            self._close_unused()
+            with trio.move_on_after(SLOT_CHECK_INTERVAL_S):
+                await self._slots.acquire_on_behalf_of(slot)
+                return
+
+    def _close_unused(self) -> None:
+        """Close the oldest connection that has not carried a request."""
+        now = trio.current_time()
+        unused = [
+            connection
+            for connection in self._connections
+            if not connection.has_carried_request
+            and now - connection.opened_at > UNUSED_TIME_S
+        ]
+        if not unused:
+            return
+        min(unused, key=lambda connection: connection.opened_at).abort()
+        UNUSED_CLOSED['unused'] += 1
+        if now - self._logged_at > LOG_INTERVAL_S:
+            self._logged_at = now
+            logger.warning(
+                'connection without a request closed for another client',
+                extra={
+                    'unused': len(unused),
+                    'connections': len(self._connections),
+                },
+            )
+
     async def _handle(self, stream: trio.SocketStream, slot: object) -> None:
         try:
             tls_stream = await self._accept_tls(stream)
             if tls_stream is not None:
-                await self._connection(tls_stream).run()
+                await self._run(self._connection(tls_stream))
         except Exception:
             logger.exception('unexpected error on a connection')
         finally:
@@ -158,6 +226,13 @@
             with contextlib.suppress(OSError):
                 stream.socket.close()
 
+    async def _run(self, connection: inbound.Connection) -> None:
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._connections.discard(connection)
+
     async def _accept_tls(
         self, stream: trio.SocketStream
     ) -> inbound.ByteStream | None:
--- /dev/null
+++ b/tests/unit/network/test_serving.py
@@ -0,0 +1,75 @@
+"""Connections of a server that clients do not use."""
+
+import trio
+
+from corianderloft._internal.network import exchange
+from corianderloft._internal.network import serving
+from tests.lib import ports
+
+LIMITS = serving.ServerLimits(
+    max_connections=2,
+    max_header_bytes=4096,
+    idle_time=60.0,
+    stalled_time=60.0,
+)
+REQUEST = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
+
+
+async def _app(scope, receive, send):
+    http = exchange.Exchange(scope, receive, send)
+    await http.body(1000, 1.0)
+    await http.respond(200, b'answer')
+
+
+async def _answers(port):
+    async with await trio.open_tcp_stream('127.0.0.1', port) as stream:
+        await stream.send_all(REQUEST)
+        with trio.move_on_after(10.0):
+            return b'answer' in await stream.receive_some(65536)
+    return False
+
+
+async def _serve(nursery):
+    port = ports.reserve()
+    server = serving.Server(_app, serving.bind('127.0.0.1', port), LIMITS)
+    stopped = trio.Event()
+    nursery.start_soon(server.serve, stopped)
+    return port
+
+
+async def test_connections_closed_by_clients_take_no_slots():
+    """Guards against slots that stay taken until the idle time is over."""
+    async with trio.open_nursery() as nursery:
+        port = await _serve(nursery)
+        for _ in range(4):
+            stream = await trio.open_tcp_stream('127.0.0.1', port)
+            await trio.sleep(0.05)
+            await stream.aclose()
+        for _ in range(4):
+            assert await _answers(port)
+        nursery.cancel_scope.cancel()
+
+
+async def test_silent_connections_do_not_keep_others_out():
+    """Guards against clients that take all slots and send nothing."""
+    async with trio.open_nursery() as nursery:
+        port = await _serve(nursery)
+        for _ in range(4):
+            await trio.open_tcp_stream('127.0.0.1', port)
+        assert await _answers(port)
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_connection_in_use_is_not_closed_for_others():
+    """Guards against callers that lose a kept connection."""
+    async with trio.open_nursery() as nursery:
+        port = await _serve(nursery)
+        kept = await trio.open_tcp_stream('127.0.0.1', port)
+        await kept.send_all(REQUEST)
+        assert b'answer' in await kept.receive_some(65536)
+        for _ in range(4):
+            await trio.open_tcp_stream('127.0.0.1', port)
+        assert await _answers(port)
+        await kept.send_all(REQUEST)
+        assert b'answer' in await kept.receive_some(65536)
+        nursery.cancel_scope.cancel()
