--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -216,9 +216,10 @@
 class Engine:
     """A sound engine.
 
-    A plain request gets a body of ``answer_bytes``, a request whose path
-    begins with /chat/ a stream of ``events`` events of ``event_bytes`` bytes,
-    one each ``pause`` seconds.
+    A plain request gets a body of ``answer_bytes``, or of ``long_bytes`` if
+    its path begins with /ledger/. A request whose path begins with /chat/ gets
+    a stream of ``events`` events of ``event_bytes`` bytes, one each ``pause``
+    seconds.
     """
 
     def __init__(self, engine_id, service, zone):
@@ -226,6 +227,7 @@
         self.service = service
         self.zone = zone
         self.answer_bytes = 800
+        self.long_bytes = 2**20
         self.work_s = 0.0
         self.events = 40
         self.event_bytes = 60
@@ -298,12 +300,15 @@
                 await asyncio.sleep(self.pause)
             writer.write(b'0\r\n\r\n')
         else:
+            size = self.answer_bytes
+            if path.startswith('/ledger/'):
+                size = self.long_bytes
             await asyncio.sleep(self.work_s)
             writer.write(
                 b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n'
-                % self.answer_bytes + fields + load + b'\r\n'
+                % size + fields + load + b'\r\n'
             )
-            writer.write(b'x' * self.answer_bytes)
+            writer.write(b'x' * size)
         await writer.drain()
 
 
