--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -219,7 +219,8 @@
     A plain request gets a body of ``answer_bytes``, or of ``long_bytes`` if
     its path begins with /ledger/. A request whose path begins with /chat/ gets
     a stream of ``events`` events of ``event_bytes`` bytes, one each ``pause``
-    seconds.
+    seconds. If ``chunk_bytes`` is set, long bodies come in such chunks, one
+    each ``chunk_pause`` seconds, without an announced length.
     """
 
     def __init__(self, engine_id, service, zone):
@@ -228,6 +229,8 @@
         self.zone = zone
         self.answer_bytes = 800
         self.long_bytes = 2**20
+        self.chunk_bytes = 0
+        self.chunk_pause = 0.0
         self.work_s = 0.0
         self.events = 40
         self.event_bytes = 60
@@ -304,6 +307,9 @@
             if path.startswith('/ledger/'):
                 size = self.long_bytes
             await asyncio.sleep(self.work_s)
+            if size > self.chunk_bytes > 0:
+                await self._send_chunks(writer, size, fields + load)
+                return
             writer.write(
                 b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n'
                 % size + fields + load + b'\r\n'
@@ -312,6 +318,21 @@
         await writer.drain()
 
 
+    async def _send_chunks(self, writer, size, fields):
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n'
+            + fields + b'\r\n'
+        )
+        while size:
+            part = min(size, self.chunk_bytes)
+            writer.write(b'%x\r\n%b\r\n' % (part, b'x' * part))
+            await writer.drain()
+            await asyncio.sleep(self.chunk_pause)
+            size -= part
+        writer.write(b'0\r\n\r\n')
+        await writer.drain()
+
+
 def route(name, kind, service, timeout_ms, target_ms, **more):
     """Return a route of the operator's configuration."""
     return {
