--- a/review/9/case_2.py
+++ b/review/9/case_2.py
@@ -1,9 +1,8 @@
-"""Bodies that are just sent, with long answers that are read slowly.
+"""Machines are lost; the one that is left takes no new connection.
 
-CROWD clients ask one host for a long answer, read it slowly, and meanwhile
-send a body far over the limit that they haven't announced. The platform's
-stand-in ends a process that exceeds the memory of its machine, unread bytes
-included. With TROUBLE=0 the same clients send no body.
+CLIENTS clients keep a connection open, each to one of HOSTS hosts, and send a
+small request on it each PERIOD_S seconds. All hosts but one are killed and
+don't come back. The clients that lost their connection open a new one.
 """
 
 import asyncio
@@ -12,7 +11,6 @@
 import random
 import resource
 import signal
-import socket
 import sys
 import time
 
@@ -22,182 +20,193 @@
 import standins_2 as lib  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-CROWD = 410
-ORDINARY = 10
-CALM_S = 4.0
-CROWD_S = 30.0
-BODY_BYTES = 16 * 2**20
-MAX_BODY_BYTES = 4 * 2**20
-STREAM_DEADLINE_MS = 12000
+HOSTS = 8
+CLIENTS = 480
+PERIOD_S = 6.0
+CALM_S = 14.0
+AFTER_S = 36.0
+STABLE_S = lib.BOUNDS['stable_ms'] / 1000
+MIN_CLIENTS = 7
 DEADLINE_MS = 1500
+READ_S = 0.5  # a third of the deadline; then a client gives the attempt up
 LIMITS = {
     'cpu_share': 0.537, 'cores': 2, 'memory_mb': 150, 'max_fds': 4100,
     'link_mbps': 1000.0, 'disk_mb': 0,
 }
 
 
-def memory_used(pid):
-    """Return the resident bytes of a process and its unread bytes."""
-    proc = pathlib.Path('/proc') / str(pid)
-    resident = next(
-        int(line.split()[1]) * 1024
-        for line in (proc / 'status').read_text().splitlines()
-        if line.startswith('VmRSS:'))
-    inodes = set()
-    for link in (proc / 'fd').iterdir():
+class World:
+    """What the clients and the platform's check have seen."""
+
+    def __init__(self, deployment, record):
+        self.deployment, self.record = deployment, record
+        self.attempts = []  # new connections: at, address, client, taken
+        self.checks = []  # at, whether the surviving host says it is ready
+        self.answers = {}
+        self.killed_at = None
+
+    def count(self, status):
+        self.answers[status] = self.answers.get(status, 0) + 1
+
+
+async def resolve(world, failed):
+    """Ask up to three hosts for addresses, as a client does."""
+    hosts = random.sample(world.deployment.hosts, HOSTS)
+    for host in hosts[:3]:
         try:
-            name = os.readlink(link)
-        except OSError:
+            status, body = await asyncio.wait_for(
+                lib.fetch(host.directory, 'GET',
+                          f'/resolve?name={lib.NAME}&region=punjab'
+                          f'&zone={host.zone}', ['Connection: close']), 1.0)
+        except (OSError, asyncio.TimeoutError, EOFError):
             continue
-        if name.startswith('socket:['):
-            inodes.add(name[8:-1])
-    unread = 0
-    for line in (proc / 'net/tcp').read_text().splitlines()[1:]:
-        fields = line.split()
-        if fields[3] != '0A' and fields[9] in inodes:
-            unread += int(fields[4].split(':')[1], 16)
-    return resident, unread
-
-
-async def platform(record, host, seen):
-    """End the process if it exceeds the memory of its machine."""
-    limit = LIMITS['memory_mb'] * 10**6
-    while True:
-        resident, unread = memory_used(host.process.pid)
-        seen['most'] = max(seen.get('most', (0, 0, 0)),
-                           (resident + unread, resident, unread))
-        if resident + unread > limit:
-            record.note(f'{host.name} holds {resident} bytes and has '
-                        f'{unread} bytes unread, over {limit}: killed')
-            seen['killed'] = True
-            host.send(signal.SIGKILL)
-            return
-        await asyncio.sleep(0.1)
-
-
-async def ordinary(record, answers, number, address):
-    """Send a small request on a kept connection now and then."""
-    pair = None
-    while True:
-        await asyncio.sleep(random.uniform(0.5, 1.5))
-        try:
-            pair = pair or await asyncio.wait_for(lib.connect(address), 1.0)
-            _, fields = lib.caller_fields(DEADLINE_MS)
-            what, _ = await asyncio.wait_for(
-                lib.exchange(*pair, 'GET', f'/rug-status/{number}', fields),
-                DEADLINE_MS / 1000)
-        except asyncio.TimeoutError:
-            what = 'not answered'
-        except (OSError, EOFError):
-            what = 'cut' if pair else 'refused'
-        if what != 200 and pair is not None:
+        if status == 200:
+            return lib.json.loads(body)['addresses']
+    return None
+
+
+async def open_and_ask(world, number, address):
+    """Open a connection and send the first request; None if not taken."""
+    at = time.monotonic()
+    taken, pair = False, None
+    try:
+        pair = await asyncio.wait_for(lib.connect(address), 1.0)
+        _, fields = lib.caller_fields(DEADLINE_MS)
+        status, _ = await asyncio.wait_for(
+            lib.exchange(*pair, 'GET', f'/rug-status/{number}', fields),
+            READ_S)
+        taken = True
+        world.count(status)
+        return pair
+    except asyncio.TimeoutError:
+        world.count('not read' if pair else 'not connected')
+        return None
+    except (OSError, EOFError):
+        taken = pair is not None  # the host closed it, so it had taken it
+        world.count('failed')
+        return None
+    finally:
+        world.attempts.append((at, address, number, taken))
+        if world.killed_at:
+            world.record.note(
+                f'client {number} opens a connection to {address}: '
+                f'{"taken" if taken else "not taken"}')
+        if pair is not None and not taken:
             pair[1].close()
-            pair = None
-        answers[what] = answers.get(what, 0) + 1
-        record.note(f'client {number}: {what}')
 
 
-async def crowd_client(number, address):
-    """Ask for long answers and read them slowly."""
-    await asyncio.sleep(random.uniform(0, 3))
+async def client(world, number):
+    """Keep one connection open and send requests on it."""
+    await asyncio.sleep(random.uniform(0, PERIOD_S))
+    addresses, failed = None, {}
     while True:
+        now = time.monotonic()
+        failed = {a: t for a, t in failed.items() if now - t < 5.0}
+        addresses = await resolve(world, failed) or addresses
+        usable = [a for a in addresses or () if a not in failed]
+        if not usable:
+            # All that it knows have failed it; it tries again soon.
+            failed = {}
+            await asyncio.sleep(0.5)
+            continue
+        address = random.choice(usable)
+        pair = await open_and_ask(world, number, address)
+        if pair is None:
+            failed[address] = time.monotonic()
+            await asyncio.sleep(0.3)
+            continue
         try:
-            await read_slowly(number, address)
-        except OSError:
-            pass
-        await asyncio.sleep(0.5)
-
-
-async def read_slowly(number, address):
-    """Ask for an answer, read it slowly and send a body meanwhile."""
-    ip, _, port = address.rpartition(':')
-    loop = asyncio.get_running_loop()
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
-        sock.setblocking(False)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32768)
-        until = time.monotonic() + STREAM_DEADLINE_MS / 1000 + 0.5
-        await asyncio.wait_for(loop.sock_connect(sock, (ip, int(port))), 1.0)
-        _, fields = lib.caller_fields(STREAM_DEADLINE_MS)
-        kind = 'ledger' if number % 4 == 0 else 'chat'
-        lines = [f'GET /{kind}/{number} HTTP/1.1', f'Host: {lib.NAME}',
-                 *fields, '', '']
-        await loop.sock_sendall(sock, '\r\n'.join(lines).encode())
-        body = None
-        if TROUBLE:
-            body = asyncio.create_task(send_body(loop, sock))
-        try:
-            while time.monotonic() < until:
-                part = await asyncio.wait_for(
-                    loop.sock_recv(sock, 16384),
-                    max(0.1, until - time.monotonic()))
-                if not part:
-                    return
-                await asyncio.sleep(1.0)
+            while True:
+                await asyncio.sleep(random.uniform(0.9, 1.1) * PERIOD_S)
+                _, fields = lib.caller_fields(DEADLINE_MS)
+                status, _ = await asyncio.wait_for(
+                    lib.exchange(
+                        *pair, 'GET', f'/rug-status/{number}', fields),
+                    DEADLINE_MS / 1000)
+                world.count(status)
+        except (OSError, EOFError, asyncio.TimeoutError):
+            failed[address] = time.monotonic()
+            world.count('cut')
         finally:
-            if body is not None:
-                body.cancel()
-                await asyncio.gather(body, return_exceptions=True)
+            pair[1].close()
 
 
-async def send_body(loop, sock):
-    """Send a body without an announcement."""
-    piece = bytes(65536)
-    for _ in range(BODY_BYTES // len(piece)):
-        await loop.sock_sendall(sock, piece)
+async def check_ready(world, host):
+    """Ask the surviving host once a second whether it is ready."""
+    while True:
+        ready = await host.is_ready()
+        world.checks.append((time.monotonic(), ready))
+        if world.killed_at:
+            world.record.note(f'{host.name} says ready: {ready}')
+        await asyncio.sleep(1.0)
+
+
+def broken_span(world, host, begin, end):
+    """Return a span of STABLE_S in which the rule is broken, or None."""
+    at = begin
+    while at + STABLE_S <= end:
+        until = at + STABLE_S
+        # The attempts have to be over within the span, too.
+        tries = [a for a in world.attempts
+                 if a[1] == host.front and at <= a[0] < until]
+        ready = [r for t, r in world.checks if at - 1 <= t <= until + 1]
+        if (len({a[2] for a in tries}) >= MIN_CLIENTS
+                and not any(a[3] for a in tries) and ready and all(ready)):
+            return at, len(tries), len({a[2] for a in tries})
+        at += 0.25
+    return None
 
 
 async def main():
     record = lib.Record(FOLDER / 'record.txt')
-    deployment = lib.Deployment(record, 1, LIMITS)
+    deployment = lib.Deployment(record, HOSTS, LIMITS)
     try:
-        engines = [
-            lib.Engine(f'd-{n}', 'drafting-desk', 'sialkot')
-            for n in range(9)
-        ] + [lib.Engine(f'y-{n}', 'yard-counter', 'lahore') for n in range(4)]
+        engines = [lib.Engine(f'i-{n}', 'yard-counter', z) for n, z in
+                   enumerate(('sialkot', 'lahore', 'gujranwala', 'okara'))]
         for engine in engines:
             engine.work_s = 0.02
-            engine.events, engine.event_bytes, engine.pause = 2000, 4000, 0.0
-        routes = [
-            lib.route('rug-status', 'idempotent', 'yard-counter', 1500, 125,
-                      attempts=2),
-            lib.route('chat', 'streaming', 'drafting-desk',
-                      STREAM_DEADLINE_MS, 250, target_gap_ms=200),
-            lib.route('ledger', 'idempotent', 'drafting-desk',
-                      STREAM_DEADLINE_MS, 1200),
-        ]
-        if not await deployment.start(
-                routes, engines, max_body_bytes=MAX_BODY_BYTES):
-            record.note('the host did not become ready')
+        routes = [lib.route('rug-status', 'idempotent', 'yard-counter',
+                            1500, 125, attempts=2)]
+        if not await deployment.start(routes, engines):
+            record.note('the hosts did not become ready')
             return 2
-        host, answers, seen = deployment.hosts[0], {}, {}
-        tasks = [
-            asyncio.create_task(ordinary(record, answers, n, host.front))
-            for n in range(ORDINARY)]
-        tasks.append(asyncio.create_task(platform(record, host, seen)))
+        world = World(deployment, record)
+        host = deployment.hosts[0]
+        tasks = [asyncio.create_task(client(world, n))
+                 for n in range(CLIENTS)]
+        tasks.append(asyncio.create_task(check_ready(world, host)))
         await asyncio.sleep(CALM_S)
-        record.note(f'before: {answers}, {seen}')
-        record.note(f'{CROWD} clients ask for long answers and read slowly'
-                    + (', and send a body' if TROUBLE else ''))
-        tasks += [asyncio.create_task(crowd_client(n, host.front))
-                  for n in range(CROWD)]
-        until = time.monotonic() + CROWD_S
-        while time.monotonic() < until and not seen.get('killed'):
-            await asyncio.sleep(0.2)
-        if seen.get('killed'):
-            await asyncio.sleep(3.0)
+        record.note(f'before: {world.answers}')
+        world.answers.clear()
+        begin = world.killed_at = time.monotonic()
+        if TROUBLE:
+            for other in deployment.hosts[1:]:
+                other.send(signal.SIGKILL)
+            record.note(f'{HOSTS - 1} hosts are killed for good')
+        await asyncio.sleep(AFTER_S)
+        end = time.monotonic() - 1.5
         for task in tasks:
             task.cancel()
-        record.note(f'requests of other clients: {answers}')
-        record.note('most memory: %d bytes, %d of them resident and %d '
-                    'unread' % seen['most'])
-        if seen.get('killed'):
-            record.note('broken: the process exceeded its memory')
-            return 1
+        record.note(f'after: {world.answers}')
+        runs = sum(len(e.runs) for e in engines)
+        record.note(f'engines ran {runs} requests')
         if host.process.poll() is not None:
-            record.note('the host ended by itself')
-            return 1
-        record.note('held')
-        return 0
+            record.note('the surviving host has ended')
+            return 2
+        found = broken_span(world, host, begin + STABLE_S, end)
+        tried = [a for a in world.attempts if a[1] == host.front
+                 and begin + STABLE_S <= a[0] < end]
+        record.note(f'new connections to {host.name} from {STABLE_S} s after'
+                    f' the loss: {len(tried)}, taken '
+                    f'{sum(a[3] for a in tried)}')
+        if found is None:
+            record.note('held')
+            return 0
+        record.note(
+            f'broken: from {found[0] - begin:.2f} s after the loss '
+            f'{host.name} said that it is ready and took none of {found[1]} '
+            f'new connections of {found[2]} clients in {STABLE_S} s')
+        return 1
     finally:
         deployment.end()
 
