Show how long new connections wait, and who has given up by then

Callers of the host that is left after a loss got no answer on new connections while it said that it is ready. Neither log nor metrics could tell the hypotheses apart: a queue of clients that have given up, one slot given up for each check, slots held after the last response, slots counted at their worst case, a slow event loop.

Adds, for each port: open connections by use, those that wait to be accepted, accepted ones whose client had gone already, the time from the last bytes of the client to the accept, and from there to the first read and the first response, connections closed for others by reason, delays of the event loop. The kernel tells the waits (TCP_INFO), so nothing is added to the path of a request but two comparisons.

--- a/src/corianderloft/_internal/entry/host.py
+++ b/src/corianderloft/_internal/entry/host.py
@@ -173,6 +173,7 @@
             operator_limits,
             _tls(operator_cfg, nursery),
             components.memory,
+            'operators',
         ),
     )
 
--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -342,20 +342,25 @@
             cfg.bounds.max_address_ttl,
             self._decode_domain,
         )
-        caller_server = self._server(self._app, cfg.caller_port, limits)
+        caller_server = self._server(
+            self._app, cfg.caller_port, limits, 'callers'
+        )
         peer_endpoints = auxiliary_apps.PeerEndpoints(self._follower.log)
         self._view.add_listener(_CallerLimitsUpdater(caller_server))
         return [
             caller_server,
             self._auxiliary_server(
-                self._readiness.serve, cfg.ready_port, public_limits
+                self._readiness.serve,
+                cfg.ready_port,
+                public_limits,
+                'readiness',
             ),
             self._auxiliary_server(
-                addresses.serve, cfg.address_port, public_limits
+                addresses.serve, cfg.address_port, public_limits, 'addresses'
             ),
             *(
                 self._auxiliary_server(
-                    peer_endpoints.serve, port, auxiliary_limits
+                    peer_endpoints.serve, port, auxiliary_limits, 'peers'
                 )
                 for port in {cfg.metrics_port, cfg.peer_port}
             ),
@@ -366,14 +371,27 @@
         handler: auxiliary_apps.Handler,
         port: int,
         limits: serving.ServerLimits,
+        port_name: str,
     ) -> serving.Server:
-        return self._server(auxiliary_apps.HandlerApp(handler), port, limits)
+        return self._server(
+            auxiliary_apps.HandlerApp(handler), port, limits, port_name
+        )
 
     def _server(
-        self, application: serving.App, port: int, limits: serving.ServerLimits
+        self,
+        application: serving.App,
+        port: int,
+        limits: serving.ServerLimits,
+        port_name: str,
     ) -> serving.Server:
         sock = serving.bind(self._cfg.address, port)
-        return serving.Server(application, sock, limits, memory=self._memory)
+        return serving.Server(
+            application,
+            sock,
+            limits,
+            memory=self._memory,
+            port_name=port_name,
+        )
 
 
 class _CallerLimitsUpdater(listener.Listener):
--- a/src/corianderloft/_internal/network/inbound.py
+++ b/src/corianderloft/_internal/network/inbound.py
@@ -24,6 +24,7 @@
 from corianderloft._internal.models import reasons
 from corianderloft._internal.models import states
 from corianderloft._internal.network import byte_budget
+from corianderloft._internal.network import connection_stats
 from corianderloft._internal.network import memory
 from corianderloft._internal.network import slots
 from corianderloft._internal.network import streams
@@ -66,17 +67,19 @@
     ----------
     closes_after_response : callable
         Returns whether the connection is to end with the present response.
+    on_response : callable
+        Called before the head of a response is sent.
     """
 
     closes_after_response: collections.abc.Callable[[], bool]
+    on_response: collections.abc.Callable[[], None]
 
     async def stream_send(self, event: protocol_events.Event) -> None:
         """Send an event; announce the end of the connection if it is due."""
-        if (
-            isinstance(event, protocol_events.Response)
-            and self.closes_after_response()
-        ):
-            event.headers.append((b'connection', b'close'))
+        if isinstance(event, protocol_events.Response):
+            self.on_response()
+            if self.closes_after_response():
+                event.headers.append((b'connection', b'close'))
         await super().stream_send(event)
 
     async def _check_protocol(self, event: h11.Request) -> None:
@@ -129,6 +132,10 @@
     receive_buffer : int
         Size of the kernel's receive buffer in bytes, which is enlarged for
         long bodies; 0 leaves the buffer as it is.
+    slots_are_short : callable
+        Returns whether clients wait for a connection to this port.
+    stats : ConnectionStats or None
+        Times of the port.
 
     Attributes
     ----------
@@ -144,6 +151,7 @@
         stream: ByteStream,
         receive_buffer: int = 0,
         slots_are_short: collections.abc.Callable[[], bool] = lambda: False,
+        stats: connection_stats.ConnectionStats | None = None,
     ) -> None:
         self._app = app
         self._config = config
@@ -165,6 +173,10 @@
         self._read_all = False
         self._reader_held_since: float | None = None
         self._slots_are_short = slots_are_short
+        self._stats = stats or connection_stats.ConnectionStats()
+        self._opened_at = trio.current_time()
+        self._has_read = False
+        self._has_answered = False
         self._use = slots.Use.UNUSED
         self._used_since = trio.current_time()
         self._unread_since: float | None = None
@@ -304,6 +316,7 @@
             self._send,
         )
         protocol.closes_after_response = self._slots_are_short
+        protocol.on_response = self._record_response
         return protocol
 
     def end_if_abandoned(self) -> None:
@@ -334,6 +347,14 @@
         """Return whether bytes have arrived that were not read yet."""
         return not self._closed and self._socket.is_readable()
 
+    def _record_response(self) -> None:
+        if not self._has_answered:
+            self._has_answered = True
+            self._record_stage(connection_stats.Stage.ANSWER)
+
+    def _record_stage(self, stage: connection_stats.Stage) -> None:
+        self._stats.record(stage, trio.current_time() - self._opened_at)
+
     def _start_use(self, use: slots.Use) -> None:
         self._use = use
         self._used_since = trio.current_time()
@@ -344,6 +365,9 @@
         with self._reading:
             while not self._closed:
                 data = await self._receive_some()
+                if data and not self._has_read:
+                    self._has_read = True
+                    self._record_stage(connection_stats.Stage.FIRST_READ)
                 if not self._last_response_sent:
                     self._reader_held_since = trio.current_time()
                     with trio.CancelScope() as self._handling:
--- a/src/corianderloft/_internal/network/serving.py
+++ b/src/corianderloft/_internal/network/serving.py
@@ -17,6 +17,7 @@
 import trio
 
 from corianderloft._internal.network import byte_budget
+from corianderloft._internal.network import connection_stats
 from corianderloft._internal.network import inbound
 from corianderloft._internal.network import memory as process_memory
 from corianderloft._internal.network import slots
@@ -135,6 +136,8 @@
         Enables TLS.
     memory : Memory or None
         Byte budget of the process; None counts the bytes of this port only.
+    port_name : str
+        Name of the port in metrics and log lines.
     """
 
     def __init__(
@@ -144,6 +147,7 @@
         limits: ServerLimits,
         tls: ssl.SSLContext | None = None,
         memory: process_memory.Memory | None = None,
+        port_name: str = 'callers',
     ) -> None:
         if memory is None:
             budget = byte_budget.ByteBudget(byte_budget.sizes(0))
@@ -157,6 +161,13 @@
         self._logged_at = -math.inf
         self._slots = trio.CapacityLimiter(limits.max_connections)
         self._slots_are_short = False
+        self._were_short = False
+        self._shortage_logged_at = -math.inf
+        self._port_name = port_name
+        self._stats = connection_stats.ConnectionStats()
+        self._stats.read_uses = self._count_uses
+        self._stats.read_queued = self._count_queued
+        connection_stats.PORTS[port_name] = self._stats
         _set_stall_timeout(sock, limits.stalled_time)
         for option, size in (
             (socket.SO_RCVBUF, limits.receive_buffer),
@@ -212,13 +223,19 @@
             except BaseException:
                 self._slots.release_on_behalf_of(slot)
                 raise
+            self._stats.record_accepted(
+                connection_stats.socket_info(stream.socket)
+            )
             connections.start_soon(self._handle, stream, slot)
 
     async def _end_abandoned(self) -> typing.NoReturn:
         while True:
-            await trio.sleep(ABANDONED_CHECK_INTERVAL_S)
+            due = trio.current_time() + ABANDONED_CHECK_INTERVAL_S
+            await trio.sleep_until(due)
+            self._stats.record_loop_delay(trio.current_time() - due)
             for connection in tuple(self._connections):
                 connection.end_if_abandoned()
+            self._log_shortage()
 
     async def _take_slot(self, slot: object) -> None:
         """Wait for a slot; make one free if another client waits for it."""
@@ -227,7 +244,7 @@
             return
         while True:
             await trio.lowlevel.wait_readable(self._listener.socket)
-            self._slots_are_short = True
+            self._slots_are_short = self._were_short = True
             self._close_for_another()
             with trio.move_on_after(SLOT_CHECK_INTERVAL_S):
                 await self._slots.acquire_on_behalf_of(slot)
@@ -244,6 +261,7 @@
                 continue
             connection.abort()
             UNUSED_CLOSED[slot.use.value] += 1
+            self._stats.record_closed(slot.use.value)
             self._log_closed(slot, now)
             return
 
@@ -260,6 +278,30 @@
             },
         )
 
+    def _log_shortage(self) -> None:
+        """Log what keeps clients waiting, if connections were short."""
+        now = trio.current_time()
+        if (
+            not self._were_short
+            or now - self._shortage_logged_at < LOG_INTERVAL_S
+        ):
+            return
+        self._were_short = self._slots_are_short
+        self._shortage_logged_at = now
+        logger.warning(
+            'clients wait for connections',
+            extra={'port': self._port_name, **self._stats.take_log_fields()},
+        )
+
+    def _count_uses(self) -> collections.Counter[str]:
+        return collections.Counter(
+            connection.slot().use.value for connection in self._connections
+        )
+
+    def _count_queued(self) -> int:
+        info = connection_stats.socket_info(self._listener.socket)
+        return 0 if info is None else info.queued
+
     async def _handle(self, stream: trio.SocketStream, slot: object) -> None:
         try:
             tls_stream = await self._accept_tls(stream)
@@ -303,6 +345,7 @@
             stream,
             self._limits.receive_buffer,
             lambda: self._slots_are_short,
+            self._stats,
         )
 
 
--- a/src/corianderloft/_internal/network/streams.py
+++ b/src/corianderloft/_internal/network/streams.py
@@ -10,6 +10,7 @@
 import httpcore
 import trio
 
+from corianderloft._internal.network import connection_stats
 from corianderloft._internal.network import turns
 
 SocketOption = typing.Any
@@ -26,9 +27,6 @@
 """Receive buffer of connections on a host that states its memory. The kernel
 doubles it."""
 
-_CLOSED_STATES = (7, 8)
-"""TCP_CLOSE and TCP_CLOSE_WAIT of the kernel's tcp_states.h."""
-
 _CONNECTION_ERRORS = (
     OSError,
     trio.BrokenResourceError,
@@ -316,7 +314,7 @@
         state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
     except OSError:
         return None
-    return state in _CLOSED_STATES if state else None
+    return state in connection_stats.CLOSED_STATES if state else None
 
 
 def write_now(fileno: int, data: bytes) -> int:
