Do not close requests in progress as if their clients sent unasked bytes

Callers saw requests that were in progress end with a closed connection, on a host that was short of processor time and of connections.

Cause: a connection whose reader had been held for more than a second by a complete request counted as one whose client has sent more than belongs to its request, and these are closed first for clients that wait. The reader is also held while parts of the body wait for the application, or while a slow process handles the request.

Change: they count as such only if the parser holds bytes behind the request, so the state of the connection tells, not the time.

--- a/src/corianderloft/_internal/network/inbound.py
+++ b/src/corianderloft/_internal/network/inbound.py
@@ -336,13 +336,23 @@
                 self._reader_held_since,
                 self._unread_since,
             )
-            is_complete = self._protocol.connection.their_state is h11.DONE
-            if held_since is not None and is_complete:
+            if held_since is not None and self._has_bytes_behind_request():
                 return slots.Slot(slots.Use.UNASKED, held_since, urgency)
             if unread_since is not None:
                 return slots.Slot(slots.Use.UNREAD, unread_since, urgency)
         return slots.Slot(self._use, self._used_since, urgency)
 
+    def _has_bytes_behind_request(self) -> bool:
+        """Return whether more has been read than the present request.
+
+        That the reader is held does not tell: it also is while a complete
+        request is handled, for long if the process is short of processor time.
+        """
+        connection = self._protocol.connection
+        return connection.their_state is h11.DONE and bool(
+            connection.trailing_data[0]
+        )
+
     def has_received(self) -> bool:
         """Return whether bytes have arrived that were not read yet."""
         return not self._closed and self._socket.is_readable()
--- a/tests/unit/network/test_connection_stats.py
+++ b/tests/unit/network/test_connection_stats.py
@@ -41,7 +41,9 @@
         nursery.start_soon(server.serve, trio.Event())
         with trio.fail_after(10.0):
             assert b'answer' in await present.receive_some(65536)
-        body = exposition.expose()[0].decode()
+            idle = 'corianderloft_connections{port="counted",use="idle"} 1'
+            while idle not in (body := exposition.expose()[0].decode()):
+                await trio.sleep(0.01)
         nursery.cancel_scope.cancel()
 
     stats = connection_stats.PORTS['counted']
@@ -53,4 +55,3 @@
         'corianderloft_connections_accepted_total'
         '{client="gone",port="counted"} 1' in body
     )
-    assert 'corianderloft_connections{port="counted",use="idle"} 1' in body
--- a/tests/unit/network/test_serving.py
+++ b/tests/unit/network/test_serving.py
@@ -186,3 +186,35 @@
                 uploads.start_soon(upload)
         assert [b'answer' in answer for answer in answers] == [True] * 4
         nursery.cancel_scope.cancel()
+
+
+async def _late_body_app(scope, receive, send):
+    await trio.sleep(2.5)
+    http = exchange.Exchange(scope, receive, send)
+    body = await http.body(1000, 1.0)
+    await http.respond(200, b'answer' if len(body) == 10 else b'other')
+
+
+async def test_a_request_that_holds_the_reader_is_not_cut_for_others():
+    """Guards against requests in progress that are cut for other clients.
+
+    The reader is held by parts of a complete body that is not read yet.
+    """
+    chunks = b'1\r\na\r\n' * 10 + b'0\r\n\r\n'
+    fields = b'Transfer-Encoding: chunked\r\n'
+    answers = []
+
+    async def upload():
+        async with await trio.open_tcp_stream('127.0.0.1', port) as stream:
+            await stream.send_all(
+                b'POST / HTTP/1.1\r\nHost: a\r\n' + fields + b'\r\n' + chunks
+            )
+            answers.append(await stream.receive_some(65536))
+
+    async with trio.open_nursery() as nursery:
+        port = await _serve(nursery, _late_body_app)
+        async with trio.open_nursery() as uploads:
+            for _ in range(2 * LIMITS.max_connections):
+                uploads.start_soon(upload)
+        assert [b'answer' in answer for answer in answers] == [True] * 4
+        nursery.cancel_scope.cancel()
