Do not close a connection again whose request is still ending

Clients that waited for a connection got none while the host spent its closures on connections that it had closed before.

Cause: the choice was made among all connections, also those with a closed socket whose requests had not ended yet; the first of them was chosen again at each check.

Evidence: test_a_connection_that_ends_is_not_closed_again_for_others failed before: 10 closures of 2 connections in 2 s.

Change: closed connections are left out, so each check closes another one or none.

--- a/src/corianderloft/_internal/network/inbound.py
+++ b/src/corianderloft/_internal/network/inbound.py
@@ -353,6 +353,11 @@
             connection.trailing_data[0]
         )
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the socket is closed; its request may still be ending."""
+        return self._closed
+
     def has_received(self) -> bool:
         """Return whether bytes have arrived that were not read yet."""
         return not self._closed and self._socket.is_readable()
--- a/src/corianderloft/_internal/network/serving.py
+++ b/src/corianderloft/_internal/network/serving.py
@@ -254,7 +254,11 @@
     def _close_for_another(self) -> None:
         """Close the connection that is used the least."""
         now = trio.current_time()
-        by_slot = {conn.slot(): conn for conn in self._connections}
+        by_slot = {
+            conn.slot(): conn
+            for conn in self._connections
+            if not conn.is_closed
+        }
         for slot in slots.closable(by_slot, now):
             connection = by_slot[slot]
             if slot.use is slots.Use.KEPT and connection.has_received():
--- a/tests/unit/network/test_serving.py
+++ b/tests/unit/network/test_serving.py
@@ -218,3 +218,25 @@
                 uploads.start_soon(upload)
         assert [b'answer' in answer for answer in answers] == [True] * 4
         nursery.cancel_scope.cancel()
+
+
+async def _stubborn_app(scope, receive, send):
+    with trio.CancelScope(shield=True):
+        await trio.sleep(2.5)
+
+
+async def test_a_connection_that_ends_is_not_closed_again_for_others():
+    """Guards against closures that free no slot while clients wait.
+
+    The requests of the closed connections go on for some time.
+    """
+    closed_before = serving.UNUSED_CLOSED['unasked_bytes']
+    async with trio.open_nursery() as nursery:
+        port = await _serve(nursery, _stubborn_app)
+        for _ in range(2 * LIMITS.max_connections):
+            stream = await trio.open_tcp_stream('127.0.0.1', port)
+            await stream.send_all(REQUEST + bytes(1000))
+        await trio.sleep(2.0)
+        nursery.cancel_scope.cancel()
+    closed = serving.UNUSED_CLOSED['unasked_bytes'] - closed_before
+    assert 0 < closed <= LIMITS.max_connections
