Accept connections all the time, and serve none of clients that gave up

Callers got no answer on new connections to the host that is left after a loss, while it said that it is ready.

Cause, shown by a trace: new connections were accepted only with a free slot, in order of arrival, one in a step of the event loop, and each of those whose clients had given up took a slot and some steps like any other. Once the queue was longer than the patience of the clients (0.5 s), slots only reached clients that had left. What the hypotheses of the issue come to: the first holds; one closure a check adds to it (and none while any connection was new); the linger time and the event loop don't explain it.

Change: connections are accepted at once, many in a step, and wait without being read; 64 of them and 128 in the backlog, where 256 were in the backlog. Those whose clients have gone are closed. A slot goes to a request that has arrived, the oldest and the newest in turn. A request that has waited for 0.3 s (0.7 s on the ports for readiness and addresses) gets 503 and Retry-After, which is true as nothing of it was read, and as many unused connections are closed as requests wait.

--- a/src/corianderloft/_internal/entry/host.py
+++ b/src/corianderloft/_internal/entry/host.py
@@ -16,6 +16,7 @@
 from corianderloft._internal.entry import drain
 from corianderloft._internal.entry import feeds
 from corianderloft._internal.entry import operators_app
+from corianderloft._internal.entry import refusals
 from corianderloft._internal.metrics import budget
 from corianderloft._internal.metrics import queues
 from corianderloft._internal.network import serving
@@ -166,6 +167,7 @@
             limits,
             _tls(cfg, nursery),
             components.memory,
+            build_refusal=refusals.refuse_connection,
         ),
         serving.Server(
             operators_app.OperatorsApp(components, drain_controller),
@@ -174,6 +176,7 @@
             _tls(operator_cfg, nursery),
             components.memory,
             'operators',
+            build_refusal=refusals.refuse_connection,
         ),
     )
 
--- a/src/corianderloft/_internal/entry/refusals.py
+++ b/src/corianderloft/_internal/entry/refusals.py
@@ -10,6 +10,7 @@
 from corianderloft._internal.models import requests
 from corianderloft._internal.models import states
 from corianderloft._internal.network import exchange
+from corianderloft._internal.network import pending_connections
 
 _Reason = reasons.RefusalReason
 
@@ -21,6 +22,7 @@
     _Reason.TOO_LARGE: 413,
     _Reason.TOO_SLOW: 408,
     _Reason.NO_MEMORY: 503,
+    _Reason.NO_CONNECTION: 503,
     _Reason.FORBIDDEN: 403,
     _Reason.NOT_FOUND: 404,
     _Reason.WORKSPACE_LIMIT: 429,
@@ -42,6 +44,9 @@
 }
 """HTTP status by refusal reason."""
 
+NO_CONNECTION_RETRY_AFTER_S = 1.0
+"""``Retry-After`` when this host has no connection for a request."""
+
 NO_MEMORY_RETRY_AFTER_S = 1.0
 """``Retry-After`` when this host has no memory for a body."""
 
@@ -78,6 +83,25 @@
     return b'event: error\ndata: ' + data + b'\n\n'
 
 
+def refuse_connection() -> bytes:
+    """Return the response to a request whose connection got no slot."""
+    refused = not_run(
+        _Reason.NO_CONNECTION,
+        'other clients use all connections to this host',
+        NO_CONNECTION_RETRY_AFTER_S,
+    )
+    counts.count(refused.reason)
+    headers = (
+        (b'content-type', exchange.JSON),
+        (b'retry-after', b'%d' % math.ceil(NO_CONNECTION_RETRY_AFTER_S)),
+    )
+    return pending_connections.final_response(
+        HTTP_STATUS[refused.reason],
+        headers,
+        orjson.dumps(error_body(refused, None)),
+    )
+
+
 async def send(
     http: exchange.Exchange,
     refused: requests.Refused,
--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import functools
 import logging
 import os
 import random
@@ -23,6 +24,7 @@
 from corianderloft._internal.gateway import load_exchange
 from corianderloft._internal.gateway import membership
 from corianderloft._internal.gateway import metrics
+from corianderloft._internal.gateway import refusals
 from corianderloft._internal.gateway import settings
 from corianderloft._internal.gateway import stopping
 from corianderloft._internal.gateway import view
@@ -35,6 +37,8 @@
 from corianderloft._internal.network import engine_connection
 from corianderloft._internal.network import engine_pool
 from corianderloft._internal.network import memory
+from corianderloft._internal.network import pending
+from corianderloft._internal.network import pending_connections
 from corianderloft._internal.network import serving
 from corianderloft._internal.placement import budget
 from corianderloft._internal.placement import placer
@@ -63,6 +67,10 @@
 """The same for ports that clients reach on a host that states its memory.
 Requests there are short, and clients that wait share the connections."""
 
+AUXILIARY_MAX_WAIT_S = 0.7
+"""Time that a request to such a port waits for a connection. Clients wait a
+second for an answer there, whatever time their requests have."""
+
 MAX_AUXILIARY_HEADER_BYTES = 8192
 """Maximum size of the head of a request to an auxiliary port."""
 
@@ -356,7 +364,10 @@
                 'readiness',
             ),
             self._auxiliary_server(
-                addresses.serve, cfg.address_port, public_limits, 'addresses'
+                addresses.serve,
+                cfg.address_port,
+                public_limits,
+                'addresses',
             ),
             *(
                 self._auxiliary_server(
@@ -374,7 +385,11 @@
         port_name: str,
     ) -> serving.Server:
         return self._server(
-            auxiliary_apps.HandlerApp(handler), port, limits, port_name
+            auxiliary_apps.HandlerApp(handler),
+            port,
+            limits,
+            port_name,
+            AUXILIARY_MAX_WAIT_S,
         )
 
     def _server(
@@ -383,6 +398,7 @@
         port: int,
         limits: serving.ServerLimits,
         port_name: str,
+        max_wait: float = pending.MAX_WAIT_S,
     ) -> serving.Server:
         sock = serving.bind(self._cfg.address, port)
         return serving.Server(
@@ -391,6 +407,10 @@
             limits,
             memory=self._memory,
             port_name=port_name,
+            max_wait=max_wait,
+            build_refusal=functools.partial(
+                _refuse_connection, random.Random()
+            ),
         )
 
 
@@ -407,6 +427,15 @@
         )
 
 
+def _refuse_connection(rng: random.Random) -> bytes:
+    """Return the response to a request whose connection got no slot."""
+    refusal = refusals.no_connection(rng)
+    metrics.count_ended('', 'refused', refusal.reason.value)
+    return pending_connections.final_response(
+        refusal.status, refusal.headers(), refusal.body()
+    )
+
+
 def _member(cfg: settings.GatewaySettings) -> members.Member:
     return members.Member(
         host_id=cfg.host_id,
--- a/src/corianderloft/_internal/gateway/refusals.py
+++ b/src/corianderloft/_internal/gateway/refusals.py
@@ -2,9 +2,15 @@
 
 import dataclasses
 import enum
+import random
 
 import orjson
 
+MIN_NO_CONNECTION_RETRY_S = 0.2
+MAX_NO_CONNECTION_RETRY_S = 0.4
+"""Range of ``Retry-After`` in responses to requests that got no connection.
+It is drawn, so that clients that were refused together come back apart."""
+
 
 class Reason(enum.Enum):
     """Why the gateway responded to a request itself."""
@@ -17,6 +23,7 @@
     TOO_LARGE = 'too_large'
     TOO_SLOW = 'too_slow'
     NO_MEMORY = 'no_memory'
+    NO_CONNECTION = 'no_connection'
     STOPPING = 'stopping'
     NO_BACKEND = 'no_backend'
     OVERLOADED = 'overloaded'
@@ -37,6 +44,7 @@
     Reason.TOO_LARGE: 413,
     Reason.TOO_SLOW: 408,
     Reason.NO_MEMORY: 503,
+    Reason.NO_CONNECTION: 503,
     Reason.STOPPING: 503,
     Reason.NO_BACKEND: 503,
     Reason.OVERLOADED: 503,
@@ -85,3 +93,9 @@
     def body(self) -> bytes:
         """Return the response body."""
         return orjson.dumps({'error': {'reason': self.reason.value}})
+
+
+def no_connection(rng: random.Random) -> Refusal:
+    """Return the refusal of a request whose connection got no slot."""
+    delay = rng.uniform(MIN_NO_CONNECTION_RETRY_S, MAX_NO_CONNECTION_RETRY_S)
+    return Refusal(Reason.NO_CONNECTION, delay, closes_connection=True)
--- a/src/corianderloft/_internal/metrics/exposition.py
+++ b/src/corianderloft/_internal/metrics/exposition.py
@@ -32,6 +32,10 @@
     'connections_accepted_total',
     'Accepted connections, by port and whether the client was still there.',
 )
+_CONNECTIONS_REFUSED = registry.counter(
+    'connections_refused_total',
+    'Connections that got a refusal as none was free in time, by port.',
+)
 _CONNECTION_SECONDS = registry.histogram(
     'connection_seconds',
     'Time of a new connection, by port and stage: from the last bytes to '
@@ -80,6 +84,7 @@
         labels = {'port': port, 'use': use.value}
         _CONNECTIONS.set(labels, uses.get(use.value, 0))
     _QUEUED.set({'port': port}, stats.read_queued())
+    _CONNECTIONS_REFUSED.set({'port': port}, stats.refused)
     for has_gone, count in stats.accepted.items():
         labels = {'port': port, 'client': 'gone' if has_gone else 'present'}
         _ACCEPTED.set(labels, count)
--- a/src/corianderloft/_internal/models/reasons.py
+++ b/src/corianderloft/_internal/models/reasons.py
@@ -13,6 +13,7 @@
     TOO_LARGE = 'too_large'
     TOO_SLOW = 'too_slow'
     NO_MEMORY = 'no_memory'
+    NO_CONNECTION = 'no_connection'
     FORBIDDEN = 'forbidden'
     NOT_FOUND = 'not_found'
     WORKSPACE_LIMIT = 'workspace_limit'
--- a/src/corianderloft/_internal/network/connection_stats.py
+++ b/src/corianderloft/_internal/network/connection_stats.py
@@ -79,6 +79,8 @@
     ----------
     accepted : Counter of bool
         Accepted connections, by whether their client had gone already.
+    refused : int
+        Connections that got a refusal in place of a slot.
     times : dict of Stage to deque of float
         Times that have not been read yet, in seconds.
     loop_delays : deque of float
@@ -89,6 +91,7 @@
 
     def __init__(self) -> None:
         self.accepted: collections.Counter[bool] = collections.Counter()
+        self.refused = 0
         self.times: dict[Stage, collections.deque[float]] = {
             stage: collections.deque(maxlen=MAX_PENDING_TIMES)
             for stage in Stage
@@ -122,6 +125,16 @@
         """Record a connection that was closed for another client."""
         self._interval.closed[reason] += 1
 
+    def record_refused(self) -> None:
+        """Record a connection that got a refusal in place of a slot."""
+        self.refused += 1
+        self._interval.refused += 1
+
+    def connections_were_short(self) -> bool:
+        """Return whether clients got none in time since the last log line."""
+        interval = self._interval
+        return bool(interval.gone or interval.refused or interval.closed)
+
     def record_loop_delay(self, seconds: float) -> None:
         """Record by how much the event loop was late."""
         self.loop_delays.append(seconds)
@@ -135,6 +148,7 @@
             'queued': self.read_queued(),
             'accepted': interval.accepted,
             'gone': interval.gone,
+            'refused': interval.refused,
             'closed': dict(interval.closed),
             'loop_delay_s': round(interval.loop_delay, 3),
             **{
@@ -150,6 +164,7 @@
     def __init__(self) -> None:
         self.accepted = 0
         self.gone = 0
+        self.refused = 0
         self.loop_delay = 0.0
         self.closed: collections.Counter[str] = collections.Counter()
         self.longest = dict.fromkeys(Stage, 0.0)
--- a/src/corianderloft/_internal/network/inbound.py
+++ b/src/corianderloft/_internal/network/inbound.py
@@ -132,8 +132,8 @@
     receive_buffer : int
         Size of the kernel's receive buffer in bytes, which is enlarged for
         long bodies; 0 leaves the buffer as it is.
-    slots_are_short : callable
-        Returns whether clients wait for a connection to this port.
+    closes_after_response : callable
+        Returns whether the connection is to end with the present response.
     stats : ConnectionStats or None
         Times of the port.
 
@@ -150,7 +150,9 @@
         context: worker_context.WorkerContext,
         stream: ByteStream,
         receive_buffer: int = 0,
-        slots_are_short: collections.abc.Callable[[], bool] = lambda: False,
+        closes_after_response: collections.abc.Callable[[], bool] = (
+            lambda: False
+        ),
         stats: connection_stats.ConnectionStats | None = None,
     ) -> None:
         self._app = app
@@ -172,7 +174,7 @@
         self._resumed: trio.Event | None = None
         self._read_all = False
         self._reader_held_since: float | None = None
-        self._slots_are_short = slots_are_short
+        self._closes_after_response = closes_after_response
         self._stats = stats or connection_stats.ConnectionStats()
         self._opened_at = trio.current_time()
         self._has_read = False
@@ -315,7 +317,7 @@
             self._socket.getsockname()[:2],
             self._send,
         )
-        protocol.closes_after_response = self._slots_are_short
+        protocol.closes_after_response = self._closes_after_response
         protocol.on_response = self._record_response
         return protocol
 
--- a/src/corianderloft/_internal/network/serving.py
+++ b/src/corianderloft/_internal/network/serving.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import functools
+import itertools
 import logging
 import math
 import socket
@@ -20,11 +21,13 @@
 from corianderloft._internal.network import connection_stats
 from corianderloft._internal.network import inbound
 from corianderloft._internal.network import memory as process_memory
+from corianderloft._internal.network import pending
+from corianderloft._internal.network import pending_connections
 from corianderloft._internal.network import slots
 
 LISTEN_BACKLOG = 1024
 
-SMALL_HOST_BACKLOG = 256
+SMALL_HOST_BACKLOG = 128
 """Backlog on a host that states its memory, where it also counts what clients
 send before their connections are accepted."""
 
@@ -37,8 +40,15 @@
 """Send buffer of connections on a host that states its memory. The kernel
 doubles it. It holds what a client does not read, up to some MB by default."""
 
-SLOT_CHECK_INTERVAL_S = 0.1
-"""Interval between checks for such connections."""
+MAX_PENDING = 64
+"""Maximum number of accepted connections that wait for a slot, and of refused
+ones that are not closed yet."""
+
+MAX_ACCEPTS = 64
+"""Connections that are accepted before other tasks run."""
+
+PENDING_CHECK_INTERVAL_S = 0.05
+"""Interval between checks for what clients of such connections have done."""
 
 ABANDONED_CHECK_INTERVAL_S = 1.0
 """Interval between checks for requests whose clients have gone."""
@@ -64,7 +74,7 @@
     Attributes
     ----------
     max_connections : int
-        Concurrent connections; further ones wait in the listen backlog.
+        Concurrent connections; further ones wait for others to end.
     max_header_bytes : int
         Maximum size of the request line and headers.
     idle_time : float
@@ -138,6 +148,11 @@
         Byte budget of the process; None counts the bytes of this port only.
     port_name : str
         Name of the port in metrics and log lines.
+    max_wait : float
+        Time after which a request that gets no slot is refused, in seconds.
+    build_refusal : callable or None
+        Returns the response to a request that gets no slot. Without one, and
+        with TLS, requests wait until their clients give up.
     """
 
     def __init__(
@@ -148,6 +163,8 @@
         tls: ssl.SSLContext | None = None,
         memory: process_memory.Memory | None = None,
         port_name: str = 'callers',
+        max_wait: float = pending.MAX_WAIT_S,
+        build_refusal: collections.abc.Callable[[], bytes] | None = None,
     ) -> None:
         if memory is None:
             budget = byte_budget.ByteBudget(byte_budget.sizes(0))
@@ -158,16 +175,23 @@
         self._context = worker_context.WorkerContext(None)
         self._config = _config(limits)
         self._connections: set[inbound.Connection] = set()
-        self._logged_at = -math.inf
-        self._slots = trio.CapacityLimiter(limits.max_connections)
-        self._slots_are_short = False
-        self._were_short = False
-        self._shortage_logged_at = -math.inf
         self._port_name = port_name
+        self._logged_at = -math.inf
+        self._closed_at = -math.inf
         self._stats = connection_stats.ConnectionStats()
         self._stats.read_uses = self._count_uses
         self._stats.read_queued = self._count_queued
         connection_stats.PORTS[port_name] = self._stats
+        self._sock = sock
+        self._free = limits.max_connections
+        self._changed = trio.Event()
+        self._pending = pending_connections.PendingConnections(
+            MAX_PENDING,
+            self._stats,
+            max_wait,
+            None if tls else build_refusal,
+        )
+        self._shortage_logged_at = -math.inf
         _set_stall_timeout(sock, limits.stalled_time)
         for option, size in (
             (socket.SO_RCVBUF, limits.receive_buffer),
@@ -201,8 +225,12 @@
             with trio.CancelScope() as accepting:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._accept, connections)
+                    nursery.start_soon(self._distribute, connections)
                     nursery.start_soon(self._end_abandoned)
-                    await stop_event.wait()
+                    try:
+                        await stop_event.wait()
+                    finally:
+                        self._pending.refuse_all(trio.current_time())
                     accepting.cancel()
             await self._listener.aclose()
             await self._context.terminated.set()
@@ -211,22 +239,76 @@
             )
 
     async def _accept(self, connections: trio.Nursery) -> typing.NoReturn:
+        """Accept connections all the time, whether or not slots are free."""
         while True:
-            await self._take_slot(slot := object())
             try:
                 stream = await self._listener.accept()
             except OSError:
                 # Out of file descriptors, or the peer already disconnected.
-                self._slots.release_on_behalf_of(slot)
                 await trio.sleep(0.01)
                 continue
-            except BaseException:
-                self._slots.release_on_behalf_of(slot)
-                raise
-            self._stats.record_accepted(
-                connection_stats.socket_info(stream.socket)
-            )
-            connections.start_soon(self._handle, stream, slot)
+            self._admit(stream, connections)
+            for stream in self._accept_more():
+                self._admit(stream, connections)
+
+    def _accept_more(self) -> collections.abc.Iterator[trio.SocketStream]:
+        """Accept connections without waiting, as many as wait in a queue."""
+        for _ in range(MAX_ACCEPTS):
+            try:
+                sock, _address = self._sock.accept()
+            except OSError:
+                return
+            sock.setblocking(False)
+            yield trio.SocketStream(trio.socket.from_stdlib_socket(sock))
+
+    def _admit(
+        self, stream: trio.SocketStream, connections: trio.Nursery
+    ) -> None:
+        info = connection_stats.socket_info(stream.socket)
+        self._stats.record_accepted(info)
+        if info is not None and info.peer_has_closed:
+            stream.socket.close()
+            return
+        if self._free and not len(self._pending):
+            self._start(stream, connections)
+            return
+        now = trio.current_time()
+        self._pending.add(stream, info, now)
+        if len(self._pending) > MAX_PENDING:
+            self._pending.decide(0, 0, now)
+        self._wake()
+
+    def _start(
+        self, stream: trio.SocketStream, connections: trio.Nursery
+    ) -> None:
+        self._free -= 1
+        connections.start_soon(self._handle, stream)
+
+    def _wake(self) -> None:
+        """Let connections that wait be considered again."""
+        self._changed.set()
+
+    async def _distribute(self, connections: trio.Nursery) -> typing.NoReturn:
+        """Give slots that come free to connections that wait."""
+        while True:
+            self._changed = trio.Event()
+            self._serve_pending(connections)
+            timeout = PENDING_CHECK_INTERVAL_S
+            if self._pending.is_empty():
+                timeout = math.inf
+            with trio.move_on_after(timeout):
+                await self._changed.wait()
+
+    def _serve_pending(self, connections: trio.Nursery) -> None:
+        served = self._pending.decide(
+            self._free, self._free, trio.current_time()
+        )
+        for stream in served.asking:
+            self._start(stream, connections)
+        for stream in served.silent:
+            self._start(stream, connections)
+        if served.lacking and not self._free:
+            self._close_for_others(served.lacking)
 
     async def _end_abandoned(self) -> typing.NoReturn:
         while True:
@@ -237,37 +319,27 @@
                 connection.end_if_abandoned()
             self._log_shortage()
 
-    async def _take_slot(self, slot: object) -> None:
-        """Wait for a slot; make one free if another client waits for it."""
-        with contextlib.suppress(trio.WouldBlock):
-            self._slots.acquire_on_behalf_of_nowait(slot)
-            return
-        while True:
-            await trio.lowlevel.wait_readable(self._listener.socket)
-            self._slots_are_short = self._were_short = True
-            self._close_for_another()
-            with trio.move_on_after(SLOT_CHECK_INTERVAL_S):
-                await self._slots.acquire_on_behalf_of(slot)
-                self._slots_are_short = False
-                return
-
-    def _close_for_another(self) -> None:
-        """Close the connection that is used the least."""
+    def _close_for_others(self, count: int) -> None:
+        """Close the connections that are used the least."""
         now = trio.current_time()
-        by_slot = {
-            conn.slot(): conn
-            for conn in self._connections
-            if not conn.is_closed
-        }
-        for slot in slots.closable(by_slot, now):
-            connection = by_slot[slot]
-            if slot.use is slots.Use.KEPT and connection.has_received():
-                continue
-            connection.abort()
+        if now - self._closed_at < PENDING_CHECK_INTERVAL_S:
+            return
+        self._closed_at = now
+        open_ = [c for c in self._connections if not c.is_closed]
+        # Those that are about to end leave their slots as well.
+        count -= len(self._connections) - len(open_)
+        by_slot = {conn.slot(): conn for conn in open_}
+        closable = (
+            slot
+            for slot in slots.closable(by_slot, now)
+            if slot.use is not slots.Use.KEPT
+            or not by_slot[slot].has_received()
+        )
+        for slot in itertools.islice(closable, max(0, count)):
+            by_slot[slot].abort()
             UNUSED_CLOSED[slot.use.value] += 1
             self._stats.record_closed(slot.use.value)
             self._log_closed(slot, now)
-            return
 
     def _log_closed(self, slot: slots.Slot, now: float) -> None:
         if now - self._logged_at < LOG_INTERVAL_S:
@@ -285,12 +357,10 @@
     def _log_shortage(self) -> None:
         """Log what keeps clients waiting, if connections were short."""
         now = trio.current_time()
-        if (
-            not self._were_short
-            or now - self._shortage_logged_at < LOG_INTERVAL_S
-        ):
+        if now - self._shortage_logged_at < LOG_INTERVAL_S:
+            return
+        if not self._stats.connections_were_short():
             return
-        self._were_short = self._slots_are_short
         self._shortage_logged_at = now
         logger.warning(
             'clients wait for connections',
@@ -306,7 +376,7 @@
         info = connection_stats.socket_info(self._listener.socket)
         return 0 if info is None else info.queued
 
-    async def _handle(self, stream: trio.SocketStream, slot: object) -> None:
+    async def _handle(self, stream: trio.SocketStream) -> None:
         try:
             tls_stream = await self._accept_tls(stream)
             if tls_stream is not None:
@@ -314,9 +384,10 @@
         except Exception:
             logger.exception('unexpected error on a connection')
         finally:
-            self._slots.release_on_behalf_of(slot)
             with contextlib.suppress(OSError):
                 stream.socket.close()
+            self._free += 1
+            self._wake()
 
     async def _run(self, connection: inbound.Connection) -> None:
         self._connections.add(connection)
@@ -348,7 +419,7 @@
             self._context,
             stream,
             self._limits.receive_buffer,
-            lambda: self._slots_are_short,
+            lambda: not self._free,
             self._stats,
         )
 
--- /dev/null
+++ b/tests/unit/network/test_more_clients_than_slots.py
@@ -0,0 +1,88 @@
+"""Clients beyond the slots of a server, which give up and come back."""
+
+import dataclasses
+
+import trio
+
+from corianderloft._internal.network import exchange
+from corianderloft._internal.network import serving
+from tests.lib import ports
+
+LIMITS = serving.ServerLimits(
+    max_connections=8,
+    max_header_bytes=4096,
+    idle_time=60.0,
+    stalled_time=60.0,
+)
+REQUEST = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
+REFUSAL = (
+    b'HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.2\r\n'
+    b'Content-Length: 0\r\nConnection: close\r\n\r\n'
+)
+
+
+class _App:
+    """Takes ``service_s`` for a request, also if its client leaves."""
+
+    def __init__(self, service_s):
+        self.service_s = service_s
+        self.runs = 0
+
+    async def __call__(self, scope, receive, send):
+        self.runs += 1
+        with trio.CancelScope(shield=True):
+            await trio.sleep(self.service_s)
+        await exchange.Exchange(scope, receive, send).respond(200, b'answer')
+
+
+async def _serve(nursery, app, **options):
+    port = ports.reserve()
+    sock = serving.bind('127.0.0.1', port)
+    server = serving.Server(
+        app, sock, dataclasses.replace(LIMITS), port_name='crowded', **options
+    )
+    nursery.start_soon(server.serve, trio.Event())
+    return port
+
+
+async def _ask(port):
+    """Return the response on a new connection."""
+    async with await trio.open_tcp_stream('127.0.0.1', port) as stream:
+        await stream.send_all(REQUEST)
+        return await stream.receive_some(65536)
+
+
+async def test_clients_that_gave_up_take_no_slot():
+    """Guards against slots that only reach clients that have given up.
+
+    While all slots are in use, more clients come and give up than these slots
+    serve in the time that the next client waits.
+    """
+    app = _App(0.5)
+    async with trio.open_nursery() as nursery:
+        port = await _serve(nursery, app)
+        for _ in range(LIMITS.max_connections):
+            nursery.start_soon(_ask, port)
+        await trio.sleep(0.2)
+        for _ in range(5 * LIMITS.max_connections):
+            stream = await trio.open_tcp_stream('127.0.0.1', port)
+            await stream.send_all(REQUEST)
+            await stream.aclose()
+        with trio.fail_after(1.5):
+            assert b'answer' in await _ask(port)
+        nursery.cancel_scope.cancel()
+    assert app.runs == LIMITS.max_connections + 1
+
+
+async def test_a_request_that_gets_no_slot_is_refused():
+    """Guards against clients that learn nothing before they give up."""
+    app = _App(3.0)
+    async with trio.open_nursery() as nursery:
+        port = await _serve(nursery, app, build_refusal=lambda: REFUSAL)
+        for _ in range(LIMITS.max_connections):
+            nursery.start_soon(_ask, port)
+        await trio.sleep(0.5)
+        with trio.fail_after(1.0):
+            assert await _ask(port) == REFUSAL
+        nursery.cancel_scope.cancel()
+    assert app.runs == LIMITS.max_connections
