Keep the connections of clients that stay when others come and go

Callers on a host whose connections were all in use lost kept connections all the time: while a client waited, every response ended its connection, and idle ones were closed for it one after another.

Cause: clients beyond the slots need few of them at a time, one for each request in progress, but each took a slot for as long as it stayed, and the client that lost it came back and took the next one.

Evidence: test_kept_connections_outlive_clients_that_come_and_go failed before: the first response on a kept connection ended it.

Change: a connection that is opened while less than an eighth of the slots are free carries one request.

--- a/src/corianderloft/_internal/network/serving.py
+++ b/src/corianderloft/_internal/network/serving.py
@@ -50,6 +50,11 @@
 PENDING_CHECK_INTERVAL_S = 0.05
 """Interval between checks for what clients of such connections have done."""
 
+TRANSIENT_FRACTION = 1 / 8
+"""Fraction of the slots for connections that carry one request: those opened
+while no others are free. So clients that keep theirs lose none to those that
+come and go."""
+
 ABANDONED_CHECK_INTERVAL_S = 1.0
 """Interval between checks for requests whose clients have gone."""
 
@@ -184,6 +189,7 @@
         connection_stats.PORTS[port_name] = self._stats
         self._sock = sock
         self._free = limits.max_connections
+        self._reserve = max(1, int(self._free * TRANSIENT_FRACTION))
         self._changed = trio.Event()
         self._pending = pending_connections.PendingConnections(
             MAX_PENDING,
@@ -282,7 +288,8 @@
         self, stream: trio.SocketStream, connections: trio.Nursery
     ) -> None:
         self._free -= 1
-        connections.start_soon(self._handle, stream)
+        keeps = self._free >= self._reserve
+        connections.start_soon(self._handle, stream, keeps)
 
     def _wake(self) -> None:
         """Let connections that wait be considered again."""
@@ -376,11 +383,11 @@
         info = connection_stats.socket_info(self._listener.socket)
         return 0 if info is None else info.queued
 
-    async def _handle(self, stream: trio.SocketStream) -> None:
+    async def _handle(self, stream: trio.SocketStream, keeps: bool) -> None:
         try:
             tls_stream = await self._accept_tls(stream)
             if tls_stream is not None:
-                await self._run(self._connection(tls_stream))
+                await self._run(self._connection(tls_stream, keeps))
         except Exception:
             logger.exception('unexpected error on a connection')
         finally:
@@ -412,14 +419,16 @@
             return tls_stream
         return None
 
-    def _connection(self, stream: inbound.ByteStream) -> inbound.Connection:
+    def _connection(
+        self, stream: inbound.ByteStream, keeps: bool
+    ) -> inbound.Connection:
         return inbound.Connection(
             typing.cast(hypercorn_typing.AppWrapper, self._app),
             self._config,
             self._context,
             stream,
             self._limits.receive_buffer,
-            lambda: not self._free,
+            lambda: not keeps and self._free < self._reserve,
             self._stats,
         )
 
--- a/tests/unit/network/test_more_clients_than_slots.py
+++ b/tests/unit/network/test_more_clients_than_slots.py
@@ -1,6 +1,7 @@
 """Clients beyond the slots of a server, which give up and come back."""
 
 import dataclasses
+import itertools
 
 import trio
 
@@ -86,3 +87,28 @@
             assert await _ask(port) == REFUSAL
         nursery.cancel_scope.cancel()
     assert app.runs == LIMITS.max_connections
+
+
+async def test_kept_connections_outlive_clients_that_come_and_go():
+    """Guards against sound clients that lose a kept connection for others."""
+    answers = []
+
+    async def come_and_go():
+        while True:
+            answers.append(await _ask(port))
+
+    async with trio.open_nursery() as nursery:
+        port = await _serve(nursery, _App(0.0))
+        kept = [
+            await trio.open_tcp_stream('127.0.0.1', port)
+            for _ in range(LIMITS.max_connections - 1)
+        ]
+        for _ in range(2 * LIMITS.max_connections):
+            nursery.start_soon(come_and_go)
+        for stream in itertools.chain.from_iterable([kept] * 3):
+            await stream.send_all(REQUEST)
+            answer = await stream.receive_some(65536)
+            assert b'answer' in answer and b'close' not in answer
+            await trio.sleep(0.1)
+        nursery.cancel_scope.cancel()
+    assert answers and all(b'answer' in answer for answer in answers)
