Begin no more new connections than a slow process can answer

Callers got no answer in time from a host that was short of processor time, also where it had connections left, and the requests on kept connections were late with them.

Cause: every new connection was begun as soon as it had a slot. A request takes some 25 steps of the event loop, and each step handles all connections that were begun, so with more of them than the processor serves all are late: work was done for clients that had given up, and these came back.

Change: connections whose request has arrived and has not been passed to the application are limited, by additive increase and multiplicative decrease of the time that this takes, which depends on the event loop alone. The others wait in the queue, where they are refused in time. The ports for callers and addresses share the limit; readiness checks and other hosts have their own.

--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -40,6 +40,7 @@
 from corianderloft._internal.network import pending
 from corianderloft._internal.network import pending_connections
 from corianderloft._internal.network import serving
+from corianderloft._internal.network import start_limit
 from corianderloft._internal.placement import budget
 from corianderloft._internal.placement import placer
 from corianderloft._internal.utils import supervision
@@ -350,8 +351,10 @@
             cfg.bounds.max_address_ttl,
             self._decode_domain,
         )
+        # Readiness checks and other hosts do not wait for callers.
+        starts = start_limit.StartLimit()
         caller_server = self._server(
-            self._app, cfg.caller_port, limits, 'callers'
+            self._app, cfg.caller_port, limits, 'callers', starts=starts
         )
         peer_endpoints = auxiliary_apps.PeerEndpoints(self._follower.log)
         self._view.add_listener(_CallerLimitsUpdater(caller_server))
@@ -368,6 +371,7 @@
                 cfg.address_port,
                 public_limits,
                 'addresses',
+                starts,
             ),
             *(
                 self._auxiliary_server(
@@ -383,6 +387,7 @@
         port: int,
         limits: serving.ServerLimits,
         port_name: str,
+        starts: start_limit.StartLimit | None = None,
     ) -> serving.Server:
         return self._server(
             auxiliary_apps.HandlerApp(handler),
@@ -390,6 +395,7 @@
             limits,
             port_name,
             AUXILIARY_MAX_WAIT_S,
+            starts,
         )
 
     def _server(
@@ -399,6 +405,7 @@
         limits: serving.ServerLimits,
         port_name: str,
         max_wait: float = pending.MAX_WAIT_S,
+        starts: start_limit.StartLimit | None = None,
     ) -> serving.Server:
         sock = serving.bind(self._cfg.address, port)
         return serving.Server(
@@ -407,6 +414,7 @@
             limits,
             memory=self._memory,
             port_name=port_name,
+            starts=starts,
             max_wait=max_wait,
             build_refusal=functools.partial(
                 _refuse_connection, random.Random()
--- a/src/corianderloft/_internal/network/connection_stats.py
+++ b/src/corianderloft/_internal/network/connection_stats.py
@@ -19,9 +19,9 @@
 CLOSED_STATES = (7, 8)
 """TCP_CLOSE and TCP_CLOSE_WAIT of the kernel's tcp_states.h."""
 
-_INFO = struct.Struct('=B23xII20xI')
-"""``state``, ``unacked``, ``sacked`` and ``last_data_recv`` of the kernel's
-``struct tcp_info``."""
+_INFO = struct.Struct('=B23xI24xI72xQ')
+"""``state``, ``unacked``, ``last_data_recv`` and ``bytes_received`` of the
+kernel's ``struct tcp_info``."""
 
 
 class Stage(enum.Enum):
@@ -48,11 +48,14 @@
     idle_s : float
         Time since the last bytes arrived, or since the connection was opened
         if there were none, in seconds.
+    has_received : bool
+        Whether any bytes have arrived.
     """
 
     peer_has_closed: bool
     queued: int
     idle_s: float
+    has_received: bool
 
 
 class HasOptions(typing.Protocol):
@@ -66,10 +69,12 @@
     """Return what the kernel tells of a socket; None if it tells nothing."""
     try:
         raw = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _INFO.size)
-        state, queued, _, idle_ms = _INFO.unpack(raw)
+        state, queued, idle_ms, received = _INFO.unpack(raw)
     except (OSError, struct.error):
         return None
-    return SocketInfo(state in CLOSED_STATES, queued, idle_ms / 1000)
+    return SocketInfo(
+        state in CLOSED_STATES, queued, idle_ms / 1000, received > 0
+    )
 
 
 class ConnectionStats:
--- a/src/corianderloft/_internal/network/inbound.py
+++ b/src/corianderloft/_internal/network/inbound.py
@@ -136,6 +136,9 @@
         Returns whether the connection is to end with the present response.
     stats : ConnectionStats or None
         Times of the port.
+    on_begun : callable
+        Called when a request is passed to the application, or when bytes that
+        are none have been read.
 
     Attributes
     ----------
@@ -154,6 +157,7 @@
             lambda: False
         ),
         stats: connection_stats.ConnectionStats | None = None,
+        on_begun: collections.abc.Callable[[], None] = lambda: None,
     ) -> None:
         self._app = app
         self._config = config
@@ -177,6 +181,7 @@
         self._closes_after_response = closes_after_response
         self._stats = stats or connection_stats.ConnectionStats()
         self._opened_at = trio.current_time()
+        self.on_begun = on_begun
         self._has_read = False
         self._has_answered = False
         self._use = slots.Use.UNUSED
@@ -390,6 +395,7 @@
                     with trio.CancelScope() as self._handling:
                         await self._protocol.handle(events.RawData(data))
                     self._reader_held_since = None
+                    self.on_begun()
                 if not data:
                     break
         self._read_all = True
--- a/src/corianderloft/_internal/network/pending_connections.py
+++ b/src/corianderloft/_internal/network/pending_connections.py
@@ -184,6 +184,8 @@
         # Closing it with unread bytes would reset the connection, and the
         # client would lose the response.
         self._refused.append((now + LINGER_S, stream))
+        if len(self._refused) > self._room:
+            self._close_refused(now)
         if len(self._refused) > self._room:
             self._refused.popleft()[1].socket.close()
 
--- a/src/corianderloft/_internal/network/serving.py
+++ b/src/corianderloft/_internal/network/serving.py
@@ -24,6 +24,7 @@
 from corianderloft._internal.network import pending
 from corianderloft._internal.network import pending_connections
 from corianderloft._internal.network import slots
+from corianderloft._internal.network import start_limit
 
 LISTEN_BACKLOG = 1024
 
@@ -153,6 +154,9 @@
         Byte budget of the process; None counts the bytes of this port only.
     port_name : str
         Name of the port in metrics and log lines.
+    starts : StartLimit or None
+        Limit of the process on connections that it begins to serve at once;
+        None limits those of this port only.
     max_wait : float
         Time after which a request that gets no slot is refused, in seconds.
     build_refusal : callable or None
@@ -168,6 +172,7 @@
         tls: ssl.SSLContext | None = None,
         memory: process_memory.Memory | None = None,
         port_name: str = 'callers',
+        starts: start_limit.StartLimit | None = None,
         max_wait: float = pending.MAX_WAIT_S,
         build_refusal: collections.abc.Callable[[], bytes] | None = None,
     ) -> None:
@@ -189,6 +194,7 @@
         connection_stats.PORTS[port_name] = self._stats
         self._sock = sock
         self._free = limits.max_connections
+        self._starts = starts or start_limit.StartLimit()
         self._reserve = max(1, int(self._free * TRANSIENT_FRACTION))
         self._changed = trio.Event()
         self._pending = pending_connections.PendingConnections(
@@ -275,28 +281,42 @@
         if info is not None and info.peer_has_closed:
             stream.socket.close()
             return
-        if self._free and not len(self._pending):
-            self._start(stream, connections)
-            return
         now = trio.current_time()
+        asks = info is not None and info.has_received
+        is_calm = self._starts.is_relaxed() and not len(self._pending)
+        if (
+            self._free
+            and is_calm
+            and (asks or self._starts.try_begin_silent(now))
+        ):
+            self._start(stream, connections, is_limited=asks)
+            return
         self._pending.add(stream, info, now)
         if len(self._pending) > MAX_PENDING:
             self._pending.decide(0, 0, now)
         self._wake()
 
     def _start(
-        self, stream: trio.SocketStream, connections: trio.Nursery
+        self,
+        stream: trio.SocketStream,
+        connections: trio.Nursery,
+        is_limited: bool = False,
     ) -> None:
         self._free -= 1
         keeps = self._free >= self._reserve
-        connections.start_soon(self._handle, stream, keeps)
+        started = _Start(self._starts if is_limited else None, self._wake)
+        connections.start_soon(self._handle, stream, keeps, started)
 
     def _wake(self) -> None:
         """Let connections that wait be considered again."""
         self._changed.set()
 
     async def _distribute(self, connections: trio.Nursery) -> typing.NoReturn:
-        """Give slots that come free to connections that wait."""
+        """Give slots to connections that wait, after the work at hand.
+
+        A process that is short of processor time would otherwise begin more
+        requests than it answers before their clients give up.
+        """
         while True:
             self._changed = trio.Event()
             self._serve_pending(connections)
@@ -308,10 +328,10 @@
 
     def _serve_pending(self, connections: trio.Nursery) -> None:
         served = self._pending.decide(
-            self._free, self._free, trio.current_time()
+            self._free, self._starts.free(), trio.current_time()
         )
         for stream in served.asking:
-            self._start(stream, connections)
+            self._start(stream, connections, is_limited=True)
         for stream in served.silent:
             self._start(stream, connections)
         if served.lacking and not self._free:
@@ -383,16 +403,22 @@
         info = connection_stats.socket_info(self._listener.socket)
         return 0 if info is None else info.queued
 
-    async def _handle(self, stream: trio.SocketStream, keeps: bool) -> None:
+    async def _handle(
+        self, stream: trio.SocketStream, keeps: bool, started: '_Start'
+    ) -> None:
         try:
+            if self._tls is not None:
+                # From here on it depends on the client.
+                started.end()
             tls_stream = await self._accept_tls(stream)
             if tls_stream is not None:
-                await self._run(self._connection(tls_stream, keeps))
+                await self._run(self._connection(tls_stream, keeps, started))
         except Exception:
             logger.exception('unexpected error on a connection')
         finally:
             with contextlib.suppress(OSError):
                 stream.socket.close()
+            started.end()
             self._free += 1
             self._wake()
 
@@ -420,7 +446,7 @@
         return None
 
     def _connection(
-        self, stream: inbound.ByteStream, keeps: bool
+        self, stream: inbound.ByteStream, keeps: bool, started: '_Start'
     ) -> inbound.Connection:
         return inbound.Connection(
             typing.cast(hypercorn_typing.AppWrapper, self._app),
@@ -430,9 +456,32 @@
             self._limits.receive_buffer,
             lambda: not keeps and self._free < self._reserve,
             self._stats,
+            started.end,
         )
 
 
+class _Start:
+    """The start of one connection, if it counts for the limit."""
+
+    def __init__(
+        self,
+        limit: start_limit.StartLimit | None,
+        on_end: collections.abc.Callable[[], None],
+    ) -> None:
+        self._limit = limit
+        self._on_end = on_end
+        self._began = trio.current_time()
+        if limit is not None:
+            limit.begin()
+
+    def end(self) -> None:
+        """Record that the connection is begun, or has ended."""
+        limit, self._limit = self._limit, None
+        if limit is not None:
+            limit.end(self._began, trio.current_time())
+            self._on_end()
+
+
 def _config(limits: ServerLimits) -> hypercorn_config.Config:
     config = hypercorn_config.Config()
     config.h11_max_incomplete_size = limits.max_header_bytes
@@ -468,6 +517,7 @@
     *_threads: typing.Any,
 ) -> None:
     connection: inbound.Connection = scope['state'][inbound.CONNECTION_STATE]
+    connection.on_begun()
     try:
         with memory.account(connection.abort) as connection.memory:
             await app(scope, receive, send)
--- a/tests/unit/network/test_more_clients_than_slots.py
+++ b/tests/unit/network/test_more_clients_than_slots.py
@@ -1,7 +1,10 @@
 """Clients beyond the slots of a server, which give up and come back."""
 
+import contextlib
 import dataclasses
 import itertools
+import threading
+import time
 
 import trio
 
@@ -105,10 +108,66 @@
         ]
         for _ in range(2 * LIMITS.max_connections):
             nursery.start_soon(come_and_go)
-        for stream in itertools.chain.from_iterable([kept] * 3):
+        for stream in itertools.chain.from_iterable([kept] * 20):
             await stream.send_all(REQUEST)
             answer = await stream.receive_some(65536)
             assert b'answer' in answer and b'close' not in answer
-            await trio.sleep(0.1)
         nursery.cancel_scope.cancel()
     assert answers and all(b'answer' in answer for answer in answers)
+
+
+SERVICE_S = 0.02
+PATIENCE_S = 0.5
+PLAYED_S = 6.0
+
+
+class _BusyApp:
+    """Keeps the event loop busy for each request, as a slow processor does."""
+
+    async def __call__(self, scope, receive, send):
+        http = exchange.Exchange(scope, receive, send)
+        time.sleep(SERVICE_S)
+        if not http.caller_has_left():
+            await http.respond(200, b'answer')
+
+
+async def _serve_slowly(sock):
+    limits = dataclasses.replace(LIMITS, max_connections=1000)
+    server = serving.Server(
+        _BusyApp(),
+        sock,
+        limits,
+        port_name='slow',
+        build_refusal=lambda: REFUSAL,
+    )
+    with trio.move_on_after(PLAYED_S + 1.0):
+        await server.serve(trio.Event())
+
+
+async def test_a_slow_process_answers_as_many_as_it_can():
+    """Guards against a process that begins more than it answers in time.
+
+    200 clients come at once and give up after a time in which it serves 25.
+    """
+    sock = serving.bind('127.0.0.1', ports.reserve())
+    port = sock.getsockname()[1]
+    answers = []
+
+    async def come_back():
+        while True:
+            with trio.move_on_after(PATIENCE_S):
+                with contextlib.suppress(OSError, trio.BrokenResourceError):
+                    answers.append(await _ask(port))
+            await trio.sleep(0.3)
+
+    thread = threading.Thread(target=trio.run, args=(_serve_slowly, sock))
+    thread.start()
+    try:
+        with trio.move_on_after(PLAYED_S):
+            async with trio.open_nursery() as nursery:
+                for _ in range(200):
+                    nursery.start_soon(come_back)
+    finally:
+        await trio.to_thread.run_sync(thread.join)
+    served = [answer for answer in answers if b'answer' in answer]
+    assert len(served) >= 0.25 * PLAYED_S / SERVICE_S
