Count the wait of a request from its arrival, not from its connection

A client that opened a connection and asked later, while no connection was free, was refused at once: the time before its request counted as waiting. Requests that wait when the server ends are refused, and connections without one closed.

Evidence: test_a_client_that_asks_late_has_time_to_wait failed before (503 after 0.7 s of silence).

Change: the wait begins as the first bytes arrive, by the kernel's count for those that were there at the accept.

--- a/src/corianderloft/_internal/network/pending_connections.py
+++ b/src/corianderloft/_internal/network/pending_connections.py
@@ -107,8 +107,11 @@
     ) -> None:
         """Add a connection that was accepted just now."""
         fileno = stream.socket.fileno()
-        since = now if info is None else now - info.idle_s
-        self._waiting[fileno] = _Waiting(stream, pending.State.SILENT, since)
+        self._waiting[fileno] = _Waiting(stream, pending.State.SILENT, now)
+        if info is not None and info.has_received:
+            self._waiting[fileno] = _Waiting(
+                stream, pending.State.ASKING, now - info.idle_s
+            )
         self._poll.register(fileno, select.POLLIN | _HAS_CLOSED)
 
     def decide(self, free: int, starts: int, now: float) -> Served:
@@ -124,7 +127,7 @@
             Present time in seconds.
         """
         self._close_refused(now)
-        self._update_states()
+        self._update_states(now)
         by_choice = {
             pending.Pending(w.state, w.since): w
             for w in self._waiting.values()
@@ -151,18 +154,25 @@
 
     def refuse_all(self, now: float) -> None:
         """Refuse all requests that wait; to be called when the server ends."""
+        self._update_states(now)
         for waiting in tuple(self._waiting.values()):
-            self._refuse(self._remove(waiting), now)
+            stream = self._remove(waiting)
+            if waiting.state is pending.State.ASKING:
+                self._refuse(stream, now)
+            else:
+                stream.socket.close()
+        self._close_refused(now)
         while self._refused:
             self._refused.popleft()[1].socket.close()
 
-    def _update_states(self) -> None:
+    def _update_states(self, now: float) -> None:
         for fileno, events in self._poll.poll(0):
             waiting = self._waiting[fileno]
             if events & _HAS_CLOSED:
                 waiting.state = pending.State.GONE
             elif waiting.state is pending.State.SILENT:
                 waiting.state = pending.State.ASKING
+                waiting.since = now
 
     def _remove(self, waiting: _Waiting) -> trio.SocketStream:
         fileno = waiting.stream.socket.fileno()
--- a/src/corianderloft/_internal/network/serving.py
+++ b/src/corianderloft/_internal/network/serving.py
@@ -25,6 +25,7 @@
 from corianderloft._internal.network import pending_connections
 from corianderloft._internal.network import slots
 from corianderloft._internal.network import start_limit
+from corianderloft._internal.network import streams
 
 LISTEN_BACKLOG = 1024
 
@@ -204,7 +205,7 @@
             None if tls else build_refusal,
         )
         self._shortage_logged_at = -math.inf
-        _set_stall_timeout(sock, limits.stalled_time)
+        streams.set_stall_timeout(sock, limits.stalled_time)
         for option, size in (
             (socket.SO_RCVBUF, limits.receive_buffer),
             (socket.SO_SNDBUF, limits.send_buffer),
@@ -304,7 +305,8 @@
     ) -> None:
         self._free -= 1
         keeps = self._free >= self._reserve
-        started = _Start(self._starts if is_limited else None, self._wake)
+        limit = self._starts if is_limited else None
+        started = start_limit.Start(limit, trio.current_time, self._wake)
         connections.start_soon(self._handle, stream, keeps, started)
 
     def _wake(self) -> None:
@@ -404,7 +406,10 @@
         return 0 if info is None else info.queued
 
     async def _handle(
-        self, stream: trio.SocketStream, keeps: bool, started: '_Start'
+        self,
+        stream: trio.SocketStream,
+        keeps: bool,
+        started: start_limit.Start,
     ) -> None:
         try:
             if self._tls is not None:
@@ -446,7 +451,10 @@
         return None
 
     def _connection(
-        self, stream: inbound.ByteStream, keeps: bool, started: '_Start'
+        self,
+        stream: inbound.ByteStream,
+        keeps: bool,
+        started: start_limit.Start,
     ) -> inbound.Connection:
         return inbound.Connection(
             typing.cast(hypercorn_typing.AppWrapper, self._app),
@@ -460,28 +468,6 @@
         )
 
 
-class _Start:
-    """The start of one connection, if it counts for the limit."""
-
-    def __init__(
-        self,
-        limit: start_limit.StartLimit | None,
-        on_end: collections.abc.Callable[[], None],
-    ) -> None:
-        self._limit = limit
-        self._on_end = on_end
-        self._began = trio.current_time()
-        if limit is not None:
-            limit.begin()
-
-    def end(self) -> None:
-        """Record that the connection is begun, or has ended."""
-        limit, self._limit = self._limit, None
-        if limit is not None:
-            limit.end(self._began, trio.current_time())
-            self._on_end()
-
-
 def _config(limits: ServerLimits) -> hypercorn_config.Config:
     config = hypercorn_config.Config()
     config.h11_max_incomplete_size = limits.max_header_bytes
@@ -492,18 +478,6 @@
     return config
 
 
-def _set_stall_timeout(sock: socket.socket, stalled_time: float) -> None:
-    """Make the kernel close connections whose peer stops responding."""
-    timeout_ms = int(stalled_time * 1000)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
-    interval = max(1, int(stalled_time / 4))
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, interval)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, interval)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-
-
 def _wrap(app: App, memory: process_memory.Memory) -> App:
     return functools.partial(_call, app, memory)
 
--- a/src/corianderloft/_internal/network/start_limit.py
+++ b/src/corianderloft/_internal/network/start_limit.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import collections.abc
 
 MAX_LIMIT = 16
 """Largest number of starts in progress."""
@@ -83,4 +84,38 @@
             self._decreased_at = now
 
 
-__all__ = ['StartLimit']
+class Start:
+    """The start of one connection.
+
+    Parameters
+    ----------
+    limit : StartLimit or None
+        Limit that it counts for, if any.
+    clock : callable
+        Returns the present time in seconds.
+    on_end : callable
+        Called when another connection may start.
+    """
+
+    def __init__(
+        self,
+        limit: StartLimit | None,
+        clock: collections.abc.Callable[[], float],
+        on_end: collections.abc.Callable[[], None],
+    ) -> None:
+        self._limit = limit
+        self._clock = clock
+        self._on_end = on_end
+        self._began = clock()
+        if limit is not None:
+            limit.begin()
+
+    def end(self) -> None:
+        """Record that the connection is begun, or has ended."""
+        limit, self._limit = self._limit, None
+        if limit is not None:
+            limit.end(self._began, self._clock())
+            self._on_end()
+
+
+__all__ = ['Start', 'StartLimit']
--- a/src/corianderloft/_internal/network/streams.py
+++ b/src/corianderloft/_internal/network/streams.py
@@ -317,6 +317,18 @@
     return state in connection_stats.CLOSED_STATES if state else None
 
 
+def set_stall_timeout(sock: socket.socket, stalled_time: float) -> None:
+    """Make the kernel close connections whose peer stops responding."""
+    timeout_ms = int(stalled_time * 1000)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+    interval = max(1, int(stalled_time / 4))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, interval)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, interval)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
 def write_now(fileno: int, data: bytes) -> int:
     """Write as much as a non-blocking socket accepts immediately.
 
--- a/tests/unit/network/test_more_clients_than_slots.py
+++ b/tests/unit/network/test_more_clients_than_slots.py
@@ -92,6 +92,21 @@
     assert app.runs == LIMITS.max_connections
 
 
+async def test_a_client_that_asks_late_has_time_to_wait():
+    """Guards against a refusal that counts the time before the request."""
+    app = _App(1.0)
+    async with trio.open_nursery() as nursery:
+        port = await _serve(nursery, app, build_refusal=lambda: REFUSAL)
+        for _ in range(LIMITS.max_connections):
+            nursery.start_soon(_ask, port)
+        await trio.sleep(0.2)
+        async with await trio.open_tcp_stream('127.0.0.1', port) as stream:
+            await trio.sleep(0.7)
+            await stream.send_all(REQUEST)
+            assert b'answer' in await stream.receive_some(65536)
+        nursery.cancel_scope.cancel()
+
+
 async def test_kept_connections_outlive_clients_that_come_and_go():
     """Guards against sound clients that lose a kept connection for others."""
     answers = []
