Let few connections to the other ports wait for a slot

Connections that wait take descriptors: on a host with 1,000 of them, crowds on the ports for callers, readiness and addresses at once could have taken those that are reserved for backend servers. Sixteen wait on each of these ports now, where requests are short. A test states that connections without a slot are no more than the backlog was counted for.

--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -68,6 +68,10 @@
 """The same for ports that clients reach on a host that states its memory.
 Requests there are short, and clients that wait share the connections."""
 
+AUXILIARY_MAX_PENDING = 16
+"""Accepted connections to such a port that wait for others to end. They take
+descriptors from those that are reserved."""
+
 AUXILIARY_MAX_WAIT_S = 0.7
 """Time that a request to such a port waits for a connection. Clients wait a
 second for an answer there, whatever time their requests have."""
@@ -337,6 +341,7 @@
             limits,
             max_connections=AUXILIARY_CONNECTIONS,
             max_header_bytes=MAX_AUXILIARY_HEADER_BYTES,
+            max_pending=AUXILIARY_MAX_PENDING,
         )
         public_limits = auxiliary_limits
         if cfg.memory_bytes:
--- a/src/corianderloft/_internal/network/serving.py
+++ b/src/corianderloft/_internal/network/serving.py
@@ -94,6 +94,9 @@
         it as it is.
     send_buffer : int
         The same for the send buffer.
+    max_pending : int
+        Accepted connections that wait for a slot, and refused ones that are
+        not closed yet.
     """
 
     max_connections: int
@@ -102,6 +105,7 @@
     stalled_time: float
     receive_buffer: int = 0
     send_buffer: int = 0
+    max_pending: int = MAX_PENDING
 
 
 def small_buffers(limits: ServerLimits, memory: int) -> ServerLimits:
@@ -199,7 +203,7 @@
         self._reserve = max(1, int(self._free * TRANSIENT_FRACTION))
         self._changed = trio.Event()
         self._pending = pending_connections.PendingConnections(
-            MAX_PENDING,
+            limits.max_pending,
             self._stats,
             max_wait,
             None if tls else build_refusal,
@@ -293,7 +297,7 @@
             self._start(stream, connections, is_limited=asks)
             return
         self._pending.add(stream, info, now)
-        if len(self._pending) > MAX_PENDING:
+        if len(self._pending) > self._limits.max_pending:
             self._pending.decide(0, 0, now)
         self._wake()
 
--- a/tests/unit/network/test_byte_budget.py
+++ b/tests/unit/network/test_byte_budget.py
@@ -6,6 +6,7 @@
 import pytest
 
 from corianderloft._internal.network import byte_budget
+from corianderloft._internal.network import serving
 
 BODIES = byte_budget.Part.BODIES
 RESPONSES = byte_budget.Part.RESPONSES
@@ -155,6 +156,12 @@
         assert (process_mb, memory_mb) in ((72, 128),)
 
 
+def test_connections_without_a_slot_hold_what_the_backlog_is_counted_for():
+    """Guards against connections that wait beside those that are counted."""
+    waiting = serving.SMALL_HOST_BACKLOG + 2 * serving.MAX_PENDING
+    assert waiting <= 256
+
+
 def test_connections_are_not_limited_if_the_memory_is_unknown():
     """Guards against a change where the settings state no memory."""
     assert byte_budget.sizes(0).connections > 10**6
