Do not let operators wait for callers of the project's own interface

The ports for callers and for operators of `serve` shared the limit on new connections that are begun at once, so operators were refused with callers on a process short of processor time. Found by reading; no run has shown it. Each port of `serve` has its own limit, as the ports for readiness and other hosts of the gateway have.

--- a/src/corianderloft/_internal/entry/host.py
+++ b/src/corianderloft/_internal/entry/host.py
@@ -20,7 +20,6 @@
 from corianderloft._internal.metrics import budget
 from corianderloft._internal.metrics import queues
 from corianderloft._internal.network import serving
-from corianderloft._internal.network import start_limit
 from corianderloft._internal.network import tls
 from corianderloft._internal.settings import callers
 from corianderloft._internal.settings import operators
@@ -161,7 +160,6 @@
     operator_limits = dataclasses.replace(
         limits, max_connections=operator_cfg.max_connections
     )
-    starts = start_limit.StartLimit()
     return (
         serving.Server(
             callers_app.CallersApp(components, drain_controller),
@@ -169,7 +167,6 @@
             limits,
             _tls(cfg, nursery),
             components.memory,
-            starts=starts,
             build_refusal=refusals.refuse_connection,
         ),
         serving.Server(
@@ -179,7 +176,6 @@
             _tls(operator_cfg, nursery),
             components.memory,
             'operators',
-            starts,
             build_refusal=refusals.refuse_connection,
         ),
     )
