Do not log a shortage for probes that connect and leave

A client that only opens and closes a connection, as simple health checks do, was logged as one that waits for connections, once in 5 s.

test_probes_that_connect_and_leave_are_no_shortage failed before. Clients that have gone count as a shortage only if a connection has waited for 0.1 s.

--- a/src/corianderloft/_internal/network/connection_stats.py
+++ b/src/corianderloft/_internal/network/connection_stats.py
@@ -16,6 +16,10 @@
 """Times of each kind kept until the metrics are read; the oldest ones are
 dropped on a host whose metrics nobody reads."""
 
+LONG_WAIT_S = 0.1
+"""Time before the accept after which clients that have gone are taken to have
+given up; probes that connect and leave have not."""
+
 CLOSED_STATES = (7, 8)
 """TCP_CLOSE and TCP_CLOSE_WAIT of the kernel's tcp_states.h."""
 
@@ -138,7 +142,12 @@
     def connections_were_short(self) -> bool:
         """Return whether clients got none in time since the last log line."""
         interval = self._interval
-        return bool(interval.gone or interval.refused or interval.closed)
+        has_waited = interval.longest[Stage.ACCEPT] > LONG_WAIT_S
+        return bool(
+            interval.refused
+            or interval.closed
+            or (interval.gone and has_waited)
+        )
 
     def record_loop_delay(self, seconds: float) -> None:
         """Record by how much the event loop was late."""
--- a/tests/unit/network/test_connection_stats.py
+++ b/tests/unit/network/test_connection_stats.py
@@ -55,3 +55,13 @@
         'corianderloft_connections_accepted_total'
         '{client="gone",port="counted"} 1' in body
     )
+
+
+def test_probes_that_connect_and_leave_are_no_shortage():
+    """Guards against log lines on hosts with a check that only connects."""
+    stats = connection_stats.ConnectionStats()
+    for idle_s, is_short in ((0.001, False), (0.5, True)):
+        stats.record_accepted(
+            connection_stats.SocketInfo(True, 0, idle_s, False)
+        )
+        assert stats.connections_were_short() is is_short
