Refuse no request for a want of processor time while there are connections

Cause: the time after which a request without a slot is refused also held for those that only wait for their turn to be begun.

Change: while slots are free a request waits until its client leaves or the queue is full, which is longer on hosts that do not state their memory.

--- a/src/corianderloft/_internal/network/pending.py
+++ b/src/corianderloft/_internal/network/pending.py
@@ -11,11 +11,12 @@
 import collections.abc
 import dataclasses
 import enum
+import itertools
 
 MAX_WAIT_S = 0.3
-"""Time after which a request that waits is refused. Clients give up an attempt
-that is not answered in a third of the time that they have, a second at most;
-the rest is for the answer."""
+"""Time after which a request that waits for a slot is refused. Clients give up
+an attempt that is not answered in a third of the time that they have, a second
+at most; the rest is for the answer."""
 
 CLOSE_AFTER_S = 0.1
 """Time that a request waits for a slot to come free by itself before another
@@ -91,7 +92,8 @@
     A slot goes to a connection only once its request arrives, to the oldest
     and to the newest request in turn. The client of the newest one will wait
     the longest for its answer; the oldest one has its turn also if others
-    come back at once.
+    come back at once. Requests that have waited for `MAX_WAIT_S` come last, as
+    many of their clients are about to give up.
 
     Parameters
     ----------
@@ -113,11 +115,10 @@
     by_state: dict[State, list[Pending]] = {state: [] for state in State}
     for connection in sorted(pending, key=lambda p: p.since):
         by_state[connection.state].append(connection)
-    asking = collections.deque(by_state[State.ASKING])
-    serve: list[Pending] = []
-    while asking and len(serve) < min(free, starts):
-        takes_newest = newest_first == (len(serve) % 2 == 0)
-        serve.append(asking.pop() if takes_newest else asking.popleft())
+    asking = by_state[State.ASKING]
+    order = _order(asking, newest_first, now)
+    serve = list(itertools.islice(order, min(free, starts)))
+    asking = [p for p in asking if p not in serve]
     waiting = [p for p in asking if now - p.since <= max_wait]
     waiting = waiting[max(0, len(waiting) - room) :]
     silent = by_state[State.SILENT]
@@ -138,4 +139,19 @@
     )
 
 
+def _order(
+    asking: collections.abc.Iterable[Pending], newest_first: bool, now: float
+) -> collections.abc.Iterator[Pending]:
+    """Yield requests, sorted by age, in the order in which they are served."""
+    late: list[Pending] = []
+    fresh: collections.deque[Pending] = collections.deque()
+    for connection in asking:
+        is_late = now - connection.since > MAX_WAIT_S
+        (late if is_late else fresh).append(connection)
+    while fresh:
+        yield fresh.pop() if newest_first else fresh.popleft()
+        newest_first = not newest_first
+    yield from late
+
+
 __all__ = ['Decision', 'Pending', 'State', 'decide']
--- a/src/corianderloft/_internal/network/pending_connections.py
+++ b/src/corianderloft/_internal/network/pending_connections.py
@@ -67,7 +67,8 @@
     stats : ConnectionStats
         Counts of the port.
     max_wait : float
-        Time after which a request that waits is refused, in seconds.
+        Time after which a request that waits for a slot is refused, in
+        seconds.
     build_refusal : callable or None
         Returns the response to a request that gets no slot. Without one,
         requests wait until their clients give up, or the room is exceeded.
@@ -132,6 +133,9 @@
             pending.Pending(w.state, w.since): w
             for w in self._waiting.values()
         }
+        # While only processor time is short the queue moves on, and clients
+        # that have time for it get their answers.
+        max_wait = math.inf if free else self._max_wait
         decision = pending.decide(
             by_choice,
             free,
@@ -139,7 +143,7 @@
             now,
             starts=starts,
             newest_first=self._newest_first,
-            max_wait=self._max_wait,
+            max_wait=max_wait,
         )
         self._newest_first ^= len(decision.serve) % 2 == 1
         for choice in decision.close:
--- a/src/corianderloft/_internal/network/serving.py
+++ b/src/corianderloft/_internal/network/serving.py
@@ -42,10 +42,13 @@
 """Send buffer of connections on a host that states its memory. The kernel
 doubles it. It holds what a client does not read, up to some MB by default."""
 
-MAX_PENDING = 64
+MAX_PENDING = 256
 """Maximum number of accepted connections that wait for a slot, and of refused
 ones that are not closed yet."""
 
+SMALL_HOST_MAX_PENDING = 64
+"""The same on a host that states its memory."""
+
 MAX_ACCEPTS = 64
 """Connections that are accepted before other tasks run."""
 
@@ -124,6 +127,7 @@
         limits,
         receive_buffer=SMALL_HOST_RECEIVE_BUFFER,
         send_buffer=SMALL_HOST_SEND_BUFFER,
+        max_pending=SMALL_HOST_MAX_PENDING,
     )
 
 
--- a/tests/unit/network/test_pending.py
+++ b/tests/unit/network/test_pending.py
@@ -72,6 +72,15 @@
     assert decide(middle, new, old, free=1, newest_first=True).serve == [new]
 
 
+def test_requests_that_have_waited_long_come_last():
+    """Guards against a slow process that answers who is about to give up."""
+    late = [connection(ASKING, age) for age in (1.5, 0.5)]
+    fresh = [connection(ASKING, age) for age in (0.2, 0.1)]
+    decision = decide(*late, *fresh, free=9, starts=3, max_wait=2.0)
+    assert decision.serve == [*fresh, late[0]]
+    assert not decision.refuse
+
+
 def test_no_more_requests_are_begun_than_allowed():
     waiting = [connection(ASKING, age) for age in (0.25, 0.2, 0.1)]
     decision = decide(*waiting, free=3, starts=1)
