Refuse requests of the gateway in time also while there are connections

With a ready gateway host that was short of processor time again took no connection for 3 s, as requests waited past the patience of their clients.

Change: the bound while slots are free is a parameter of the server; the gateway sets that of a shortage of slots, as before.

--- a/src/corianderloft/_internal/gateway/host.py
+++ b/src/corianderloft/_internal/gateway/host.py
@@ -421,6 +421,8 @@
             port_name=port_name,
             starts=starts,
             max_wait=max_wait,
+            # These callers give up an attempt in a third of their time.
+            max_wait_for_start=max_wait,
             build_refusal=functools.partial(
                 _refuse_connection, random.Random()
             ),
--- a/src/corianderloft/_internal/network/pending_connections.py
+++ b/src/corianderloft/_internal/network/pending_connections.py
@@ -69,6 +69,8 @@
     max_wait : float
         Time after which a request that waits for a slot is refused, in
         seconds.
+    max_wait_for_start : float
+        The same while there are slots and only processor time is short.
     build_refusal : callable or None
         Returns the response to a request that gets no slot. Without one,
         requests wait until their clients give up, or the room is exceeded.
@@ -79,12 +81,14 @@
         room: int,
         stats: connection_stats.ConnectionStats,
         max_wait: float,
+        max_wait_for_start: float,
         build_refusal: collections.abc.Callable[[], bytes] | None,
     ) -> None:
         self._room = room
         self._stats = stats
         self._build_refusal = build_refusal
         self._max_wait = math.inf if build_refusal is None else max_wait
+        self._max_wait_for_start = max(self._max_wait, max_wait_for_start)
         self._waiting: dict[int, _Waiting] = {}
         self._newest_first = False
         self._poll = select.poll()
@@ -133,9 +137,7 @@
             pending.Pending(w.state, w.since): w
             for w in self._waiting.values()
         }
-        # While only processor time is short the queue moves on, and clients
-        # that have time for it get their answers.
-        max_wait = math.inf if free else self._max_wait
+        max_wait = self._max_wait_for_start if free else self._max_wait
         decision = pending.decide(
             by_choice,
             free,
--- a/src/corianderloft/_internal/network/serving.py
+++ b/src/corianderloft/_internal/network/serving.py
@@ -168,6 +168,8 @@
         None limits those of this port only.
     max_wait : float
         Time after which a request that gets no slot is refused, in seconds.
+    max_wait_for_start : float
+        The same while there are slots and only processor time is short.
     build_refusal : callable or None
         Returns the response to a request that gets no slot. Without one, and
         with TLS, requests wait until their clients give up.
@@ -183,6 +185,7 @@
         port_name: str = 'callers',
         starts: start_limit.StartLimit | None = None,
         max_wait: float = pending.MAX_WAIT_S,
+        max_wait_for_start: float = math.inf,
         build_refusal: collections.abc.Callable[[], bytes] | None = None,
     ) -> None:
         if memory is None:
@@ -210,6 +213,7 @@
             limits.max_pending,
             self._stats,
             max_wait,
+            max_wait_for_start,
             None if tls else build_refusal,
         )
         self._shortage_logged_at = -math.inf
