--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -22,6 +22,19 @@
 KEY = 'n2ctnfzs989anu6wsjnb'
 TENANT = 'hule930'
 
+PROCESSES = []
+"""Hosts that were started; see `end_early`."""
+
+
+def end_early(signum, frame):
+    """End the hosts of a script that is ended before its time."""
+    for process in PROCESSES:
+        process.kill()
+    os._exit(2)
+
+
+signal.signal(signal.SIGTERM, end_early)
+
 
 def free_port():
     """Return a TCP port that is free now."""
@@ -470,6 +483,7 @@
             ['python3', '-S', 'deploy/entry_host.py'],
             cwd=ROOT, env=env, stdout=log, stderr=log,
         )
+        PROCESSES.append(self.process)
 
     @property
     def alive(self):
